--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Common tasks. VENV may point at a shared virtual environment.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: install test lint format prove demo run generate docs capacity
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -c constraints.txt -e '.[test,lint,generate]'
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(BIN)/black --check -q .
+	$(BIN)/ruff check -q .
+
+format: $(STAMP)
+	$(BIN)/ruff check -q --fix . || true
+	$(BIN)/black -q .
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: fake upstreams, load and fleets of daemons."""
--- /dev/null
+++ b/heatherhead/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, limits, retry budgets, grants and the key table."""
--- /dev/null
+++ b/heatherhead/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP port: parsing, address answers, deadlines and errors."""
--- /dev/null
+++ b/heatherhead/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The verbs of the command-line tool, a module each."""
--- /dev/null
+++ b/heatherhead/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The service model, its replica on each instance and its dissemination."""
--- /dev/null
+++ b/heatherhead/configuration/model.py
@@ -0,0 +1,72 @@
+"""Services and their upstreams as the daemon holds them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = ["CallClass", "PathRule", "Service", "ServiceRecord", "Upstream"]
+
+DEFAULT_DEADLINE_MS = 30_000
+DEFAULT_QUEUE_LIMIT = 512
+DEFAULT_SLOTS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One server of a service; `id` is unique within the service."""
+
+    id: str
+    host: str
+    port: int
+    region: str = "local"
+    availability_zone: str = "local"
+    slots: int = DEFAULT_SLOTS
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PathRule:
+    """Says for the paths below a prefix whether their calls are idempotent."""
+
+    path_prefix: str
+    idempotent: bool
+    methods: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CallClass:
+    """A share of a service's slots for one class of calls or one tenant."""
+
+    name: str
+    weight: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """One service of an operator with its upstreams and rules."""
+
+    name: str
+    upstreams: tuple[Upstream, ...] = ()
+    hosts: tuple[str, ...] = ()
+    path_prefixes: tuple[str, ...] = ()
+    default_deadline_ms: int = DEFAULT_DEADLINE_MS
+    queue_limit: int = DEFAULT_QUEUE_LIMIT
+    classes: tuple[CallClass, ...] = (CallClass("default"),)
+    path_rules: tuple[PathRule, ...] = ()
+    retry_share: float = 0.1
+    hedge_share: float = 0.05
+    key_required: bool = True
+
+    def upstream(self, upstream_id: str) -> Upstream | None:
+        """Find an upstream by its id."""
+        return next((each for each in self.upstreams if each.id == upstream_id), None)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRecord:
+    """A service at one revision of the store; a deleted service is a tombstone (`None`)."""
+
+    name: str
+    revision: int
+    change_id: str
+    service: Service | None = field(default=None)
--- /dev/null
+++ b/heatherhead/configuration/replica.py
@@ -0,0 +1,50 @@
+"""This instance's copy of the configuration, whose revisions never go down."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.configuration.model import Service, ServiceRecord
+
+__all__ = ["Replica", "create_replica"]
+
+
+class Replica:
+    """Holds the newest known record of each service and tells listeners of changes."""
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, ServiceRecord] = {}
+        self.revision = 0
+        self._listeners: list[Callable[[ServiceRecord], None]] = []
+
+    def apply(self, record: ServiceRecord) -> bool:
+        """Take a record in if it is newer than the one held; tell whether it was."""
+        held = self.by_name.get(record.name)
+        if held is not None and held.revision >= record.revision:
+            return False
+        self.by_name[record.name] = record
+        self.revision = max(self.revision, record.revision)
+        for listener in self._listeners:
+            listener(record)
+        return True
+
+    def service(self, name: str) -> Service | None:
+        """Find a service by name; a deleted or unknown one gives `None`."""
+        record = self.by_name.get(name)
+        return record.service if record else None
+
+    def services(self) -> list[Service]:
+        """List the services in force."""
+        return [record.service for record in self.by_name.values() if record.service]
+
+    def subscribe(self, listener: Callable[[ServiceRecord], None]) -> None:
+        """Call `listener` with each record that is taken in from now on."""
+        self._listeners.append(listener)
+
+
+def create_replica() -> Replica:
+    """Create an empty replica."""
+    return Replica()
--- /dev/null
+++ b/heatherhead/membership/messages.py
@@ -0,0 +1,63 @@
+"""The codec of peer messages: numbered dataclasses, packed as msgpack arrays."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from typing import TYPE_CHECKING, TypeVar
+
+import msgpack
+
+from heatherhead.exceptions import PeerProtocolError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["MAX_MESSAGE_BYTES", "PROTOCOL_VERSION", "decode", "encode", "peer_message"]
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
+
+MessageT = TypeVar("MessageT")
+
+_class_by_number: dict[int, type] = {}
+_number_by_class: dict[type, int] = {}
+
+
+def peer_message(number: int) -> Callable[[type[MessageT]], type[MessageT]]:
+    """Register a dataclass as the peer message `number`.
+
+    Fields hold values that msgpack carries as they are. Numbers are never used again:
+    1-19 membership, 20-39 configuration, 40-59 routing, 60-79 callers.
+    """
+
+    def register(cls: type[MessageT]) -> type[MessageT]:
+        if number in _class_by_number:
+            raise ValueError(f"peer message number {number} is taken; choose a free one")
+        _class_by_number[number] = cls
+        _number_by_class[cls] = number
+        return cls
+
+    return register
+
+
+def encode(message: object) -> bytes:
+    """Pack a registered message."""
+    number = _number_by_class[type(message)]
+    values = [getattr(message, each.name) for each in fields(message)]  # type: ignore[arg-type]
+    return msgpack.packb([number, *values])
+
+
+def decode(data: bytes) -> object | None:
+    """Unpack a message; one of an unknown number gives `None`.
+
+    Raises `PeerProtocolError` for data that is no message.
+    """
+    try:
+        number, *values = msgpack.unpackb(data, max_buffer_size=MAX_MESSAGE_BYTES)
+        cls = _class_by_number.get(number)
+        return cls(*values) if cls else None
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise PeerProtocolError(
+            f"unreadable peer message: {error}",
+            remedy="check that the peers port is reached by heatherhead instances only",
+        ) from error
--- /dev/null
+++ b/heatherhead/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' RPC."""
--- /dev/null
+++ b/heatherhead/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for each call."""
--- /dev/null
+++ b/heatherhead/settings/loader.py
@@ -0,0 +1,42 @@
+"""Reads settings files: JSON with comments."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pyjson5
+from pydantic import ValidationError
+
+from heatherhead.exceptions import SettingsError
+from heatherhead.settings.schema import Settings
+
+__all__ = ["load_settings", "parse_settings"]
+
+
+def load_settings(path: str) -> Settings:
+    """Load a settings file; raises `SettingsError` that names the field and the remedy."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(
+            path, f"can't be read: {error.strerror}", remedy="name a readable settings file"
+        ) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Parse and check the text of a settings file."""
+    try:
+        document = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        raise SettingsError(
+            "(file)", f"not JSON with comments: {error}", remedy="correct the syntax"
+        ) from error
+    try:
+        return Settings.model_validate(document)
+    except ValidationError as error:
+        first = error.errors()[0]
+        path = ".".join(str(part) for part in first["loc"]) or "(file)"
+        raise SettingsError(
+            path, first["msg"], remedy="correct the field; docs/settings.md lists all of them"
+        ) from error
--- /dev/null
+++ b/heatherhead/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's configuration store behind a small interface."""
--- /dev/null
+++ b/heatherhead/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
--- /dev/null
+++ b/heatherhead/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in modules that mirror the package."""
--- /dev/null
+++ b/heatherhead/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and attempts to upstreams."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, checked by a model checker."""
