--- /dev/null
+++ b/heatherhead/configuration/editor.py
@@ -0,0 +1,212 @@
+"""Changes services in the store by compare-and-swap."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from heatherhead.configuration.documents import decode_record, encode_record
+from heatherhead.configuration.model import EarlierChange, ServiceRecord
+from heatherhead.configuration.schema import service_from_schema
+from heatherhead.exceptions import (
+    ConfigurationError,
+    ConflictError,
+    HeatherheadError,
+    StoreAmbiguousError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from heatherhead.configuration.model import Service
+    from heatherhead.configuration.replica import Replica
+    from heatherhead.configuration.schema import ServiceSchema
+    from heatherhead.store.interface import KeyValue, Store, WriteAnswer
+
+__all__ = ["Editor", "create_editor", "service_key"]
+
+MAX_EARLIER_CHANGES = 32
+MAX_SERVICES = 10_000  # tombstones included
+MAX_ATTEMPTS = 4
+
+
+def service_key(prefix: str, name: str) -> str:
+    """Name the store's key of a service."""
+    return f"{prefix}services/{name}"
+
+
+class Editor:
+    """Carries out changes of operators; implements `ConfigurationEditor`."""
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        replica: Replica,
+        take_in: Callable[[ServiceRecord], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._replica = replica
+        self._take_in = take_in
+
+    async def put(
+        self, service: ServiceSchema, expected_revision: int, change_id: str
+    ) -> Result[ServiceRecord, HeatherheadError]:
+        """Create (`expected_revision` 0) or replace a service."""
+        return await self._change(
+            service.name, service_from_schema(service), expected_revision, change_id
+        )
+
+    async def delete(
+        self, name: str, expected_revision: int, change_id: str
+    ) -> Result[ServiceRecord, HeatherheadError]:
+        """Delete a service; its tombstone keeps the revision."""
+        return await self._change(name, None, expected_revision, change_id)
+
+    async def _change(
+        self, name: str, service: Service | None, expected_revision: int, change_id: str
+    ) -> Result[ServiceRecord, HeatherheadError]:
+        """Swap the document in; an attempt without an answer is read back by the next one.
+
+        All attempts compare with the same revision, so that at most one of them takes effect.
+        """
+        held = self._replica.by_name.get(name)
+        if held is None and len(self._replica.by_name) >= MAX_SERVICES:
+            return Err(_too_many_services())
+        in_doubt: StoreAmbiguousError | None = None
+        is_fresh = False
+        for _ in range(MAX_ATTEMPTS):
+            found = _find_change(held, change_id, service)
+            if found is not None:
+                return Ok(found)
+            if not _may_replace(held, service, expected_revision):
+                if is_fresh:
+                    return Err(_conflict(name, held, expected_revision))
+                read = await self._read(name)
+                if isinstance(read, Err):
+                    return read
+                held, is_fresh = read.ok_value, True
+                continue
+            draft = _draft(name, service, change_id, held)
+            answer = await self._swap(draft, held)
+            if isinstance(answer, Err):
+                if not isinstance(answer.err_value, StoreAmbiguousError):
+                    return Err(in_doubt or answer.err_value)
+                in_doubt = answer.err_value
+                continue
+            if answer.ok_value.succeeded:
+                return Ok(self._accept(draft, answer.ok_value.revision))
+            current = self._read_back(answer.ok_value.current)
+            if isinstance(current, Err):
+                return current
+            held, is_fresh = current.ok_value, True
+        return Err(in_doubt or _conflict(name, held, expected_revision))
+
+    async def _swap(
+        self, draft: ServiceRecord, held: ServiceRecord | None
+    ) -> Result[WriteAnswer, HeatherheadError]:
+        try:
+            data = encode_record(draft)
+        except ConfigurationError as error:
+            return Err(error)
+        key = service_key(self._prefix, draft.name)
+        return await self._store.compare_and_swap(key, held.revision if held else 0, data)
+
+    def _accept(self, draft: ServiceRecord, revision: int) -> ServiceRecord:
+        record = ServiceRecord(
+            draft.name, revision, draft.change_id, draft.service, draft.earlier_changes
+        )
+        self._take_in(record)
+        return record
+
+    async def _read(self, name: str) -> Result[ServiceRecord | None, HeatherheadError]:
+        key = service_key(self._prefix, name)
+        answer = await self._store.read_prefix(key)
+        if isinstance(answer, Err):
+            return answer
+        return self._read_back(answer.ok_value.by_key.get(key))
+
+    def _read_back(
+        self, current: KeyValue | None
+    ) -> Result[ServiceRecord | None, HeatherheadError]:
+        if current is None:
+            return Ok(None)
+        try:
+            record = decode_record(current.value, current.mod_revision)
+        except ConfigurationError as error:
+            return Err(error)
+        self._take_in(record)
+        return Ok(record)
+
+
+def _find_change(
+    held: ServiceRecord | None, change_id: str, service: Service | None
+) -> ServiceRecord | None:
+    """Find the record that a change made earlier, if it did."""
+    if held is None:
+        return None
+    if held.change_id == change_id:
+        return held
+    for earlier in held.earlier_changes:
+        if earlier.change_id == change_id:
+            return ServiceRecord(held.name, earlier.revision, change_id, service)
+    return None
+
+
+def _may_replace(
+    held: ServiceRecord | None, service: Service | None, expected_revision: int
+) -> bool:
+    if held is None:
+        return expected_revision == 0 and service is not None
+    if held.service is None and service is None:
+        return False
+    if expected_revision == held.revision:
+        return True
+    # Creation over a tombstone; one with a full history may have forgotten this very change.
+    is_whole = len(held.earlier_changes) < MAX_EARLIER_CHANGES
+    return expected_revision == 0 and held.service is None and is_whole
+
+
+def _draft(
+    name: str, service: Service | None, change_id: str, held: ServiceRecord | None
+) -> ServiceRecord:
+    earlier: tuple[EarlierChange, ...] = ()
+    if held is not None:
+        last = EarlierChange(held.change_id, held.revision)
+        earlier = (*held.earlier_changes, last)[-MAX_EARLIER_CHANGES:]
+    return ServiceRecord(name, 0, change_id, service, earlier)
+
+
+def _conflict(name: str, held: ServiceRecord | None, expected_revision: int) -> ConflictError:
+    if held is None:
+        return ConflictError(
+            f"service {name} does not exist and revision {expected_revision} was expected",
+            revision=0,
+            remedy="create it with expected revision 0",
+        )
+    state = "deleted" if held.service is None else "changed"
+    return ConflictError(
+        f"service {name} was {state} by change {held.change_id} at revision {held.revision},"
+        f" and revision {expected_revision} was expected",
+        revision=held.revision,
+        remedy="look at that change, then ask again with its revision",
+    )
+
+
+def _too_many_services() -> ConfigurationError:
+    return ConfigurationError(
+        "name",
+        f"there are {MAX_SERVICES} services, deleted ones included",
+        remedy="use the name of a deleted service again",
+    )
+
+
+def create_editor(
+    store: Store, prefix: str, replica: Replica, take_in: Callable[[ServiceRecord], None]
+) -> Editor:
+    """Create an editor that hands each record it learns of to `take_in`."""
+    return Editor(store, prefix, replica, take_in)
--- a/heatherhead/configuration/model.py
+++ b/heatherhead/configuration/model.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["CallClass", "PathRule", "Service", "ServiceRecord", "Upstream"]
+__all__ = ["CallClass", "EarlierChange", "PathRule", "Service", "ServiceRecord", "Upstream"]
 
 DEFAULT_DEADLINE_MS = 30_000
 DEFAULT_QUEUE_LIMIT = 512
@@ -62,11 +62,24 @@
         return next((each for each in self.upstreams if each.id == upstream_id), None)
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierChange:
+    """A change of a service that later ones have replaced."""
+
+    change_id: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceRecord:
-    """A service at one revision of the store; a deleted service is a tombstone (`None`)."""
+    """A service at one revision of the store; a deleted service is a tombstone (`None`).
+
+    `earlier_changes` holds the last changes before this one, newest last, so that a change whose
+    reply was lost is found again after others have come on top of it.
+    """
 
     name: str
     revision: int
     change_id: str
     service: Service | None = field(default=None)
+    earlier_changes: tuple[EarlierChange, ...] = ()
--- /dev/null
+++ b/heatherhead/configuration/record_table.py
@@ -0,0 +1,135 @@
+"""The replica's records as packed documents, with hashes that tell two replicas apart."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+from heatherhead.configuration.documents import encode_record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.configuration.model import ServiceRecord
+    from heatherhead.configuration.replica import Replica
+
+__all__ = ["BUCKETS", "PackedRecord", "RecordTable", "bucket_of", "create_record_table"]
+
+BUCKETS = 64
+HASH_BYTES = 8
+PACK_LEVEL = 6  # zlib; the documents of a service's upstreams shrink about eightfold
+
+
+@dataclass(frozen=True, slots=True)
+class PackedRecord:
+    """A record's compressed document, as it goes from instance to instance."""
+
+    name: str
+    revision: int
+    data: bytes
+
+
+class RecordTable:
+    """Knows each record's packed form and up to which revision all changes are in force.
+
+    `applied` is that revision: the store's watch or a peer with the same records vouches for it.
+    `heard_of` is the highest such revision that any instance has told of.
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.applied = 0
+        self.heard_of = 0
+        self.hashes = [0] * BUCKETS
+        self._packed_by_name: dict[str, PackedRecord] = {}
+        self._record_listeners: list[Callable[[PackedRecord], None]] = []
+        self._applied_listeners: list[Callable[[int], None]] = []
+
+    def take_in(self, record: ServiceRecord, document: bytes | None = None) -> bool:
+        """Apply a record if it is newer than the one held; tell whether it was."""
+        held = self._packed_by_name.get(record.name)
+        if held is not None and held.revision >= record.revision:
+            return False
+        data = zlib.compress(document or encode_record(record), PACK_LEVEL)
+        return self.take_in_packed(record, PackedRecord(record.name, record.revision, data))
+
+    def take_in_packed(self, record: ServiceRecord, packed: PackedRecord) -> bool:
+        """Apply a record whose packed form is at hand."""
+        held = self._packed_by_name.get(record.name)
+        if not self.replica.apply(record):
+            return False
+        bucket = bucket_of(record.name)
+        if held is not None:
+            self.hashes[bucket] ^= _hash(held.name, held.revision)
+        self.hashes[bucket] ^= _hash(packed.name, packed.revision)
+        self._packed_by_name[record.name] = packed
+        for listener in self._record_listeners:
+            listener(packed)
+        return True
+
+    def advance(self, revision: int) -> None:
+        """Note that all changes up to `revision` are in force here."""
+        self.hear_of(revision)
+        if revision <= self.applied:
+            return
+        self.applied = revision
+        for listener in self._applied_listeners:
+            listener(revision)
+
+    def hear_of(self, revision: int) -> None:
+        """Note that some instance has all changes up to `revision` in force."""
+        self.heard_of = max(self.heard_of, revision)
+
+    @property
+    def total_hash(self) -> int:
+        """Return one hash over all records."""
+        total = 0
+        for each in self.hashes:
+            total ^= each
+        return total
+
+    def revision_of(self, name: str) -> int:
+        """Return the revision held of a service, 0 for an unknown one."""
+        held = self._packed_by_name.get(name)
+        return held.revision if held else 0
+
+    def packed(self, name: str) -> PackedRecord | None:
+        """Find a record's packed form."""
+        return self._packed_by_name.get(name)
+
+    def names(self) -> list[str]:
+        """List the names of all records, tombstones included."""
+        return list(self._packed_by_name)
+
+    def heads(self, buckets: set[int]) -> list[tuple[str, int]]:
+        """List name and revision of the records in some buckets."""
+        return [
+            (each.name, each.revision)
+            for each in self._packed_by_name.values()
+            if bucket_of(each.name) in buckets
+        ]
+
+    def on_record(self, listener: Callable[[PackedRecord], None]) -> None:
+        """Call `listener` with each record that is taken in from now on."""
+        self._record_listeners.append(listener)
+
+    def on_applied(self, listener: Callable[[int], None]) -> None:
+        """Call `listener` each time `applied` has risen."""
+        self._applied_listeners.append(listener)
+
+
+def bucket_of(name: str) -> int:
+    """Tell which bucket a service's hash goes into."""
+    return zlib.crc32(name.encode()) % BUCKETS
+
+
+def _hash(name: str, revision: int) -> int:
+    digest = blake2b(f"{name}@{revision}".encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def create_record_table(replica: Replica) -> RecordTable:
+    """Create the table of an empty replica."""
+    return RecordTable(replica)
--- /dev/null
+++ b/heatherhead/store/factory.py
@@ -0,0 +1,20 @@
+"""Chooses the store's adapter by the settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.store.memory import create_memory_store
+
+if TYPE_CHECKING:
+    from heatherhead.settings.store import StoreSettings
+    from heatherhead.store.interface import Store
+
+__all__ = ["create_store"]
+
+
+def create_store(settings: StoreSettings) -> Store:
+    """Create the adapter of the platform's store, or the embedded one when no URL is set."""
+    if not settings.urls:
+        return create_memory_store()
+    raise NotImplementedError
