Add grants and the key table

Cause: a non-idempotent call must run at most once, and a caller told not-run must be able to rely on it, without a store call for each order. Change: grants signed by a secret of one process start, readable by anybody, checked only by their owner; a bounded key table with a closed watermark, bounded answers and bounded removal; typed errors with status, outcome and remedy.

--- /dev/null
+++ b/heatherhead/admission/key_table.py
@@ -0,0 +1,336 @@
+"""The key table: remembers which keyed calls this process has run, so that none runs twice.
+
+Every method is one step without a wait, but for `KeyTable.wait`. All work is O(1) amortised for
+each call, also the removal of old entries. Times are seconds of the loop clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import StrEnum
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from heatherhead.admission.key_errors import (
+    GrantClosedError,
+    GrantExpiredError,
+    KeyAnswerGoneError,
+    KeyClosedError,
+    KeyedCallError,
+    KeyForgottenError,
+    KeyMismatchError,
+    KeyTableFullError,
+    KeyUnknownError,
+)
+from heatherhead.calls import AttemptState
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from heatherhead.admission.grants import Grant, GrantIssuer
+
+__all__ = [
+    "KeyEnd",
+    "KeyRun",
+    "KeyState",
+    "KeyTable",
+    "KeyTableLimits",
+    "KeyWait",
+    "RecordedAnswer",
+    "create_key_table",
+    "request_fingerprint",
+]
+
+SWEEP_BUCKET_S = 1.0
+SWEEP_STEPS = 4  # more than one entry goes for each that comes, in bounded time
+ANSWER_OVERHEAD_BYTES = 512
+HEADER_OVERHEAD_BYTES = 160
+
+
+class KeyState(StrEnum):
+    """What is known of a key."""
+
+    ABSENT = "absent"
+    RUNNING = "running"
+    RECORDED = "recorded"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+    CLOSED = "closed"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTableLimits:
+    """Bounds of the key table."""
+
+    max_entries: int = 200_000
+    max_recorded_bytes: int = 16 * 1024 * 1024
+    max_answer_bytes: int = 64 * 1024
+    retention_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """An upstream's whole answer, kept for resends."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Estimate the memory that the answer takes."""
+        headers = sum(len(name) + len(value) for name, value in self.headers)
+        overhead = ANSWER_OVERHEAD_BYTES + HEADER_OVERHEAD_BYTES * len(self.headers)
+        return overhead + headers + len(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyEnd:
+    """How the run of a key ended; `answer` is there in state RECORDED only."""
+
+    state: KeyState
+    answer: RecordedAnswer | None = None
+
+    def error(self) -> KeyedCallError | None:
+        """Give the error to tell the caller; `None` if there is an answer."""
+        kind = _error_by_state.get(self.state)
+        return kind() if kind else None
+
+
+_error_by_state: dict[KeyState, type[KeyedCallError]] = {
+    KeyState.RAN: KeyAnswerGoneError,
+    KeyState.UNKNOWN: KeyUnknownError,
+    KeyState.CLOSED: KeyClosedError,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class KeyWait:
+    """The key is running; `KeyTable.wait` gives its end."""
+
+    name: str
+
+
+@dataclass(slots=True)
+class _Entry:
+    """What the table holds of a key."""
+
+    state: KeyState
+    fingerprint: int
+    answer: RecordedAnswer | None = None
+    waiters: asyncio.Future[KeyEnd] | None = None
+
+
+class KeyRun:
+    """The only right to send the call of one key to upstreams; ends exactly once.
+
+    As a context manager it ends a run that was left open: as not run if nothing may have run,
+    else as unknown.
+    """
+
+    __slots__ = ("_attempt", "_end", "_name", "_table")
+
+    def __init__(self, table: KeyTable, name: str) -> None:
+        self._table = table
+        self._name = name
+        self._attempt = AttemptState.NOT_SENT
+        self._end: KeyEnd | None = None
+
+    def begin_attempt(self) -> bool:
+        """Ask to send to an upstream; `False` if the call may have run already or has ended."""
+        if self._end is not None or not self._attempt.surely_not_run:
+            return False
+        self._attempt = AttemptState.UNKNOWN
+        return True
+
+    def end_attempt(self, state: AttemptState) -> None:
+        """Tell how the attempt that was begun last ended."""
+        if self._end is None:
+            self._attempt = state
+
+    def finish_answered(self, answer: RecordedAnswer | None) -> KeyEnd:
+        """End with an upstream's answer, or with `None` for one too large to keep."""
+        return self._finish(KeyState.RECORDED if answer else KeyState.RAN, answer)
+
+    def finish_unknown(self) -> KeyEnd:
+        """End without an answer to a call that may have run."""
+        return self._finish(KeyState.UNKNOWN)
+
+    def finish_not_run(self) -> KeyEnd:
+        """End a call that no upstream ran, so that it never runs under this key.
+
+        Gives state UNKNOWN instead if an attempt may have run; tell the caller what the end says.
+        """
+        if not self._attempt.surely_not_run:
+            return self.finish_unknown()
+        return self._finish(KeyState.CLOSED)
+
+    def __enter__(self) -> KeyRun:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.finish_not_run()
+
+    def _finish(self, state: KeyState, answer: RecordedAnswer | None = None) -> KeyEnd:
+        if self._end is None:
+            self._end = self._table._finish(self._name, state, answer)
+        return self._end
+
+
+class KeyTable:
+    """The keys that this process has run or refused, bounded in entries and answer bytes."""
+
+    def __init__(self, issuer: GrantIssuer, limits: KeyTableLimits) -> None:
+        self.limits = limits
+        self.closed_watermark = 0
+        self.recorded_bytes = 0
+        self._issuer = issuer
+        self._now = 0.0
+        self._entry_by_name: dict[str, _Entry] = {}
+        self._recorded_names: OrderedDict[str, None] = OrderedDict()
+        self._names_by_bucket: dict[int, list[str]] = {}
+        self._buckets: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._entry_by_name)
+
+    def begin(
+        self, grant: Grant, caller_id: str, fingerprint: int, now: float
+    ) -> Result[KeyRun | KeyWait | KeyEnd, KeyedCallError]:
+        """Begin the call of a key, or tell what became of it.
+
+        `KeyRun` obliges the caller to run the call and to end it. All checks and the new entry
+        are one step, so that no pause can come between them.
+        """
+        self._now = max(self._now, now)
+        self._sweep()
+        name = f"{grant.serial:x}.{caller_id}"
+        entry = self._entry_by_name.get(name)
+        if entry is not None:
+            return self._resend(name, entry, fingerprint)
+        refusal = self._refusal(grant)
+        if refusal is not None:
+            return Err(refusal)
+        self._entry_by_name[name] = _Entry(KeyState.RUNNING, fingerprint)
+        self._schedule_removal(name, grant.expires_at + self.limits.retention_s)
+        return Ok(KeyRun(self, name))
+
+    async def wait(self, running: KeyWait) -> KeyEnd:
+        """Wait for the end of a running key; a waiter that is cancelled disturbs nobody."""
+        entry = self._entry_by_name.get(running.name)
+        if entry is None:
+            return KeyEnd(KeyState.UNKNOWN)
+        if entry.state is not KeyState.RUNNING:
+            return KeyEnd(entry.state, entry.answer)
+        if entry.waiters is None:
+            entry.waiters = asyncio.get_running_loop().create_future()
+        return await asyncio.shield(entry.waiters)
+
+    def state(self, grant: Grant, caller_id: str) -> KeyState:
+        """Tell the state of a key."""
+        entry = self._entry_by_name.get(f"{grant.serial:x}.{caller_id}")
+        return entry.state if entry else KeyState.ABSENT
+
+    def _resend(
+        self, name: str, entry: _Entry, fingerprint: int
+    ) -> Result[KeyRun | KeyWait | KeyEnd, KeyedCallError]:
+        if entry.fingerprint != fingerprint:
+            return Err(KeyMismatchError())
+        if entry.state is KeyState.RUNNING:
+            return Ok(KeyWait(name))
+        return Ok(KeyEnd(entry.state, entry.answer))
+
+    def _refusal(self, grant: Grant) -> KeyedCallError | None:
+        """Say why an absent key may not begin."""
+        if self._now >= grant.expires_at + self.limits.retention_s:
+            return KeyForgottenError()
+        if self._now >= grant.expires_at:
+            return GrantExpiredError()
+        if grant.serial <= self.closed_watermark:
+            return GrantClosedError()
+        if len(self._entry_by_name) >= self.limits.max_entries:
+            self.closed_watermark = self._issuer.last_serial
+            return KeyTableFullError()
+        return None
+
+    def _finish(self, name: str, state: KeyState, answer: RecordedAnswer | None) -> KeyEnd:
+        entry = self._entry_by_name[name]
+        end = KeyEnd(state, answer)
+        entry.state = state
+        if answer is not None:
+            self._record(name, entry, answer)
+        if entry.waiters is not None:
+            entry.waiters.set_result(end)
+            entry.waiters = None
+        return end
+
+    def _record(self, name: str, entry: _Entry, answer: RecordedAnswer) -> None:
+        """Keep an answer if it fits, and drop the oldest ones to make room for it."""
+        if answer.size_bytes > self.limits.max_answer_bytes:
+            entry.state = KeyState.RAN
+            return
+        entry.answer = answer
+        self._recorded_names[name] = None
+        self.recorded_bytes += answer.size_bytes
+        while self.recorded_bytes > self.limits.max_recorded_bytes:
+            self._evict_answer()
+
+    def _evict_answer(self) -> None:
+        name, _ = self._recorded_names.popitem(last=False)
+        entry = self._entry_by_name[name]
+        self.recorded_bytes -= entry.answer.size_bytes if entry.answer else 0
+        entry.answer = None
+        entry.state = KeyState.RAN
+
+    def _schedule_removal(self, name: str, due: float) -> None:
+        bucket = int(due // SWEEP_BUCKET_S) + 1
+        names = self._names_by_bucket.get(bucket)
+        if names is None:
+            names = self._names_by_bucket[bucket] = []
+            heapq.heappush(self._buckets, bucket)
+        names.append(name)
+
+    def _sweep(self) -> None:
+        """Remove a few entries whose retention has ended; a running one stays."""
+        for _ in range(SWEEP_STEPS):
+            if not self._buckets or self._buckets[0] * SWEEP_BUCKET_S > self._now:
+                return
+            bucket = self._buckets[0]
+            names = self._names_by_bucket[bucket]
+            if names:
+                self._remove(names.pop())
+            else:
+                heapq.heappop(self._buckets)
+                del self._names_by_bucket[bucket]
+
+    def _remove(self, name: str) -> None:
+        entry = self._entry_by_name[name]
+        if entry.state is KeyState.RUNNING:
+            self._schedule_removal(name, self._now + self.limits.retention_s)
+            return
+        del self._entry_by_name[name]
+        if entry.answer is not None:
+            del self._recorded_names[name]
+            self.recorded_bytes -= entry.answer.size_bytes
+
+
+def create_key_table(issuer: GrantIssuer, limits: KeyTableLimits | None = None) -> KeyTable:
+    """Create an empty key table for the grants of one issuer."""
+    return KeyTable(issuer, limits or KeyTableLimits())
+
+
+def request_fingerprint(method: str, target: str, content_length: int | None) -> int:
+    """Condense what must be the same when a request is sent again."""
+    text = f"{method} {content_length} {target}"
+    digest = blake2b(text.encode("utf-8", "surrogateescape"), digest_size=7).digest()
+    return int.from_bytes(digest, "big")
