Add telemetry: histograms, counters and gauges, sent by statsd

Cause: the path needs one place that takes observations, and operators need to read them. Change: TelemetryRecorder keeps sparse histograms with HDR buckets per service, class and kind (bounded pairs), and sends metrics over UDP by turns within a byte budget each second.

--- a/heatherhead/settings/telemetry.py
+++ b/heatherhead/settings/telemetry.py
@@ -4,7 +4,7 @@
 
 from typing import Literal
 
-from pydantic import Field
+from pydantic import Field, IPvAnyAddress
 
 from heatherhead.settings.section import Section
 
@@ -17,8 +17,25 @@
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = Field(
         default="INFO", description="Lowest level that is logged."
     )
-    statsd_host: str | None = Field(
+    statsd_host: IPvAnyAddress | None = Field(
         default=None, description="IP number of the statsd daemon; none sends no metrics."
     )
     statsd_port: int = Field(default=8125, ge=1, le=65535, description="UDP port of statsd.")
-    statsd_prefix: str = Field(default="heatherhead", description="First part of metric names.")
+    statsd_prefix: str = Field(
+        default="heatherhead",
+        pattern=r"^[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*$",
+        max_length=128,
+        description="First part of metric names.",
+    )
+    statsd_bytes_per_s: int = Field(
+        default=4096,
+        ge=512,
+        le=1_048_576,
+        description="Bytes of metrics sent in a second; what does not fit waits for its turn.",
+    )
+    max_histogram_pairs: int = Field(
+        default=256,
+        ge=1,
+        le=4096,
+        description="Pairs of service and class with histograms of their own.",
+    )
--- a/heatherhead/telemetry/__init__.py
+++ b/heatherhead/telemetry/__init__.py
@@ -1,1 +1,23 @@
 """Logs, metrics and histograms."""
+
+from heatherhead.telemetry.interface import (
+    Distribution,
+    HistogramKind,
+    HistogramReading,
+    Telemetry,
+    TelemetryReader,
+)
+from heatherhead.telemetry.logs import configure_logs, log_event
+from heatherhead.telemetry.recorder import TelemetryRecorder, create_telemetry
+
+__all__ = [
+    "Distribution",
+    "HistogramKind",
+    "HistogramReading",
+    "Telemetry",
+    "TelemetryReader",
+    "TelemetryRecorder",
+    "configure_logs",
+    "create_telemetry",
+    "log_event",
+]
--- a/heatherhead/telemetry/interface.py
+++ b/heatherhead/telemetry/interface.py
@@ -1,11 +1,12 @@
-"""What the path tells telemetry."""
+"""What the path tells telemetry, and what operators read back from it."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
-__all__ = ["HistogramKind", "Telemetry"]
+__all__ = ["Distribution", "HistogramKind", "HistogramReading", "Telemetry", "TelemetryReader"]
 
 
 class HistogramKind(StrEnum):
@@ -17,6 +18,36 @@
     ATTEMPTS = "attempts"
 
 
+@dataclass(frozen=True, slots=True)
+class Distribution:
+    """A summary of observations, in the unit of their kind; all 0 for none."""
+
+    count: int = 0
+    mean: float = 0.0
+    p50: float = 0.0
+    p90: float = 0.0
+    p99: float = 0.0
+    p999: float = 0.0
+    maximum: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HistogramReading:
+    """One histogram: the last one to two minutes, and all since it was created.
+
+    `encoded` holds all observations in the HDR histogram interchange form (V2, compressed,
+    base64), in microseconds or counts; merge such texts of several instances before taking a
+    percentile of the fleet.
+    """
+
+    service: str
+    call_class: str
+    kind: HistogramKind
+    recent: Distribution
+    total: Distribution
+    encoded: str = ""
+
+
 class Telemetry(Protocol):
     """Takes counts and observations; never waits and never fails."""
 
@@ -31,3 +62,13 @@
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         ...
+
+
+class TelemetryReader(Protocol):
+    """Reads back what was recorded on this instance."""
+
+    def histograms(
+        self, service: str | None = None, *, encoded: bool = False
+    ) -> list[HistogramReading]:
+        """List the histograms of one service or of all, by service, class and kind."""
+        ...
--- /dev/null
+++ b/heatherhead/tests/telemetry/recorder_tests.py
@@ -0,0 +1,136 @@
+"""Tests of `heatherhead.telemetry.recorder` with the reporter, and a real UDP socket."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import pytest
+
+from heatherhead.settings.telemetry import TelemetrySettings
+from heatherhead.telemetry import HistogramKind, create_telemetry
+from heatherhead.telemetry.recorder import MAX_NAMES, TelemetryRecorder
+from heatherhead.telemetry.reporter import MetricsReporter
+from heatherhead.tests.base import run_paused
+
+if TYPE_CHECKING:
+    from heatherhead.telemetry.statsd import Metric
+
+
+class ListSink:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.failed_sends = 0
+        self.prefix_bytes = 0
+        self.batches: list[list[Metric]] = []
+
+    def send(self, metrics: list[Metric]) -> None:
+        self.batches.append(list(metrics))
+
+    def close(self) -> None:
+        pass
+
+    def total(self, name: str) -> float:
+        return sum(each.value for batch in self.batches for each in batch if each.name == name)
+
+
+def create_recorder(sink: ListSink, max_bytes: int = 4096, max_pairs: int = 8) -> TelemetryRecorder:
+    return TelemetryRecorder(MetricsReporter(sink, max_bytes), max_pairs)
+
+
+def test_flushes_each_second_of_the_loop() -> None:
+    async def scenario() -> None:
+        sink = ListSink()
+        telemetry = create_recorder(sink)
+        telemetry.start()
+        telemetry.count("calls.answered", 2)
+        telemetry.count("calls.answered", 3)
+        telemetry.observe("orders", "default", HistogramKind.ADDED, 0.002)
+        await asyncio.sleep(1.5)
+        assert sink.total("calls.answered") == 5
+        assert sink.total("calls.orders.default.added_ms.p99") == pytest.approx(2, rel=0.01)
+        telemetry.count("calls.answered")
+        await telemetry.close()
+        assert sink.total("calls.answered") == 6
+
+    run_paused(scenario())
+
+
+def test_small_budget_delays_metrics_and_loses_none() -> None:
+    sink = ListSink()
+    telemetry = create_recorder(sink, max_bytes=100)
+    names = [f"counter_{number}" for number in range(20)]
+    for _ in range(40):
+        for name in names:
+            telemetry.count(name)
+        telemetry.flush()
+    assert all(sum(each.size_bytes for each in batch) <= 100 for batch in sink.batches)
+    for _ in range(20):
+        telemetry.flush()
+    assert [sink.total(name) for name in names] == [40] * 20
+
+
+def test_pairs_beyond_the_bound_share_one_histogram() -> None:
+    sink = ListSink()
+    telemetry = create_recorder(sink, max_pairs=2)
+    for number in range(5):
+        telemetry.observe(f"service-{number}", "default", HistogramKind.UPSTREAM, 0.1)
+    readings = telemetry.histograms()
+    assert [(each.service, each.total.count) for each in readings] == [
+        ("other", 3),
+        ("service-0", 1),
+        ("service-1", 1),
+    ]
+    telemetry.flush()
+    assert sink.total("telemetry.pairs_over_bound") == 3
+
+
+def test_names_beyond_the_bound_are_counted_as_other() -> None:
+    sink = ListSink()
+    telemetry = create_recorder(sink, max_bytes=1_000_000)
+    for number in range(MAX_NAMES + 7):
+        telemetry.count(f"name_{number}")
+    telemetry.flush()
+    assert sink.total("other") == 7
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf")])
+def test_a_value_that_is_no_number_is_counted_and_harms_nothing(value: float) -> None:
+    sink = ListSink()
+    telemetry = create_recorder(sink)
+    telemetry.observe("orders", "default", HistogramKind.ADDED, value)
+    telemetry.gauge("queue", value)
+    telemetry.flush()
+    assert sink.total("telemetry.bad_values") == 2
+
+
+def test_datagrams_reach_a_statsd_socket() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        settings = TelemetrySettings(statsd_host="127.0.0.1", statsd_port=receiver.getsockname()[1])
+        telemetry = create_telemetry(settings)
+        telemetry.count("calls.refused", 4)
+        telemetry.observe("a.b", "päckchen", HistogramKind.ATTEMPTS, 2)
+        telemetry.flush()
+        lines = receiver.recv(2048).decode().split("\n")
+    assert "heatherhead.calls.refused:4|c" in lines
+    assert "heatherhead.calls.a_b.p_ckchen.attempts.p99:2|g" in lines
+    assert all(len(line) < 100 for line in lines)
+
+
+def test_a_socket_that_takes_nothing_fails_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    settings = TelemetrySettings(statsd_host="127.0.0.1", statsd_port=9)
+    telemetry = create_telemetry(settings)
+
+    def refuse(*_: object) -> None:
+        raise BlockingIOError
+
+    client = telemetry._reporter._sink._client  # type: ignore[union-attr]
+    client._sock.close()
+    client._sock = type("FullSocket", (), {"sendto": staticmethod(refuse)})()
+    telemetry.count("calls.refused")
+    telemetry.flush()
+    telemetry.flush()
+    assert telemetry._reporter.failed_sends == 2  # type: ignore[union-attr]
