--- /dev/null
+++ b/bench/fake_upstream.py
@@ -0,0 +1,217 @@
+"""Fake upstreams: HTTP servers with a few slots and faults that are scripted or switched.
+
+Run as `python -m bench.fake_upstream SCRIPT.json`; one process serves the upstreams of the script.
+The answer to `GET /__state` is what each upstream saw; `POST /__fault` switches its fault.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import uvloop
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["Fault", "UpstreamScript", "main"]
+
+LOAD_HEADER = "Heatherhead-Load"
+NOT_RUN_HEADER = "Heatherhead-Not-Run"
+RUN_ID_HEADER = "Heatherhead-Bench-Run"
+CRASH_HEADER = "Heatherhead-Bench-Crash"
+COLD_FACTOR = 5.0
+COLD_CALLS = 200
+LIE_IN_FLIGHT = 0
+REQUEST_BODY_LIMIT_BYTES = 4 * 1024**3
+READ_CHUNK_BYTES = 256 * 1024
+MAX_RUN_IDS = 1_000_000
+
+
+@dataclass(slots=True)
+class Fault:
+    """What is wrong with an upstream; every flag may be switched while it runs."""
+
+    fail_fast: bool = False
+    draining: bool = False
+    lying: bool = False
+    cold: bool = False
+    shedding: bool = False
+    stalled: bool = False
+
+
+@dataclass(slots=True)
+class UpstreamScript:
+    """One fake upstream and its slow spells.
+
+    Spells of `slow_s` seconds, `slow_factor` times slower, begin at random about every
+    `slow_every_s` seconds from a generator seeded with `seed`; 0 for none.
+    """
+
+    port: int
+    host: str = "127.0.0.1"
+    slots: int = 4
+    service_s: float = 0.010
+    answer_bytes: int = 1024
+    slow_every_s: float = 0.0
+    slow_s: float = 0.2
+    slow_factor: float = 10.0
+    seed: int = 1
+    fault: Fault = field(default_factory=Fault)
+
+
+class FakeUpstream:
+    """Serves calls in its slots, first come first served, slowly in its slow spells."""
+
+    def __init__(self, script: UpstreamScript) -> None:
+        self.script = script
+        self.fault = script.fault
+        self.calls = 0
+        self.cancelled = 0
+        self.in_flight = 0
+        self.in_flight_max = 0
+        self.runs_by_id: Counter[str] = Counter()
+        self.answered_by_id: Counter[str] = Counter()
+        self._slots = asyncio.Semaphore(script.slots)
+        self._random = random.Random(script.seed)
+        self._body = b"x" * script.answer_bytes
+        self._slow_until = 0.0
+        self._next_slow = 0.0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        if request.path == "/__state":
+            return web.json_response(self.state())
+        if request.path == "/__fault":
+            return await self._switch_fault(request)
+        if self.fault.draining or self.fault.shedding:
+            return self._refusal()
+        if self.fault.fail_fast:
+            return web.Response(status=500, text="failing fast")
+        return await self._run(request)
+
+    def state(self) -> dict[str, object]:
+        """Describe what this upstream has seen."""
+        return {
+            "port": self.script.port,
+            "calls": self.calls,
+            "cancelled": self.cancelled,
+            "in_flight": self.in_flight,
+            "in_flight_max": self.in_flight_max,
+            "fault": asdict(self.fault),
+            "runs_by_id": dict(self.runs_by_id),
+        }
+
+    def service_s(self, now: float) -> float:
+        """Say how long a call that starts now takes, in seconds."""
+        factor = self.script.slow_factor if self._is_slow(now) else 1.0
+        if self.fault.cold and self.calls < COLD_CALLS:
+            factor *= COLD_FACTOR
+        return self.script.service_s * factor
+
+    def _is_slow(self, now: float) -> bool:
+        every = self.script.slow_every_s
+        if every <= 0:
+            return False
+        if self._next_slow == 0.0:
+            self._next_slow = now + self._random.expovariate(1 / every)
+        while now >= self._next_slow:
+            self._slow_until = self._next_slow + self.script.slow_s
+            self._next_slow = self._slow_until + self._random.expovariate(1 / every)
+        return now < self._slow_until
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_flight += 1
+        self.in_flight_max = max(self.in_flight_max, self.in_flight)
+        try:
+            async with self._slots:
+                return await self._run_in_slot(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.in_flight -= 1
+
+    async def _run_in_slot(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls += 1
+        run_id = request.headers.get(RUN_ID_HEADER)
+        if run_id and len(self.runs_by_id) < MAX_RUN_IDS:
+            self.runs_by_id[run_id] += 1
+        if CRASH_HEADER in request.headers:
+            os._exit(1)
+        received = await _read_body(request)
+        await asyncio.sleep(self.service_s(asyncio.get_running_loop().time()))
+        while self.fault.stalled:
+            await asyncio.sleep(0.01)
+        return self._answer(run_id, received)
+
+    def _answer(self, run_id: str | None, received: int) -> web.Response:
+        headers = {LOAD_HEADER: str(LIE_IN_FLIGHT if self.fault.lying else self.in_flight)}
+        if received:
+            headers["Heatherhead-Bench-Received"] = str(received)
+        if run_id:
+            headers[RUN_ID_HEADER] = run_id
+        if self.fault.draining:
+            headers["Connection"] = "close"
+        return web.Response(body=self._body, headers=headers)
+
+    def _refusal(self) -> web.Response:
+        headers = {NOT_RUN_HEADER: "true"}
+        if self.fault.draining:
+            headers["Connection"] = "close"
+        return web.Response(status=503, headers=headers, text="not run")
+
+    async def _switch_fault(self, request: web.BaseRequest) -> web.Response:
+        changes: Mapping[str, bool] = json.loads(await request.read())
+        for name, value in changes.items():
+            setattr(self.fault, name, bool(value))
+        return web.json_response(asdict(self.fault))
+
+
+async def _read_body(request: web.BaseRequest) -> int:
+    received = 0
+    if request.body_exists:
+        async for chunk in request.content.iter_chunked(READ_CHUNK_BYTES):
+            received += len(chunk)
+    return received
+
+
+def _load_script(path: str) -> list[UpstreamScript]:
+    document = json.loads(Path(path).read_text(encoding="utf-8"))
+    return [
+        UpstreamScript(**{**each, "fault": Fault(**each.get("fault", {}))}) for each in document
+    ]
+
+
+async def _serve(scripts: list[UpstreamScript]) -> None:
+    runners = []
+    for script in scripts:
+        server = web.Server(FakeUpstream(script).handle, handler_cancellation=True)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, script.host, script.port, backlog=1024).start()
+        runners.append(runner)
+    print("ready", flush=True)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    await stopped.wait()
+    for runner in runners:
+        await runner.cleanup()
+
+
+def main() -> None:
+    """Serve the upstreams of the script named on the command line until SIGTERM."""
+    uvloop.run(_serve(_load_script(sys.argv[1])))
+
+
+if __name__ == "__main__":
+    main()
