Name every problem of a settings file, each with its remedy

Cause: the loader showed the first problem only, and services could have empty classes, hosts in any form and prefixes that match no path. Change: validation errors become field problems with path, reason and remedy, and FieldError carries all of them. The service schema bounds and checks hosts, path prefixes, methods and classes, and refuses duplicate names. Conclusion: six faults in one file are told at once (loader_tests).

--- a/heatherhead/configuration/schema.py
+++ b/heatherhead/configuration/schema.py
@@ -20,9 +20,18 @@
 
 MAX_UPSTREAMS = 2_000
 MAX_DEADLINE_MS = 3_600_000
+MAX_HOSTS = 256
+MAX_PATH_PREFIXES = 256
+MAX_METHODS = 32
 NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+HOST_PATTERN = r"^[A-Za-z0-9._-]{1,253}$|^\[[0-9A-Fa-f:.]{2,45}\]$"
+PATH_PATTERN = r"^/[!$-;=@-~]*$"
+METHOD_PATTERN = r"^[A-Z][A-Z0-9_-]{0,31}$"
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+HostName = Annotated[str, Field(pattern=HOST_PATTERN)]
+PathPrefix = Annotated[str, Field(pattern=PATH_PATTERN, max_length=1024)]
+Method = Annotated[str, Field(pattern=METHOD_PATTERN)]
 
 
 class _Schema(BaseModel):
@@ -48,9 +57,11 @@
 class PathRuleSchema(_Schema):
     """Widens or narrows which calls are idempotent."""
 
-    path_prefix: str = Field(pattern=r"^/", max_length=1024, description="Start of the path.")
+    path_prefix: PathPrefix = Field(description="Start of the path.")
     idempotent: bool = Field(description="Whether such calls may run more than once.")
-    methods: tuple[str, ...] = Field(default=(), description="Methods concerned; none for all.")
+    methods: tuple[Method, ...] = Field(
+        default=(), max_length=MAX_METHODS, description="Methods concerned; none for all."
+    )
 
 
 class CallClassSchema(_Schema):
@@ -67,9 +78,13 @@
     upstreams: tuple[UpstreamSchema, ...] = Field(
         default=(), max_length=MAX_UPSTREAMS, description="Servers."
     )
-    hosts: tuple[str, ...] = Field(default=(), description="Host names that choose the service.")
-    path_prefixes: tuple[str, ...] = Field(
-        default=(), description="Path prefixes that choose the service."
+    hosts: tuple[HostName, ...] = Field(
+        default=(), max_length=MAX_HOSTS, description="Host names that choose the service."
+    )
+    path_prefixes: tuple[PathPrefix, ...] = Field(
+        default=(),
+        max_length=MAX_PATH_PREFIXES,
+        description="Path prefixes that choose the service.",
     )
     default_deadline_ms: int = Field(
         default=DEFAULT_DEADLINE_MS,
@@ -81,7 +96,10 @@
         default=DEFAULT_QUEUE_LIMIT, ge=1, le=100_000, description="Calls that may wait."
     )
     classes: tuple[CallClassSchema, ...] = Field(
-        default=(CallClassSchema(name="default"),), max_length=64, description="Classes of calls."
+        default=(CallClassSchema(name="default"),),
+        min_length=1,
+        max_length=64,
+        description="Classes of calls.",
     )
     path_rules: tuple[PathRuleSchema, ...] = Field(
         default=(), max_length=256, description="Rules of idempotence, first match wins."
@@ -97,13 +115,22 @@
     )
 
     @model_validator(mode="after")
-    def _upstream_ids_are_unique(self) -> ServiceSchema:
-        ids = [each.id for each in self.upstreams]
-        if len(set(ids)) != len(ids):
-            raise ValueError("two upstreams have the same id")
+    def _names_are_unique(self) -> ServiceSchema:
+        _refuse_duplicates("upstreams", [each.id for each in self.upstreams])
+        _refuse_duplicates("classes", [each.name for each in self.classes])
+        _refuse_duplicates("hosts", [each.lower() for each in self.hosts])
+        _refuse_duplicates("path prefixes", list(self.path_prefixes))
         return self
 
 
+def _refuse_duplicates(kind: str, names: list[str]) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise ValueError(f"two {kind} are named {name}")
+        seen.add(name)
+
+
 def service_from_schema(schema: ServiceSchema) -> Service:
     """Convert a validated service into the form that the daemon holds."""
     plain = schema.model_dump(exclude={"upstreams", "classes", "path_rules"})
--- a/heatherhead/exceptions.py
+++ b/heatherhead/exceptions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 __all__ = [
@@ -9,6 +10,8 @@
     "ConfigurationError",
     "ConflictError",
     "DeadlineUnreachableError",
+    "FieldError",
+    "FieldProblem",
     "HeatherheadError",
     "NoUpstreamError",
     "OutcomeUnknownError",
@@ -42,12 +45,33 @@
         self.remedy = remedy
 
 
+@dataclass(frozen=True, slots=True)
+class FieldProblem:
+    """What is wrong with one field of a document; `path` names it, as `services.0.name`."""
+
+    path: str
+    reason: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.reason}; {self.remedy}"
+
+
 class FieldError(HeatherheadError):
-    """A value of a document is wrong; `path` names the field, as `services.0.name`."""
+    """Values of a document are wrong; `path` names the first such field.
 
-    def __init__(self, path: str, reason: str, *, remedy: str) -> None:
+    `problems` holds the first problem and all `others`, and the message has a line for each.
+    """
+
+    def __init__(
+        self, path: str, reason: str, *, remedy: str, others: tuple[FieldProblem, ...] = ()
+    ) -> None:
         super().__init__(f"{path}: {reason}", remedy=remedy)
         self.path = path
+        self.problems = (FieldProblem(path, reason, remedy), *others)
+
+    def __str__(self) -> str:
+        return "\n".join(str(problem) for problem in self.problems)
 
 
 class SettingsError(FieldError):
--- a/heatherhead/settings/loader.py
+++ b/heatherhead/settings/loader.py
@@ -8,13 +8,14 @@
 from pydantic import ValidationError
 
 from heatherhead.exceptions import SettingsError
+from heatherhead.field_problems import problems_of
 from heatherhead.settings.schema import Settings
 
 __all__ = ["load_settings", "parse_settings"]
 
 
 def load_settings(path: str) -> Settings:
-    """Load a settings file; raises `SettingsError` that names the field and the remedy."""
+    """Load a settings file; raises `SettingsError` that names every wrong field."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except OSError as error:
@@ -25,7 +26,7 @@
 
 
 def parse_settings(text: str) -> Settings:
-    """Parse and check the text of a settings file."""
+    """Parse the text of a settings file; raises `SettingsError` that names every wrong field."""
     try:
         document = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
@@ -35,8 +36,7 @@
     try:
         return Settings.model_validate(document)
     except ValidationError as error:
-        first = error.errors()[0]
-        path = ".".join(str(part) for part in first["loc"]) or "(file)"
+        first, *others = problems_of(error, Settings)
         raise SettingsError(
-            path, first["msg"], remedy="correct the field; docs/settings.md lists all of them"
+            first.path, first.reason, remedy=first.remedy, others=tuple(others)
         ) from error
--- a/heatherhead/tests/settings/loader_tests.py
+++ b/heatherhead/tests/settings/loader_tests.py
@@ -28,3 +28,24 @@
         parse_settings(text)
     assert caught.value.path == path
     assert caught.value.remedy
+
+
+def test_error_carries_all_problems_with_remedies() -> None:
+    text = """{
+        "calers": {},
+        "instance": {"id": ""},
+        "services": [{"name": "orders", "upstreams": [{"id": "u1", "host": "db.local"}]}],
+        "store": {"prefix": 7, "whatever": 1},
+    }"""
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text)
+    remedy_by_path = {each.path: each.remedy for each in caught.value.problems}
+    assert remedy_by_path == {
+        "calers": "write callers instead",
+        "instance.id": "write at least one character",
+        "services.0.upstreams.0.host": "set it to an IP number; host names are not looked up",
+        "services.0.upstreams.0.port": "add the field",
+        "store.prefix": "write it as text in quotes",
+        "store.whatever": "remove it; the fields here are urls, prefix",
+    }
+    assert str(caught.value).count("\n") == len(remedy_by_path) - 1
