Add the adapter of the platform's store and its stand-in

Cause: the configuration has to outlive every instance. Change: etcd v3 JSON gateway through aiohttp with pages, several URLs, circuit, call budget and resumed watches; a fake that speaks the same form with outage, slowness and lost replies. Measured: 20 reads against a store that is down make at most 6 calls (the circuit opens after 5).

--- a/heatherhead/store/factory.py
+++ b/heatherhead/store/factory.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from heatherhead.store.etcd import create_etcd_store
 from heatherhead.store.memory import create_memory_store
 
 if TYPE_CHECKING:
@@ -17,4 +18,4 @@
     """Create the adapter of the platform's store, or the embedded one when no URL is set."""
     if not settings.urls:
         return create_memory_store()
-    raise NotImplementedError
+    return create_etcd_store(settings)
--- /dev/null
+++ b/heatherhead/tests/store/etcd_tests.py
@@ -0,0 +1,153 @@
+"""Tests of `heatherhead.store.etcd` against the fake store, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from result import Err
+
+from heatherhead.exceptions import StoreAmbiguousError, StoreUnavailableError
+from heatherhead.settings.store import StoreSettings
+from heatherhead.store import CompactedError, LeaseLapsedError, create_store
+from heatherhead.tests.fake_store import FakeStore, create_fake_store
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from heatherhead.store.interface import Store
+
+
+def _run(scenario: Callable[[FakeStore, Store], Awaitable[None]], **settings: object) -> None:
+    async def main() -> None:
+        fake = create_fake_store()
+        url = await fake.start()
+        store = create_store(StoreSettings(urls=(url,), calls_per_s=1000, **settings))
+        try:
+            await scenario(fake, store)
+        finally:
+            await store.close()
+            await fake.stop()
+
+    asyncio.run(main())
+
+
+def test_swap_compares_revisions_and_shows_what_came_first() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        first = (await store.compare_and_swap("/a/1", 0, b"one")).ok_value
+        assert first.succeeded
+        lost = (await store.compare_and_swap("/a/1", 0, b"two")).ok_value
+        assert not lost.succeeded
+        assert lost.current is not None
+        assert (lost.current.value, lost.current.mod_revision) == (b"one", first.revision)
+        await store.compare_and_swap("/b/1", 0, b"elsewhere")
+        read = (await store.read_prefix("/a/")).ok_value
+        assert list(read.by_key) == ["/a/1"]
+        assert (await store.compare_and_swap("/a/1", first.revision, None)).ok_value.succeeded
+        assert (await store.read_prefix("/a/")).ok_value.by_key == {}
+
+    _run(scenario)
+
+
+def test_large_prefix_is_read_page_by_page_at_one_revision() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        for number in range(1_001):
+            await fake.store.compare_and_swap(f"/a/{number:04}", 0, b"x")
+        read = (await store.read_prefix("/a/")).ok_value
+        assert len(read.by_key) == 1_001
+        assert fake.calls["range"] == 2
+
+    _run(scenario)
+
+
+def test_write_whose_reply_is_lost_is_ambiguous_and_not_repeated() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        fake.faults.lose_replies = 1
+        answer = await store.compare_and_swap("/a/1", 0, b"one")
+        assert isinstance(answer.err_value, StoreAmbiguousError)
+        assert fake.calls["txn"] == 1
+        again = (await store.compare_and_swap("/a/1", 0, b"one")).ok_value
+        assert again.current is not None
+        assert again.current.value == b"one"
+
+    _run(scenario)
+
+
+def test_store_that_is_down_is_spared() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        fake.faults.outage = True
+        for _ in range(20):
+            answer = await store.read_prefix("/a/")
+            assert isinstance(answer.err_value, StoreUnavailableError)
+        assert fake.calls["range"] <= 6
+
+    _run(scenario)
+
+
+def test_second_url_is_used_when_the_first_refuses_connections() -> None:
+    async def main() -> None:
+        fake = create_fake_store()
+        url = await fake.start()
+        store = create_store(StoreSettings(urls=("http://127.0.0.1:1", url)))
+        assert (await store.compare_and_swap("/a/1", 0, b"one")).ok_value.succeeded
+        await store.close()
+        await fake.stop()
+
+    asyncio.run(main())
+
+
+def test_calls_above_the_budget_are_refused_without_effect() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        store._gateway._budget.rate = 0.001  # type: ignore[attr-defined]
+        answers = [await store.read_prefix("/a/") for _ in range(4)]
+        assert [isinstance(each, Err) for each in answers] == [False, False, True, True]
+        assert fake.calls["range"] == 2
+
+    _run(scenario, calls_burst=2)
+
+
+def test_watch_resumes_from_a_revision_and_tells_of_compaction() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        revision = (await store.compare_and_swap("/a/1", 0, b"one")).ok_value.revision
+        await store.compare_and_swap("/a/1", revision, None)
+        await store.compare_and_swap("/b/1", 0, b"elsewhere")
+        await store.compare_and_swap("/a/2", 0, b"two")
+        seen = []
+        async for event in store.watch("/a/", revision + 1):
+            seen.append((event.key, event.value))
+            if len(seen) == 2:
+                break
+        assert seen == [("/a/1", None), ("/a/2", b"two")]
+        fake.store.compact(fake.store.revision)
+        with pytest.raises(CompactedError):
+            await anext(store.watch("/a/", revision + 1))
+
+    _run(scenario)
+
+
+def test_watch_is_cut_by_an_outage() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        watch = store.watch("/a/", 1)
+        await store.compare_and_swap("/a/1", 0, b"one")
+        assert (await anext(watch)).value == b"one"
+        fake.faults.outage = True
+        with pytest.raises(StoreUnavailableError):
+            await anext(watch)
+
+    _run(scenario)
+
+
+def test_lapsed_lease_takes_its_keys_along_and_is_not_renewed() -> None:
+    async def scenario(fake: FakeStore, store: Store) -> None:
+        lease = (await store.grant_lease(30)).ok_value
+        await store.compare_and_swap("/a/1", 0, b"held", lease.id)
+        assert (await store.keep_lease(lease.id)).ok_value.ttl_s == 30
+        fake.store.lapse(lease.id)
+        assert (await store.read_prefix("/a/")).ok_value.by_key == {}
+        assert isinstance((await store.keep_lease(lease.id)).err_value, LeaseLapsedError)
+        late = await store.compare_and_swap("/a/1", 0, b"late", lease.id)
+        assert isinstance(late.err_value, LeaseLapsedError)
+        assert isinstance((await store.revoke_lease(lease.id)).err_value, LeaseLapsedError)
+
+    _run(scenario)
