--- /dev/null
+++ b/heatherhead/admission/limits.py
@@ -0,0 +1,66 @@
+"""The number of calls that an upstream is trusted with side by side."""
+
+from __future__ import annotations
+
+__all__ = ["AdaptiveLimit", "create_limit"]
+
+SLOWED_FACTOR = 0.7
+PROBING_STEP = 0.05  # slots for each quick answer above the level at which it last shed load
+
+
+class AdaptiveLimit:
+    """A limit between one call and the upstream's slots that follows its answers.
+
+    It starts at one for a cold upstream and gains a slot with each quick answer. A slow answer
+    takes a share of it away; a call shed by the upstream sets a ceiling, above which the limit
+    rises only slowly.
+    """
+
+    __slots__ = ("_ceiling", "_value", "allowed", "slots")
+
+    def __init__(self, slots: int, start: float) -> None:
+        self.slots = slots
+        self._ceiling = float(slots)
+        self._set(start)
+
+    @property
+    def value(self) -> float:
+        """The limit before it is rounded down."""
+        return self._value
+
+    def answered(self) -> None:
+        """Grow after a quick answer."""
+        if self._value >= self.slots:
+            return
+        step = 1.0 if self._value + 1.0 <= self._ceiling else PROBING_STEP
+        self._set(self._value + step)
+        self._ceiling = max(self._ceiling, self._value)
+
+    def slowed(self) -> None:
+        """Shrink after a slow answer."""
+        self._set(self._value * SLOWED_FACTOR)
+
+    def shed(self, in_flight: int) -> None:
+        """Shrink below the number of calls at which the upstream shed one."""
+        self._ceiling = max(1.0, float(in_flight - 1))
+        self._set(min(self._value, self._ceiling))
+
+    def restart(self) -> None:
+        """Begin again at one call, as for a cold upstream."""
+        self._set(1.0)
+
+    def resize(self, slots: int) -> None:
+        """Take a new number of slots."""
+        full = self._value >= self.slots
+        self.slots = slots
+        self._ceiling = float(slots)
+        self._set(float(slots) if full else self._value)
+
+    def _set(self, value: float) -> None:
+        self._value = min(max(1.0, value), float(self.slots))
+        self.allowed = int(self._value)
+
+
+def create_limit(slots: int, *, cold: bool) -> AdaptiveLimit:
+    """Create the limit of an upstream, at one call for a cold one."""
+    return AdaptiveLimit(slots, 1.0 if cold else float(slots))
--- a/heatherhead/calls.py
+++ b/heatherhead/calls.py
@@ -61,10 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """How one attempt ended, handed back to routing with the upstream's slot."""
+    """How one attempt ended, handed back to routing with the upstream's slot.
+
+    `cancelled` says that this side gave the attempt up: a hedge that lost, or a caller that left.
+    """
 
     state: AttemptState
     status: int = 0
     duration_s: float = 0.0
     sign: UpstreamSign = UpstreamSign.NONE
     report: LoadReport | None = None
+    cancelled: bool = False
--- /dev/null
+++ b/heatherhead/routing/candidates.py
@@ -0,0 +1,71 @@
+"""Upstreams in numbered buckets, the best first, at a cost that doesn't grow with their number."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from heatherhead.routing.upstream_state import UpstreamState
+
+__all__ = ["Candidates", "create_candidates"]
+
+
+class Candidates:
+    """Buckets of upstreams; moving one and picking one from the lowest take constant time."""
+
+    def __init__(self, buckets: int, rng: Random) -> None:
+        self._buckets: list[list[UpstreamState]] = [[] for _ in range(buckets)]
+        self._filled = 0
+        self._rng = rng
+
+    def place(self, state: UpstreamState, bucket: int) -> None:
+        """Put an upstream into a bucket, out of the one that it was in; -1 for none."""
+        if state.bucket == bucket:
+            return
+        if state.bucket >= 0:
+            self._take_out(state)
+        state.bucket = bucket
+        if bucket >= 0:
+            states = self._buckets[bucket]
+            state.position = len(states)
+            states.append(state)
+            self._filled |= 1 << bucket
+
+    def pick(self, avoid: frozenset[str], allowed: int) -> UpstreamState | None:
+        """Pick at random from the lowest bucket of the bit set `allowed` that has a choice."""
+        filled = self._filled & allowed
+        while filled:
+            lowest = filled & -filled
+            states = self._buckets[lowest.bit_length() - 1]
+            chosen = self._pick_from(states, avoid)
+            if chosen is not None:
+                return chosen
+            filled ^= lowest
+        return None
+
+    def _pick_from(
+        self, states: list[UpstreamState], avoid: frozenset[str]
+    ) -> UpstreamState | None:
+        size = len(states)
+        start = int(self._rng.random() * size)
+        for offset in range(size):
+            state = states[(start + offset) % size]
+            if state.upstream.id not in avoid:
+                return state
+        return None
+
+    def _take_out(self, state: UpstreamState) -> None:
+        states = self._buckets[state.bucket]
+        last = states.pop()
+        if last is not state:
+            states[state.position] = last
+            last.position = state.position
+        if not states:
+            self._filled &= ~(1 << state.bucket)
+
+
+def create_candidates(buckets: int, rng: Random) -> Candidates:
+    """Create empty buckets."""
+    return Candidates(buckets, rng)
--- /dev/null
+++ b/heatherhead/routing/evidence.py
@@ -0,0 +1,207 @@
+"""Turns ended and overdue attempts into the states of a service's upstreams.
+
+An upstream is slow while its oldest call in flight is far over the usual time, and then pauses
+until a single trial call shows that it is quick again. One whose calls fail in a row is ejected for
+a while, as long as only a bounded share is out. One that refuses because it drains gets no work.
+"""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+from typing import TYPE_CHECKING
+
+from heatherhead.calls import AttemptState, UpstreamSign
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from heatherhead.calls import AttemptResult
+    from heatherhead.routing.dispatcher import RoutedSlot
+    from heatherhead.routing.policies import Policy
+    from heatherhead.routing.service_time import ServiceTime
+    from heatherhead.routing.upstream_state import UpstreamState
+    from heatherhead.settings.routing import RoutingSettings
+
+__all__ = ["Evidence", "create_evidence"]
+
+AGE_SLACK_S = 0.002  # jitter of the network and of busy event loops
+HIGH_FACTOR = 1.2
+MAX_SLOW_ROUNDS = 3
+MAX_EJECTIONS = 5
+FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
+FAILING_SHARE_WEIGHT = 0.02
+FIRST_FAILING_STATUS = 500
+
+
+class Evidence:
+    """The evidence about the upstreams of one service."""
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        policy: Policy,
+        service_time: ServiceTime,
+        state_by_id: Mapping[str, UpstreamState],
+    ) -> None:
+        self.slow_after_s = 0.0
+        self.on_draining: Callable[[UpstreamState], None] | None = None
+        self._settings = settings
+        self._policy = policy
+        self._service_time = service_time
+        self._state_by_id = state_by_id
+        self._pauses: list[tuple[float, int, UpstreamState]] = []
+        self._serial = count()
+        self._failing_share = 0.0
+
+    def threshold_s(self, factor: float) -> float:
+        """Scale the usual service time, at least to that of the slower usual calls."""
+        times = self._service_time
+        return max(factor * times.usual_s, HIGH_FACTOR * times.high_s) + AGE_SLACK_S
+
+    def finished(self, slot: RoutedSlot, result: AttemptResult, now: float) -> None:
+        """Take in how an attempt ended."""
+        state = slot.state
+        if result.report is not None:
+            state.report = result.report
+        if result.sign is UpstreamSign.DRAINING:
+            self.drain(state, now)
+            if self.on_draining is not None:
+                self.on_draining(state)
+        elif result.sign is UpstreamSign.SHEDDING:
+            state.limit.shed(state.in_flight + 1)
+        elif result.sign is UpstreamSign.DIED or _failed(result):
+            self._failed(state, now, at_once=result.sign is UpstreamSign.DIED)
+        elif result.state is AttemptState.ANSWERED:
+            self._answered(slot, result.duration_s or now - slot.started_at, now)
+
+    def overdue(self, slot: RoutedSlot, now: float) -> None:
+        """Mark an upstream as slow because a call in flight is too old."""
+        state = slot.state
+        if state.slow and slot.started_at < state.slow_since:
+            return
+        if not state.slow:
+            state.slow_rounds = 0
+        self._mark_slow(state, now)
+
+    def drain(self, state: UpstreamState, now: float) -> None:
+        """Give an upstream no new work for a while because it was seen draining."""
+        if not state.draining_until:
+            log_event("upstream_draining", upstream=state.upstream.id)
+        state.draining_until = now + self._settings.draining_ms / 1000
+        state.reason = "it refuses calls because it drains"
+        self._pause(state, state.draining_until)
+
+    def end_pauses(self, now: float) -> None:
+        """Let upstreams back, one trial call first, whose pause is over."""
+        while self._pauses and self._pauses[0][0] <= now:
+            _, _, state = heappop(self._pauses)
+            if state.removed:
+                continue
+            if state.draining_until and state.draining_until <= now:
+                state.draining_until = 0.0
+                state.limit.restart()
+            if state.ejected_until and state.ejected_until <= now:
+                state.ejected_until = 0.0
+                state.failures = self._settings.eject_failures - 1
+                state.limit.restart()
+            if state.trial_at and state.trial_at <= now:
+                state.trial_at = 0.0
+            self._policy.refresh(state)
+
+    def next_pause_end(self) -> float | None:
+        """Say when the next pause ends."""
+        return self._pauses[0][0] if self._pauses else None
+
+    def any_local_usable(self) -> bool:
+        """Tell whether any upstream of this region may get work, now or after a short pause."""
+        return any(each.local_region and each.usable for each in self._state_by_id.values())
+
+    def local_slots(self) -> int:
+        """Count the slots of the usable upstreams of this region; at least one."""
+        slots = sum(
+            each.limit.allowed
+            for each in self._state_by_id.values()
+            if each.local_region and each.usable
+        )
+        return max(1, slots)
+
+    def _answered(self, slot: RoutedSlot, duration_s: float, now: float) -> None:
+        state = slot.state
+        self._failing_share *= 1 - FAILING_SHARE_WEIGHT
+        state.failures = 0
+        self._service_time.add(duration_s)
+        if self._service_time.usual_s:
+            self.slow_after_s = self.threshold_s(self._settings.slow_factor)
+        if slot.aged or (self.slow_after_s and duration_s > self.slow_after_s):
+            self._answered_late(slot, now)
+            return
+        state.limit.answered()
+        if state.slow and slot.started_at >= state.slow_since:
+            state.slow = False
+            state.trial_at = 0.0
+            state.reason = ""
+        if state.limit.allowed >= state.limit.slots:
+            state.ejections = 0
+
+    def _answered_late(self, slot: RoutedSlot, now: float) -> None:
+        if not slot.aged and not slot.state.slow:
+            self._mark_slow(slot.state, now)
+
+    def _mark_slow(self, state: UpstreamState, now: float) -> None:
+        state.slow = True
+        state.slow_since = now
+        state.reason = "its calls take far longer than usual"
+        pause_s = (
+            self._settings.trial_delay_ms / 1000 * 2 ** min(state.slow_rounds, MAX_SLOW_ROUNDS)
+        )
+        state.slow_rounds += 1
+        state.limit.restart()
+        state.trial_at = now + pause_s
+        self._pause(state, state.trial_at)
+
+    def _failed(self, state: UpstreamState, now: float, *, at_once: bool) -> None:
+        self._failing_share += (1 - self._failing_share) * FAILING_SHARE_WEIGHT
+        state.failures += 1
+        limit = self._settings.eject_failures
+        if state.ejected_until or (state.failures < limit and not at_once):
+            return
+        if not at_once and self._failing_share > FAILING_SHARE_OF_SERVICE:
+            return
+        if self._may_eject():
+            self._eject(state, now)
+
+    def _may_eject(self) -> bool:
+        ejected = sum(1 for each in self._state_by_id.values() if each.ejected_until)
+        return ejected + 1 <= self._settings.ejected_share * len(self._state_by_id)
+
+    def _eject(self, state: UpstreamState, now: float) -> None:
+        pause_s = self._settings.ejection_ms / 1000 * 2 ** min(state.ejections, MAX_EJECTIONS)
+        state.ejections += 1
+        state.ejected_until = now + pause_s
+        state.reason = f"{state.failures} calls failed in a row"
+        log_event("upstream_ejected", upstream=state.upstream.id, seconds=pause_s)
+        self._pause(state, state.ejected_until)
+
+    def _pause(self, state: UpstreamState, until: float) -> None:
+        heappush(self._pauses, (until, next(self._serial), state))
+        self._policy.refresh(state)
+
+
+def _failed(result: AttemptResult) -> bool:
+    if result.cancelled:
+        return False
+    if result.state is AttemptState.ANSWERED:
+        return result.status >= FIRST_FAILING_STATUS
+    return True
+
+
+def create_evidence(
+    settings: RoutingSettings,
+    policy: Policy,
+    service_time: ServiceTime,
+    state_by_id: Mapping[str, UpstreamState],
+) -> Evidence:
+    """Create evidence that knows nothing yet."""
+    return Evidence(settings, policy, service_time, state_by_id)
--- /dev/null
+++ b/heatherhead/routing/policies/__init__.py
@@ -0,0 +1,6 @@
+"""Ways to choose an upstream, behind one interface."""
+
+from heatherhead.routing.policies.factory import create_policy
+from heatherhead.routing.policies.interface import Policy
+
+__all__ = ["Policy", "create_policy"]
--- /dev/null
+++ b/heatherhead/routing/policies/late_binding.py
@@ -0,0 +1,61 @@
+"""Dispatches only into free slots of upstreams that are not slow now.
+
+Order of preference: own share of the upstreams before those of other homes, the local availability
+zone before the others, then the least loaded. Load counts own calls in flight and what the other
+homes told of theirs.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.routing.candidates import create_candidates
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from heatherhead.routing.upstream_state import UpstreamState
+
+__all__ = ["LateBinding", "create_late_binding"]
+
+LEVELS = 8
+TIERS_IN_REGION = 4
+BUCKETS = (TIERS_IN_REGION + 1) * LEVELS
+IN_REGION = (1 << TIERS_IN_REGION * LEVELS) - 1
+ANYWHERE = (1 << BUCKETS) - 1
+
+
+class LateBinding:
+    """Chooses the best free slot, and nothing while there is none."""
+
+    def __init__(self, rng: Random) -> None:
+        self._candidates = create_candidates(BUCKETS, rng)
+
+    def refresh(self, state: UpstreamState) -> None:
+        """Move an upstream to the bucket of its present state."""
+        self._candidates.place(state, _bucket(state))
+
+    def forget(self, state: UpstreamState) -> None:
+        """Drop an upstream."""
+        self._candidates.place(state, -1)
+
+    def choose(self, avoid: frozenset[str], *, anywhere: bool = False) -> UpstreamState | None:
+        """Choose the best free slot."""
+        return self._candidates.pick(avoid, ANYWHERE if anywhere else IN_REGION)
+
+
+def _bucket(state: UpstreamState) -> int:
+    if not state.has_room:
+        return -1
+    tier = TIERS_IN_REGION
+    if state.local_region:
+        tier = (0 if state.own_share else 2) + (0 if state.local_zone else 1)
+    if state.failures:
+        return tier * LEVELS + LEVELS - 1
+    load = state.in_flight + state.others_in_flight
+    return tier * LEVELS + min(LEVELS - 2, load * (LEVELS - 1) // state.limit.slots)
+
+
+def create_late_binding(rng: Random) -> LateBinding:
+    """Create the policy without upstreams."""
+    return LateBinding(rng)
--- /dev/null
+++ b/heatherhead/routing/upstream_state.py
@@ -0,0 +1,98 @@
+"""What one instance knows of one upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from heatherhead.admission.limits import create_limit
+
+if TYPE_CHECKING:
+    from heatherhead.admission.limits import AdaptiveLimit
+    from heatherhead.calls import LoadReport
+    from heatherhead.configuration.model import Upstream
+    from heatherhead.membership.interface import Instance
+
+__all__ = ["UpstreamState", "create_upstream_state"]
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamState:
+    """Own calls in flight, evidence and place among the candidates of one upstream.
+
+    Times are in seconds on the loop's clock; zero means that the condition does not hold.
+    """
+
+    upstream: Upstream
+    limit: AdaptiveLimit
+    local_region: bool
+    local_zone: bool
+    own_share: bool = True
+    started_by_serial: dict[int, float] = field(default_factory=dict)
+    others_in_flight: int = 0
+    others_slow: bool = False
+    aged: int = 0
+    slow: bool = False
+    slow_since: float = 0.0
+    trial_at: float = 0.0
+    slow_rounds: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    draining_until: float = 0.0
+    reserved: bool = False
+    removed: bool = False
+    report: LoadReport | None = None
+    reason: str = ""
+    bucket: int = -1
+    position: int = -1
+
+    @property
+    def in_flight(self) -> int:
+        """Own calls in flight."""
+        return len(self.started_by_serial)
+
+    @property
+    def usable(self) -> bool:
+        """Whether the upstream may get new work at all."""
+        return not (
+            self.draining_until or self.ejected_until or self.reserved or self.upstream.draining
+        )
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more call fits into the limit, the slots and the pause of a slow one."""
+        if not self.usable or self.others_slow or (self.slow and self.trial_at):
+            return False
+        own = len(self.started_by_serial)
+        others = self.others_in_flight
+        return own - self.aged + others < self.limit.allowed and own + others < self.upstream.slots
+
+    def oldest_age_s(self, now: float) -> float:
+        """Age of the oldest own call in flight."""
+        for started_at in self.started_by_serial.values():
+            return now - started_at
+        return 0.0
+
+    def condition(self) -> str:
+        """Name the state for operators."""
+        if self.draining_until or self.upstream.draining:
+            return "draining"
+        if self.ejected_until:
+            return "ejected"
+        if self.reserved:
+            return "reserved"
+        if self.slow or self.others_slow:
+            return "slow"
+        return "ramping" if self.limit.allowed < self.upstream.slots else "ready"
+
+
+def create_upstream_state(upstream: Upstream, own: Instance, *, cold: bool) -> UpstreamState:
+    """Create the state of an upstream as seen from `own`."""
+    local_region = upstream.region == own.region
+    return UpstreamState(
+        upstream,
+        create_limit(upstream.slots, cold=cold),
+        local_region,
+        local_region and upstream.availability_zone == own.availability_zone,
+    )
