--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -99,7 +99,7 @@
         refusal = self._refusal_on_arrival(call, now)
         if refusal is not None:
             return Err(refusal)
-        if not self.queue:
+        if not self.queue or self._local_is_too_late(call, now):
             state = self._choose(call, avoid, now)
             if state is not None:
                 return Ok(self._start(state, call, now))
