--- a/heatherhead/tests/settings/loader_tests.py
+++ b/heatherhead/tests/settings/loader_tests.py
@@ -35,7 +35,8 @@
         "calers": {},
         "instance": {"id": ""},
         "services": [{"name": "orders", "upstreams": [{"id": "u1", "host": "db.local"}]}],
-        "store": {"prefix": 7, "whatever": 1},
+        "store": {"prefix": 7},
+        "operators": {"whatever": 1},
     }"""
     with pytest.raises(SettingsError) as caught:
         parse_settings(text)
@@ -46,6 +47,6 @@
         "services.0.upstreams.0.host": "set it to an IP number; host names are not looked up",
         "services.0.upstreams.0.port": "add the field",
         "store.prefix": "write it as text in quotes",
-        "store.whatever": "remove it; the fields here are urls, prefix",
+        "operators.whatever": "remove it; the fields here are listen",
     }
     assert str(caught.value).count("\n") == len(remedy_by_path) - 1
