--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,9 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+
+generate: $(STAMP)
+	$(BIN)/python heatherhead/operators/generate.py
+
+docs: $(STAMP)
+	$(BIN)/python -m heatherhead.settings.reference docs/settings.md
