Serve the operators' RPC interface

Change: handlers over replica, editor, status, membership, routing and telemetry; changes are checked across services, compared by revision and known by their change id; conflicts carry the other change; requests, messages and watches are bounded.

--- /dev/null
+++ b/heatherhead/operators/backend.py
@@ -0,0 +1,27 @@
+"""The parts of the daemon that the operators' interface works on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from heatherhead.configuration.interface import ConfigurationEditor, ConfigurationStatus
+    from heatherhead.configuration.replica import Replica
+    from heatherhead.membership.interface import MembershipView
+    from heatherhead.routing.interface import Router
+    from heatherhead.telemetry.interface import TelemetryReader
+
+__all__ = ["Backend"]
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """What handlers read from and change through."""
+
+    replica: Replica
+    editor: ConfigurationEditor
+    status: ConfigurationStatus
+    membership: MembershipView
+    router: Router
+    telemetry: TelemetryReader
--- /dev/null
+++ b/heatherhead/operators/handlers/quarantine.py
@@ -0,0 +1,66 @@
+"""Quarantine: list and release."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.operators import heatherhead_pb2 as pb
+from heatherhead.operators.errors import UnknownNameError
+from heatherhead.operators.handlers.requests import receive
+from heatherhead.operators.heatherhead_grpc import QuarantineBase
+from heatherhead.operators.messages import FINGERPRINT_MASK, to_message
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from heatherhead.operators.backend import Backend
+
+__all__ = ["QuarantineHandler"]
+
+MAX_ENTRIES = 1000
+
+
+class QuarantineHandler(QuarantineBase):
+    """Shows and releases what routing holds back."""
+
+    def __init__(self, backend: Backend) -> None:
+        self._router = backend.router
+        self._membership = backend.membership
+
+    async def List(self, stream: Stream[pb.ListQuarantineRequest, pb.ListQuarantineReply]) -> None:
+        """List the entries of one service or of all."""
+        request = await receive(stream)
+        entries = [
+            to_message(entry)
+            for entry in self._router.quarantined()
+            if request.service in ("", entry.service)
+        ]
+        await stream.send_message(
+            pb.ListQuarantineReply(
+                entries=entries[:MAX_ENTRIES], instance_id=self._membership.own.id
+            )
+        )
+
+    async def Release(self, stream: Stream[pb.ReleaseRequest, pb.ReleaseReply]) -> None:
+        """Release an entry here and at the other homes of the service."""
+        request = await receive(stream)
+        if not self._router.release(request.service, self._held_fingerprint(request)):
+            raise UnknownNameError(
+                f"fingerprint {request.fingerprint:016x} of service {request.service}"
+                " is not quarantined here",
+                remedy="see the entries with: heatherhead quarantine list",
+            )
+        log_event(
+            "quarantine_released_by_operator",
+            service=request.service,
+            fingerprint=f"{request.fingerprint:016x}",
+        )
+        await stream.send_message(pb.ReleaseReply())
+
+    def _held_fingerprint(self, request: pb.ReleaseRequest) -> int:
+        for entry in self._router.quarantined():
+            is_same = entry.fingerprint & FINGERPRINT_MASK == request.fingerprint
+            if entry.service == request.service and is_same:
+                return entry.fingerprint
+        return request.fingerprint
--- /dev/null
+++ b/heatherhead/operators/handlers/upstreams.py
@@ -0,0 +1,87 @@
+"""Upstreams: list, drain and undrain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.operators import heatherhead_pb2 as pb
+from heatherhead.operators.changes import ServiceChanger
+from heatherhead.operators.errors import UnknownNameError
+from heatherhead.operators.handlers.requests import page_of, receive
+from heatherhead.operators.heatherhead_grpc import UpstreamsBase
+from heatherhead.operators.messages import to_message
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from heatherhead.operators.backend import Backend
+    from heatherhead.routing.interface import UpstreamEvidence
+
+__all__ = ["UpstreamsHandler"]
+
+
+class UpstreamsHandler(UpstreamsBase):
+    """Shows routing's evidence and changes the `draining` of upstreams."""
+
+    def __init__(self, backend: Backend) -> None:
+        self._backend = backend
+        self._changer = ServiceChanger(backend)
+
+    async def List(self, stream: Stream[pb.ListUpstreamsRequest, pb.ListUpstreamsReply]) -> None:
+        """List upstreams page by page, a service never divided."""
+        request = await receive(stream)
+        names = [service.name for service in self._backend.replica.services()]
+        if request.service:
+            if request.service not in names:
+                raise UnknownNameError(
+                    f"there is no service {request.service}",
+                    remedy="see the names with: heatherhead services list",
+                )
+            names = [request.service]
+        upstreams, token = page_of(names, request.page_token, self._statuses)
+        await stream.send_message(
+            pb.ListUpstreamsReply(
+                upstreams=upstreams,
+                next_page_token=token,
+                instance_id=self._backend.membership.own.id,
+            )
+        )
+
+    async def Drain(self, stream: Stream[pb.DrainRequest, pb.ChangeReply]) -> None:
+        """Give upstreams no new work."""
+        await self._set_draining(stream, draining=True)
+
+    async def Undrain(self, stream: Stream[pb.DrainRequest, pb.ChangeReply]) -> None:
+        """Give drained upstreams work again."""
+        await self._set_draining(stream, draining=False)
+
+    async def _set_draining(
+        self, stream: Stream[pb.DrainRequest, pb.ChangeReply], *, draining: bool
+    ) -> None:
+        request = await receive(stream)
+        has_expected = request.HasField("expected_revision")
+        reply = await self._changer.set_draining(
+            request.service,
+            list(request.upstream_ids),
+            request.change_id,
+            draining=draining,
+            expected_revision=request.expected_revision if has_expected else None,
+            dry_run=request.dry_run,
+        )
+        await stream.send_message(reply)
+
+    def _statuses(self, service: str) -> list[pb.UpstreamStatus]:
+        evidence = self._backend.router.evidence(service)
+        return [_status_of(service, each) for each in evidence]
+
+
+def _status_of(service: str, evidence: UpstreamEvidence) -> pb.UpstreamStatus:
+    return pb.UpstreamStatus(
+        service=service,
+        upstream=to_message(evidence.upstream),
+        state=evidence.state,
+        in_flight=evidence.in_flight,
+        limit=evidence.limit,
+        oldest_age_s=evidence.oldest_age_s,
+        reason=evidence.reason,
+    )
--- /dev/null
+++ b/heatherhead/operators/messages.py
@@ -0,0 +1,168 @@
+"""Conversion between the daemon's data classes and the messages of the proto file."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from google.protobuf.json_format import MessageToDict
+from pydantic import ValidationError
+
+from heatherhead.configuration.interface import AppliedRevision
+from heatherhead.configuration.model import CallClass, PathRule, Service, ServiceRecord, Upstream
+from heatherhead.configuration.schema import ServiceSchema, service_from_schema
+from heatherhead.exceptions import ConfigurationError, FieldProblem
+from heatherhead.field_problems import problems_of
+from heatherhead.operators import heatherhead_pb2 as pb
+from heatherhead.routing.interface import QuarantineEntry
+from heatherhead.telemetry.interface import Distribution, HistogramKind, HistogramReading
+
+if TYPE_CHECKING:
+    from google.protobuf.message import Message
+
+__all__ = ["message_of_schema", "schema_of_message", "summary_of_record", "to_message"]
+
+FINGERPRINT_MASK = 2**64 - 1
+
+_KIND_BY_KIND = {
+    HistogramKind.ADDED: pb.HISTOGRAM_KIND_ADDED,
+    HistogramKind.UPSTREAM: pb.HISTOGRAM_KIND_UPSTREAM,
+    HistogramKind.QUEUE_WAIT: pb.HISTOGRAM_KIND_QUEUE_WAIT,
+    HistogramKind.ATTEMPTS: pb.HISTOGRAM_KIND_ATTEMPTS,
+}
+
+
+def schema_of_message(message: pb.Service) -> ServiceSchema:
+    """Validate a service that was sent; raises `ConfigurationError` with every wrong field."""
+    document = MessageToDict(message, preserving_proto_field_name=True)
+    try:
+        return ServiceSchema.model_validate(document)
+    except ValidationError as error:
+        first, *others = problems_of(error, ServiceSchema)
+        raise ConfigurationError(
+            first.path, first.reason, remedy=first.remedy, others=tuple(others)
+        ) from error
+
+
+def message_of_schema(schema: ServiceSchema) -> pb.Service:
+    """Convert a validated service into a message with every field set."""
+    return to_message(service_from_schema(schema))
+
+
+def summary_of_record(record: ServiceRecord) -> pb.ServiceSummary:
+    """Summarise a record that holds a service."""
+    assert record.service is not None
+    service = record.service
+    return pb.ServiceSummary(
+        name=record.name,
+        revision=record.revision,
+        change_id=record.change_id,
+        upstreams=len(service.upstreams),
+        draining_upstreams=sum(each.draining for each in service.upstreams),
+        hosts=service.hosts,
+        path_prefixes=service.path_prefixes,
+    )
+
+
+@singledispatch
+def to_message(value: Any) -> Message:
+    """Convert a data class into its message."""
+    raise TypeError(f"{type(value).__name__} has no message; register a conversion")
+
+
+@to_message.register
+def _(value: Service) -> pb.Service:
+    return pb.Service(
+        name=value.name,
+        upstreams=[to_message(each) for each in value.upstreams],
+        hosts=value.hosts,
+        path_prefixes=value.path_prefixes,
+        default_deadline_ms=value.default_deadline_ms,
+        queue_limit=value.queue_limit,
+        classes=[to_message(each) for each in value.classes],
+        path_rules=[to_message(each) for each in value.path_rules],
+        retry_share=value.retry_share,
+        hedge_share=value.hedge_share,
+        key_required=value.key_required,
+    )
+
+
+@to_message.register
+def _(value: Upstream) -> pb.Upstream:
+    return pb.Upstream(
+        id=value.id,
+        host=value.host,
+        port=value.port,
+        region=value.region,
+        availability_zone=value.availability_zone,
+        slots=value.slots,
+        draining=value.draining,
+    )
+
+
+@to_message.register
+def _(value: CallClass) -> pb.CallClass:
+    return pb.CallClass(name=value.name, weight=value.weight)
+
+
+@to_message.register
+def _(value: PathRule) -> pb.PathRule:
+    return pb.PathRule(
+        path_prefix=value.path_prefix, idempotent=value.idempotent, methods=value.methods
+    )
+
+
+@to_message.register
+def _(value: ServiceRecord) -> pb.ServiceRecord:
+    service = to_message(value.service) if value.service else None
+    return pb.ServiceRecord(
+        name=value.name, revision=value.revision, change_id=value.change_id, service=service
+    )
+
+
+@to_message.register
+def _(value: FieldProblem) -> pb.FieldProblem:
+    return pb.FieldProblem(path=value.path, reason=value.reason, remedy=value.remedy)
+
+
+@to_message.register
+def _(value: QuarantineEntry) -> pb.QuarantineEntry:
+    return pb.QuarantineEntry(
+        service=value.service,
+        fingerprint=value.fingerprint & FINGERPRINT_MASK,
+        deaths=value.deaths,
+        expires_in_s=value.expires_in_s,
+        example=value.example,
+    )
+
+
+@to_message.register
+def _(value: AppliedRevision) -> pb.AppliedRevision:
+    return pb.AppliedRevision(
+        instance_id=value.instance_id, revision=value.revision, age_s=value.age_s
+    )
+
+
+@to_message.register
+def _(value: Distribution) -> pb.Distribution:
+    return pb.Distribution(
+        count=value.count,
+        mean=value.mean,
+        p50=value.p50,
+        p90=value.p90,
+        p99=value.p99,
+        p999=value.p999,
+        maximum=value.maximum,
+    )
+
+
+@to_message.register
+def _(value: HistogramReading) -> pb.Histogram:
+    return pb.Histogram(
+        service=value.service,
+        call_class=value.call_class,
+        kind=_KIND_BY_KIND[value.kind],
+        recent=to_message(value.recent),
+        total=to_message(value.total),
+        encoded=value.encoded,
+    )
--- /dev/null
+++ b/heatherhead/operators/server.py
@@ -0,0 +1,102 @@
+"""The gRPC server of the operators' port."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from grpclib.config import Configuration
+from grpclib.server import Server
+
+from heatherhead.membership.interface import Address
+from heatherhead.operators.errors import DetailsCodec
+from heatherhead.operators.event_hub import create_event_hub
+from heatherhead.operators.guard import guard_requests
+from heatherhead.operators.handlers import create_handlers
+from heatherhead.settings.tls import create_server_context
+
+if TYPE_CHECKING:
+    import ssl
+
+    from heatherhead.operators.backend import Backend
+    from heatherhead.settings.operators import OperatorsSettings
+
+__all__ = ["OperatorsServer", "create_operators_server"]
+
+BACKLOG = 64
+WINDOW_BYTES = 256 * 1024
+KEEPALIVE_INTERVAL_S = 30.0
+KEEPALIVE_TIMEOUT_S = 10.0
+
+
+class OperatorsServer:
+    """Listens for operators from `start` to `stop`."""
+
+    def __init__(self, settings: OperatorsSettings, backend: Backend) -> None:
+        self._settings = settings
+        self._backend = backend
+        self._hub = create_event_hub(backend)
+        self._server: Server | None = None
+        self._socket: socket.socket | None = None
+        self.tls_context: ssl.SSLContext | None = None
+
+    @property
+    def address(self) -> Address:
+        """The address listened on."""
+        assert self._socket is not None, "the server is not started"
+        host, port, *_ = self._socket.getsockname()
+        return Address(host, port)
+
+    async def start(self) -> None:
+        """Begin to listen; raises `OSError` for an address in use, `SettingsError` for TLS."""
+        listen = self._settings.listen
+        if listen.tls is not None:
+            self.tls_context = create_server_context(listen.tls)
+            self.tls_context.set_alpn_protocols(["h2"])
+        self._server = Server(
+            create_handlers(self._backend, self._hub),
+            status_details_codec=DetailsCodec(),
+            config=_transport_configuration(),
+        )
+        guard_requests(self._server)
+        self._socket = _bound_socket(listen.host, listen.port)
+        await self._server.start(sock=self._socket, backlog=BACKLOG, ssl=self.tls_context)
+        self._hub.open()
+
+    async def stop(self) -> None:
+        """Stop listening and end running requests; changes in progress become ambiguous."""
+        if self._server is None:
+            return
+        self._hub.close()
+        self._server.close()
+        await self._server.wait_closed()
+        self._server = None
+
+
+def _bound_socket(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+def _transport_configuration() -> Configuration:
+    """Bound the windows, and find connections whose other end is gone."""
+    return Configuration(
+        http2_connection_window_size=WINDOW_BYTES,
+        http2_stream_window_size=WINDOW_BYTES,
+        _keepalive_time=KEEPALIVE_INTERVAL_S,
+        _keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+        _http2_max_pings_without_data=0,
+        _http2_min_sent_ping_interval_without_data=KEEPALIVE_INTERVAL_S,
+    )
+
+
+def create_operators_server(settings: OperatorsSettings, backend: Backend) -> OperatorsServer:
+    """Create the server of the operators' port; `start` makes it listen."""
+    return OperatorsServer(settings, backend)
--- a/heatherhead/telemetry/logs.py
+++ b/heatherhead/telemetry/logs.py
@@ -3,14 +3,33 @@
 from __future__ import annotations
 
 import sys
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
-__all__ = ["configure_logs", "log_event"]
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    EventListener = Callable[[str, str, Mapping[str, object]], None]
+
+__all__ = ["add_event_listener", "configure_logs", "log_event", "remove_event_listener"]
 
 _LINE_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 
 
+_listeners: list[EventListener] = []
+
+
+def add_event_listener(listener: EventListener) -> None:
+    """Call `listener(event, level, fields)` with each event from now on; it must not wait."""
+    _listeners.append(listener)
+
+
+def remove_event_listener(listener: EventListener) -> None:
+    """Stop calling a listener."""
+    _listeners.remove(listener)
+
+
 def configure_logs(level: str) -> None:
     """Send log lines of `level` and above to standard error."""
     logger.remove()
@@ -21,6 +40,8 @@
     """Log one event with its fields."""
     pairs = " ".join(f"{name}={_quote(value)}" for name, value in fields.items())
     logger.opt(depth=1).log(level, "{}", f"event={event} {pairs}".rstrip())
+    for listener in _listeners:
+        listener(event, level, fields)
 
 
 def _quote(value: object) -> str:
