Specify keyed calls and check them with a solver

Cause: at most once rests on how grants, key table, restarts and late duplicates act together, which tests of single modules don't show.

--- a/Makefile
+++ b/Makefile
@@ -23,4 +23,8 @@
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
+	$(MAKE) prove
+
+prove: $(STAMP)
+	$(BIN)/python -m spec
 
