--- /dev/null
+++ b/heatherhead/membership/byte_budget.py
@@ -0,0 +1,57 @@
+"""Budgets of bytes sent to peers, by what they are for and how far they go."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from heatherhead.membership.interface import LinkKind, Traffic
+from heatherhead.token_bucket import create_token_bucket
+
+if TYPE_CHECKING:
+    from heatherhead.settings.membership import TrafficBudget
+
+__all__ = ["ByteBudget", "create_byte_budget"]
+
+
+class ByteBudget:
+    """Counts the bytes handed to sockets and refuses those above a budget."""
+
+    def __init__(self, rate_by_link: dict[tuple[Traffic, LinkKind], float], burst_s: float) -> None:
+        self.sent: Counter[tuple[Traffic, LinkKind]] = Counter()
+        self.refused: Counter[tuple[Traffic, LinkKind]] = Counter()
+        self.received: Counter[LinkKind] = Counter()
+        self._bucket_by_link = {
+            link: create_token_bucket(rate, rate * burst_s) for link, rate in rate_by_link.items()
+        }
+
+    def take(self, traffic: Traffic, kind: LinkKind, size: int) -> bool:
+        """Take the bytes of one frame from its budget; tell whether they may be sent."""
+        link = (traffic, kind)
+        if not self._bucket_by_link[link].take(size):
+            self.refused[link] += size
+            return False
+        self.sent[link] += size
+        return True
+
+    def owe(self, kind: LinkKind, size: int) -> None:
+        """Count a control frame that always goes out, as heartbeats do."""
+        link = (Traffic.CONTROL, kind)
+        self._bucket_by_link[link].owe(size)
+        self.sent[link] += size
+
+    def note_received(self, kind: LinkKind, size: int) -> None:
+        """Count bytes that a peer has sent."""
+        self.received[kind] += size
+
+
+def create_byte_budget(
+    control: TrafficBudget, measuring: TrafficBudget, burst_s: float
+) -> ByteBudget:
+    """Create the budgets from settings in bytes a second."""
+    rates: dict[tuple[Traffic, LinkKind], float] = {}
+    for traffic, budget in ((Traffic.CONTROL, control), (Traffic.MEASURING, measuring)):
+        rates[traffic, LinkKind.ZONE] = budget.zone
+        rates[traffic, LinkKind.BETWEEN_ZONES] = budget.between_zones
+        rates[traffic, LinkKind.BETWEEN_REGIONS] = budget.between_regions
+    return ByteBudget(rates, burst_s)
--- /dev/null
+++ b/heatherhead/membership/member_table.py
@@ -0,0 +1,158 @@
+"""What is known of every instance, and which of two reports of one is the newer."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass, replace
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+from heatherhead.membership.interface import Instance, InstanceState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["MEMBER_BUCKETS", "Member", "MemberTable", "create_member_table"]
+
+MEMBER_BUCKETS = 32
+MAX_MEMBERS = 8_192
+
+_RANK = {
+    InstanceState.LIVE: 0,
+    InstanceState.LEAVING: 1,
+    InstanceState.SUSPECTED: 2,
+    InstanceState.DEAD: 3,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """An instance as reported at one sequence number.
+
+    The instance alone raises its sequence, to refute a report; others may only report a worse
+    state at the same sequence. Sequence 0 is a listed instance that nobody has reached yet.
+    """
+
+    instance: Instance
+    sequence: int
+
+    @property
+    def id(self) -> str:
+        """Return the instance's id."""
+        return self.instance.id
+
+    @property
+    def state(self) -> InstanceState:
+        """Return the instance's state."""
+        return self.instance.state
+
+    def is_newer_than(self, other: Member) -> bool:
+        """Tell whether this report replaces another of the same instance."""
+        return self._order > other._order
+
+    @property
+    def _order(self) -> tuple[int, int, str]:
+        return self.sequence, _RANK[self.instance.state], self.instance.incarnation
+
+
+class MemberTable:
+    """Merges reports; the same reports in any order give the same table."""
+
+    def __init__(self, own: Instance) -> None:
+        self.own_id = own.id
+        self.by_id: dict[str, Member] = {own.id: Member(own, 1)}
+        self.hashes = [0] * MEMBER_BUCKETS
+        self._listeners: list[Callable[[Member], None]] = []
+        self._toggle(self.own)
+
+    @property
+    def own(self) -> Member:
+        """Return this instance's own entry."""
+        return self.by_id[self.own_id]
+
+    def merge(self, report: Member) -> bool:
+        """Take in a report if it is newer; tell whether the table changed.
+
+        A report of this instance that it can't let stand is refuted by a higher sequence.
+        """
+        if report.id == self.own_id:
+            return self._refute(report)
+        held = self.by_id.get(report.id)
+        if held is not None and not report.is_newer_than(held):
+            return False
+        if held is None and len(self.by_id) >= MAX_MEMBERS:
+            return False
+        self._store(report)
+        return True
+
+    def judge(self, instance_id: str, state: InstanceState) -> bool:
+        """Report another instance's state at its present sequence; tell whether it is news."""
+        held = self.by_id.get(instance_id)
+        if held is None or instance_id == self.own_id:
+            return False
+        return self.merge(Member(replace(held.instance, state=state), held.sequence))
+
+    def set_own(self, own: Instance) -> None:
+        """Change this instance's own entry."""
+        self._store(Member(own, self.own.sequence + 1))
+
+    def forget(self, instance_id: str) -> None:
+        """Drop an entry."""
+        member = self.by_id.pop(instance_id, None)
+        if member is not None:
+            self._toggle(member)
+
+    def bucket(self, numbers: set[int]) -> list[Member]:
+        """List the entries of some buckets that somebody has reached."""
+        return [
+            each for each in self.by_id.values() if each.sequence and _bucket(each.id) in numbers
+        ]
+
+    @property
+    def total_hash(self) -> int:
+        """Return one hash over all entries that somebody has reached."""
+        total = 0
+        for each in self.hashes:
+            total ^= each
+        return total
+
+    def subscribe(self, listener: Callable[[Member], None]) -> None:
+        """Call `listener` with each changed entry."""
+        self._listeners.append(listener)
+
+    def _refute(self, report: Member) -> bool:
+        is_ours = report.instance == self.own.instance
+        if report.sequence < self.own.sequence or (
+            is_ours and report.sequence == self.own.sequence
+        ):
+            return False
+        self._store(Member(self.own.instance, report.sequence + 1))
+        return True
+
+    def _store(self, member: Member) -> None:
+        held = self.by_id.get(member.id)
+        if held is not None:
+            self._toggle(held)
+        self.by_id[member.id] = member
+        self._toggle(member)
+        for listener in self._listeners:
+            listener(member)
+
+    def _toggle(self, member: Member) -> None:
+        if member.sequence:
+            self.hashes[_bucket(member.id)] ^= _hash(member)
+
+
+def _bucket(instance_id: str) -> int:
+    return zlib.crc32(instance_id.encode()) % MEMBER_BUCKETS
+
+
+def _hash(member: Member) -> int:
+    instance = member.instance
+    text = f"{instance.id}\0{instance.incarnation}\0{member.sequence}\0{instance.state}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def create_member_table(own: Instance) -> MemberTable:
+    """Create a table that knows this instance only."""
+    return MemberTable(own)
