--- /dev/null
+++ b/heatherhead/callers/headers.py
@@ -0,0 +1,67 @@
+"""Names of the HTTP headers that heatherhead reads, writes and strips."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from multidict import CIMultiDict, istr
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
+
+__all__ = [
+    "CALL_CLASS",
+    "DEADLINE_MS",
+    "DRAINING",
+    "IDEMPOTENCY_KEY",
+    "LOAD",
+    "NO_RETRY",
+    "NOT_RUN",
+    "PASSED_ON",
+    "SERVICE",
+    "TENANT",
+    "end_to_end_headers",
+]
+
+DEADLINE_MS = istr("Heatherhead-Deadline-Ms")  # milliseconds left, from callers and to upstreams
+CALL_CLASS = istr("Heatherhead-Class")  # class of the call, from callers
+TENANT = istr("Heatherhead-Tenant")  # tenant of the call, from callers
+SERVICE = istr("Heatherhead-Service")  # name of the service, to upstreams
+PASSED_ON = istr("Heatherhead-Passed-On")  # id of the instance that passed the call on
+NOT_RUN = istr("Heatherhead-Not-Run")  # "true": the call was not run and will not be
+NO_RETRY = istr("Heatherhead-No-Retry")  # "true": a layer nearer to the failure has retried
+DRAINING = istr("Heatherhead-Draining")  # "true": the upstream is leaving
+LOAD = istr("Heatherhead-Load")  # calls in flight, as the upstream says
+IDEMPOTENCY_KEY = istr("Idempotency-Key")
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end_headers(
+    headers: CIMultiDictProxy[str], also_stripped: frozenset[str] = frozenset()
+) -> CIMultiDict[str]:
+    """Copy headers without those of one connection (RFC 9110, section 7.6.1).
+
+    `also_stripped` holds further names in lower case.
+    """
+    stripped = _HOP_BY_HOP | also_stripped if also_stripped else _HOP_BY_HOP
+    named = headers.get("Connection")
+    if named is not None:
+        stripped = stripped | {name.strip().lower() for name in named.split(",")}
+    kept: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in stripped:
+            kept.add(name, value)
+    return kept
--- a/heatherhead/exceptions.py
+++ b/heatherhead/exceptions.py
@@ -5,6 +5,9 @@
 from enum import StrEnum
 
 __all__ = [
+    "AlreadyRanError",
+    "BadCallError",
+    "CallCutError",
     "CallRefusedError",
     "ConfigurationError",
     "ConflictError",
@@ -103,6 +106,25 @@
     """Calls like this one have crashed upstreams and are held back for a while."""
 
 
+class BadCallError(CallRefusedError):
+    """The caller's request breaks a rule or a bound; `status` says which kind."""
+
+    def __init__(self, reason: str, *, status: int, remedy: str) -> None:
+        super().__init__(reason, remedy=remedy)
+        self.status = status
+
+
+class CallCutError(HeatherheadError):
+    """The caller's connection or request body ended early."""
+
+
+class AlreadyRanError(HeatherheadError):
+    """The call ran before, and its answer is no longer kept."""
+
+    status = 409
+    outcome = ReportedOutcome.RAN
+
+
 class OutcomeUnknownError(HeatherheadError):
     """The call may or may not have run."""
 
--- /dev/null
+++ b/heatherhead/upstreams/answers.py
@@ -0,0 +1,50 @@
+"""Reads from the head of an answer what it says of its upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.callers.headers import DRAINING, LOAD, NO_RETRY, NOT_RUN
+from heatherhead.calls import LoadReport, UpstreamSign
+
+if TYPE_CHECKING:
+    from aiohttp import ClientResponse
+
+__all__ = ["is_final", "load_report", "promises_not_run", "sign_of_answer"]
+
+_MAX_LOAD_DIGITS = 9
+_HTTP_1_1 = (1, 1)
+
+
+def promises_not_run(answer: ClientResponse) -> bool:
+    """Tell whether the upstream promises that it did not run the call."""
+    return answer.status == 503 and answer.headers.get(NOT_RUN) == "true"
+
+
+def is_final(answer: ClientResponse) -> bool:
+    """Tell whether a layer nearer to the failure has already retried."""
+    return answer.headers.get(NO_RETRY) == "true"
+
+
+def sign_of_answer(answer: ClientResponse) -> UpstreamSign:
+    """Read whether the upstream is leaving or shedding load."""
+    headers = answer.headers
+    if headers.get(DRAINING) == "true" or _announces_close(answer):
+        return UpstreamSign.DRAINING
+    if promises_not_run(answer):
+        return UpstreamSign.SHEDDING
+    return UpstreamSign.NONE
+
+
+def _announces_close(answer: ClientResponse) -> bool:
+    if answer.version is None or tuple(answer.version) < _HTTP_1_1:
+        return False
+    return answer.headers.get("Connection", "").lower() == "close"
+
+
+def load_report(answer: ClientResponse, now: float) -> LoadReport | None:
+    """Read the calls in flight that the upstream claims; `None` without a readable claim."""
+    text = answer.headers.get(LOAD)
+    if text is None or not text.isascii() or not text.isdigit() or len(text) > _MAX_LOAD_DIGITS:
+        return None
+    return LoadReport(int(text), now)
--- /dev/null
+++ b/heatherhead/upstreams/attempts.py
@@ -0,0 +1,268 @@
+"""Runs a call in one or more attempts until it has an answer or must be given up."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from heatherhead.admission.retry_budget import RetryBudget, create_retry_budget
+from heatherhead.calls import AttemptResult, AttemptState
+from heatherhead.exceptions import (
+    CallRefusedError,
+    DeadlineUnreachableError,
+    HeatherheadError,
+    OutcomeUnknownError,
+)
+from heatherhead.telemetry.interface import HistogramKind
+from heatherhead.upstreams.answers import (
+    is_final,
+    load_report,
+    promises_not_run,
+    sign_of_answer,
+)
+from heatherhead.upstreams.client import Attempt
+from heatherhead.upstreams.hedging import Hedge
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from heatherhead.callers.bodies import CallBody
+    from heatherhead.calls import Call
+    from heatherhead.configuration.model import Service
+    from heatherhead.routing.interface import Router, Slot
+    from heatherhead.settings.admission import AdmissionSettings
+    from heatherhead.telemetry.interface import Telemetry
+    from heatherhead.upstreams.client import OutboundRequest, UpstreamClient
+
+__all__ = ["UNKNOWN_REMEDY", "AttemptRunner", "CallRun", "OpenAnswer", "create_attempt_runner"]
+
+RETRIED_STATUS = 503
+UNKNOWN_REMEDY = "the call may have run: ask the service, or send it again with the same key"
+
+
+@dataclass(slots=True)
+class CallRun:
+    """One call while it is being run; `maybe_ran` says that an upstream may have seen it."""
+
+    call: Call
+    service: Service
+    request: OutboundRequest
+    body: CallBody
+    avoid: set[str] = field(default_factory=set)
+    maybe_ran: bool = False
+    queue_wait_s: float = 0.0
+    upstream_s: float = 0.0
+
+
+class OpenAnswer:
+    """An attempt that holds a slot; given back once, by `close`."""
+
+    def __init__(self, run: CallRun, slot: Slot, attempt: Attempt, telemetry: Telemetry) -> None:
+        self.slot = slot
+        self.attempt = attempt
+        self._run = run
+        self._telemetry = telemetry
+        self._open = True
+
+    def close(self, *, complete: bool) -> None:
+        """Give the slot back; an answer that is not complete takes its connection with it."""
+        if not self._open:
+            return
+        self._open = False
+        attempt = self.attempt
+        now = asyncio.get_running_loop().time()
+        duration_s = now - attempt.started_at if attempt.started_at else 0.0
+        if attempt.answer is not None and not complete:
+            attempt.answer.close()
+        self._run.upstream_s = duration_s
+        call = self._run.call
+        self._telemetry.observe(call.service, call.call_class, HistogramKind.UPSTREAM, duration_s)
+        self.slot.finish(_result_of(attempt, duration_s, now))
+
+
+def _result_of(attempt: Attempt, duration_s: float, now: float) -> AttemptResult:
+    answer = attempt.answer
+    if answer is None:
+        return AttemptResult(attempt.state, 0, duration_s, attempt.sign)
+    state = AttemptState.REFUSED if promises_not_run(answer) else AttemptState.ANSWERED
+    report = load_report(answer, now)
+    return AttemptResult(state, answer.status, duration_s, sign_of_answer(answer), report)
+
+
+class AttemptRunner:
+    """Acquires slots, sends attempts, hedges and retries within the service's budgets."""
+
+    def __init__(
+        self,
+        router: Router,
+        client: UpstreamClient,
+        settings: AdmissionSettings,
+        telemetry: Telemetry,
+    ) -> None:
+        self._router = router
+        self._client = client
+        self._settings = settings
+        self._telemetry = telemetry
+        self._retries_by_service: dict[str, RetryBudget] = {}
+        self._hedges_by_service: dict[str, RetryBudget] = {}
+
+    def forget(self, service: str) -> None:
+        """Drop the budgets of a service whose configuration changed or that is gone."""
+        self._retries_by_service.pop(service, None)
+        self._hedges_by_service.pop(service, None)
+
+    async def run(self, run: CallRun) -> Result[OpenAnswer, HeatherheadError]:
+        """Run a call until the head of an answer is there, or give the reason why none is.
+
+        The caller of this method closes the answer. On cancellation `run.maybe_ran` tells
+        whether an upstream may have seen the call.
+        """
+        self._budget(self._retries_by_service, run, run.service.retry_share).earn()
+        self._budget(self._hedges_by_service, run, run.service.hedge_share).earn()
+        while True:
+            slot = await self._acquire(run)
+            if isinstance(slot, Err):
+                return self._given_up(run, slot.err_value)
+            opened = await self._attempt(run, slot.ok_value)
+            if opened.attempt.answer is not None and not self._repeat_answered(run, opened):
+                return self._answered(run, opened)
+            opened.close(complete=False)
+            if opened.attempt.answer is None and not self._repeat_failed(run, opened):
+                return self._given_up(run, _error_of(run, opened.attempt))
+            self._telemetry.count("retries")
+
+    async def _acquire(self, run: CallRun) -> Result[Slot, CallRefusedError]:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        acquired = await self._router.acquire(run.call, frozenset(run.avoid))
+        waited_s = loop.time() - began
+        run.queue_wait_s += waited_s
+        call = run.call
+        self._telemetry.observe(call.service, call.call_class, HistogramKind.QUEUE_WAIT, waited_s)
+        return acquired
+
+    async def _attempt(self, run: CallRun, slot: Slot) -> OpenAnswer:
+        delay_s = self._hedge_delay_s(run)
+        if delay_s is None:
+            return await self.send(run, slot)
+        hedge = Hedge(delay_s, lambda: self._send_hedge(run, slot))
+        return await hedge.race(self.send(run, slot))
+
+    def _hedge_delay_s(self, run: CallRun) -> float | None:
+        if not run.call.idempotent or not run.body.empty:
+            return None
+        return self._router.hedge_delay_s(run.call)
+
+    async def _send_hedge(self, run: CallRun, first: Slot) -> OpenAnswer | None:
+        budget = self._budget(self._hedges_by_service, run, run.service.hedge_share)
+        if budget.tokens < 1.0:
+            return None
+        slot = self._router.try_acquire(run.call, frozenset({*run.avoid, first.upstream.id}))
+        if slot is None:
+            return None
+        budget.spend()
+        self._telemetry.count("hedges")
+        return await self.send(run, slot)
+
+    async def send(self, run: CallRun, slot: Slot) -> OpenAnswer:
+        """Send one attempt on a slot, which is given back when this is cancelled."""
+        run.call.attempts += 1
+        attempt = Attempt(run.call.deadline)
+        opened = OpenAnswer(run, slot, attempt, self._telemetry)
+        upstream = slot.upstream
+        try:
+            await self._client.send(upstream.host, upstream.port, run.request, attempt)
+        except BaseException:
+            run.maybe_ran = run.maybe_ran or attempt.sent
+            opened.close(complete=False)
+            raise
+        if attempt.state is AttemptState.UNKNOWN:
+            run.maybe_ran = True
+        return opened
+
+    def _answered(self, run: CallRun, opened: OpenAnswer) -> Result[OpenAnswer, HeatherheadError]:
+        answer = opened.attempt.answer
+        assert answer is not None
+        if not promises_not_run(answer):
+            return Ok(opened)
+        opened.close(complete=False)
+        return self._given_up(
+            run,
+            CallRefusedError(
+                "every upstream that was tried refused the call",
+                remedy="send the call again later",
+            ),
+        )
+
+    def _repeat_answered(self, run: CallRun, opened: OpenAnswer) -> bool:
+        answer = opened.attempt.answer
+        assert answer is not None
+        if answer.status != RETRIED_STATUS or is_final(answer):
+            return False
+        refused = promises_not_run(answer)
+        return (refused or run.call.idempotent) and self._may_repeat(run, opened, paid=True)
+
+    def _repeat_failed(self, run: CallRun, opened: OpenAnswer) -> bool:
+        attempt = opened.attempt
+        if attempt.too_late:
+            return False
+        if attempt.state.surely_not_run:
+            return self._may_repeat(run, opened, paid=False)
+        return run.call.idempotent and self._may_repeat(run, opened, paid=True)
+
+    def _may_repeat(self, run: CallRun, opened: OpenAnswer, *, paid: bool) -> bool:
+        """Tell whether one more attempt is allowed; a `paid` one costs a token of the budget.
+
+        An attempt of which no byte was sent has cost no upstream anything and is not paid.
+        """
+        run.avoid.add(opened.slot.upstream.id)
+        if run.call.attempts >= self._settings.max_attempts or not run.body.repeatable:
+            return False
+        if asyncio.get_running_loop().time() >= run.call.deadline:
+            return False
+        if not paid:
+            return True
+        return self._budget(self._retries_by_service, run, run.service.retry_share).spend()
+
+    def _given_up(
+        self, run: CallRun, error: HeatherheadError
+    ) -> Result[OpenAnswer, HeatherheadError]:
+        if run.maybe_ran and isinstance(error, CallRefusedError):
+            return Err(OutcomeUnknownError(error.reason, remedy=UNKNOWN_REMEDY))
+        return Err(error)
+
+    def _budget(self, by_service: dict[str, RetryBudget], run: CallRun, share: float) -> RetryBudget:
+        budget = by_service.get(run.service.name)
+        if budget is None or budget.share != share:
+            budget = create_retry_budget(share, self._settings.retry_burst)
+            by_service[run.service.name] = budget
+        return budget
+
+
+def _error_of(run: CallRun, attempt: Attempt) -> HeatherheadError:
+    if attempt.too_late:
+        return DeadlineUnreachableError(
+            "the deadline passed before the call was sent", remedy="allow the call more time"
+        )
+    stream = run.body.stream
+    if stream is not None and stream.error is not None and not isinstance(
+        stream.error, CallRefusedError
+    ):
+        return stream.error
+    if attempt.state.surely_not_run:
+        return CallRefusedError(
+            f"no upstream could be reached: {attempt.error}", remedy="send the call again later"
+        )
+    return OutcomeUnknownError(
+        f"the upstream gave no answer: {attempt.error}", remedy=UNKNOWN_REMEDY
+    )
+
+
+def create_attempt_runner(
+    router: Router, client: UpstreamClient, settings: AdmissionSettings, telemetry: Telemetry
+) -> AttemptRunner:
+    """Create the runner of all calls' attempts."""
+    return AttemptRunner(router, client, settings, telemetry)
