Run a daemon that proxies calls, answers for addresses and leaves on SIGTERM

A call passes the filters callers, admission, routing and upstreams; keyed calls run by their grant. A plain router stands in until routing lands.

--- /dev/null
+++ b/heatherhead/assembly.py
@@ -0,0 +1,165 @@
+"""Builds all parts of a daemon and starts and stops them in order."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from heatherhead.admission.grants import create_grant_issuer
+from heatherhead.admission.key_table import create_key_table
+from heatherhead.callers.addresses import create_address_answers
+from heatherhead.callers.handler import create_call_handler
+from heatherhead.callers.key_runs import create_key_runner
+from heatherhead.callers.keyed import create_keyed_calls
+from heatherhead.callers.listener import bind, create_callers_listener
+from heatherhead.callers.pass_on import create_pass_on
+from heatherhead.callers.protocol import create_callers_server
+from heatherhead.callers.service_choice import create_service_choice
+from heatherhead.callers.state import CallersState, Phase
+from heatherhead.configuration.replica import create_replica
+from heatherhead.configuration.service import create_configuration
+from heatherhead.interim_router import InterimHomes, InterimRouter
+from heatherhead.membership.service import create_membership
+from heatherhead.settings.tls import create_client_context
+from heatherhead.store.factory import create_store
+from heatherhead.telemetry.logs import log_event
+from heatherhead.telemetry.recorder import create_telemetry
+from heatherhead.upstreams.attempts import create_attempt_runner
+from heatherhead.upstreams.client import create_upstream_client
+
+if TYPE_CHECKING:
+    import ssl
+
+    from heatherhead.configuration.model import ServiceRecord
+    from heatherhead.settings import Settings
+
+__all__ = ["Assembly", "create_assembly"]
+
+INCARNATION_BYTES = 8
+GRANT_SLACK_S = 5.0  # a grant outlives its address answer by the time a call is under way
+
+
+class Assembly:
+    """The parts of one daemon; must be created inside the running loop."""
+
+    def __init__(self, settings: Settings) -> None:
+        bound = bind(settings.callers.listen)
+        self.settings = settings = _with_callers_port(settings, bound.getsockname()[1])
+        callers = settings.callers
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.state = CallersState()
+        self.telemetry = create_telemetry(settings.telemetry)
+        self.store = create_store(settings.store)
+        self.replica = create_replica()
+        self.membership = create_membership(settings, incarnation)
+        view = self.membership.view
+        self.configuration = create_configuration(
+            settings, self.store, self.replica, self.membership
+        )
+        self.router = InterimRouter()
+        homes = InterimHomes(view)
+        self.client = create_upstream_client(settings.admission)
+        self.runner = create_attempt_runner(
+            self.router, self.client, settings.admission, self.telemetry
+        )
+        issuer = create_grant_issuer(
+            settings.instance.id, incarnation, callers.addresses_keep_s + GRANT_SLACK_S
+        )
+        table = create_key_table(issuer)
+        owner_tls = _owner_tls(settings)
+        keyed = create_keyed_calls(
+            issuer,
+            table,
+            create_key_runner(self.runner, self.state, table.limits.max_answer_bytes),
+            create_pass_on(view, self.client, callers, self.state, self.telemetry, owner_tls),
+            self.state,
+            callers,
+        )
+        self.addresses = create_address_answers(
+            callers,
+            homes,
+            self.replica,
+            view,
+            issuer,
+            self.state,
+            self.configuration.ready.is_set,
+        )
+        handler = create_call_handler(
+            callers,
+            create_service_choice(self.replica),
+            self.runner,
+            keyed,
+            self.state,
+            self.telemetry,
+            {"/v1/addresses": self.addresses.addresses, "/v1/ready": self.addresses.ready},
+        )
+        server = create_callers_server(handler.handle, callers)
+        self.listener = create_callers_listener(server, callers, bound)
+        self.replica.subscribe(self._on_record)
+
+    def _on_record(self, record: ServiceRecord) -> None:
+        self.router.update_service(record.name, record.service)
+        if record.service is None:
+            self.runner.forget(record.name)
+
+    async def start(self) -> None:
+        """Start all parts; addresses are offered once there is a configuration."""
+        self.telemetry.start()
+        await self.membership.start()
+        await self.configuration.start()
+        await self.listener.start()
+        self.state.phase = Phase.SERVING
+        log_event("started", instance=self.settings.instance.id)
+
+    def reload(self) -> None:
+        """Read the certificates again."""
+        self.listener.reload_tls()
+
+    async def leave(self) -> None:
+        """Leave without cutting a call off: wait for given answers and calls in progress."""
+        self.state.phase = Phase.LEAVING
+        log_event("leaving", in_progress=self.state.in_progress)
+        await self.membership.announce_leaving()
+        await self._wait_for_given_answers()
+        self.state.phase = Phase.CLOSED
+        self.listener.stop_accepting()
+        try:
+            async with asyncio.timeout(self.settings.callers.leaving_timeout_s):
+                await self.state.wait_idle()
+        except TimeoutError:
+            log_event("leaving_timeout", level="ERROR", in_progress=self.state.in_progress)
+
+    async def _wait_for_given_answers(self) -> None:
+        """Serve until no caller has a reason to come; others may have given this address too."""
+        now = asyncio.get_running_loop().time()
+        alone = len(self.membership.view.by_id) <= 1
+        until = self.addresses.given_until
+        if not alone:
+            until = max(until, now + self.settings.callers.addresses_keep_s + GRANT_SLACK_S)
+        await asyncio.sleep(max(0.0, until - now))
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        await self.listener.close()
+        await self.configuration.stop()
+        await self.membership.stop()
+        await self.client.close()
+        await self.store.close()
+        log_event("stopped")
+
+
+def _with_callers_port(settings: Settings, port: int) -> Settings:
+    callers = settings.callers
+    listen = callers.listen.model_copy(update={"port": port})
+    return settings.model_copy(update={"callers": callers.model_copy(update={"listen": listen})})
+
+
+def _owner_tls(settings: Settings) -> ssl.SSLContext | None:
+    tls = settings.callers.listen.tls
+    return create_client_context(tls) if tls is not None else None
+
+
+def create_assembly(settings: Settings) -> Assembly:
+    """Create all parts of a daemon."""
+    return Assembly(settings)
--- /dev/null
+++ b/heatherhead/callers/addresses.py
@@ -0,0 +1,141 @@
+"""Answers the question which addresses a caller should use."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from heatherhead.callers.problems import problem_of, problem_response
+from heatherhead.callers.state import Phase
+from heatherhead.exceptions import BadCallError, CallRefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.admission.grants import GrantIssuer
+    from heatherhead.callers.state import CallersState
+    from heatherhead.configuration.replica import Replica
+    from heatherhead.membership.interface import Instance, MembershipView
+    from heatherhead.routing.interface import Home, HomeSets
+    from heatherhead.settings.callers import CallersSettings
+
+__all__ = ["AddressAnswers", "create_address_answers"]
+
+
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """Where a caller is."""
+
+    region: str
+    availability_zone: str
+
+
+class AddressAnswers:
+    """Serves `GET /v1/addresses` and `GET /v1/ready`."""
+
+    def __init__(
+        self,
+        settings: CallersSettings,
+        homes: HomeSets,
+        replica: Replica,
+        view: MembershipView,
+        issuer: GrantIssuer,
+        state: CallersState,
+        configured: Callable[[], bool],
+    ) -> None:
+        self.given_until = 0.0
+        self._settings = settings
+        self._homes = homes
+        self._replica = replica
+        self._view = view
+        self._issuer = issuer
+        self._state = state
+        self._configured = configured
+
+    async def addresses(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with the homes of a service, the nearest first, and a grant."""
+        try:
+            self._refuse_unless_offering(request)
+            name = request.query.get("service", "")
+            if self._replica.service(name) is None:
+                raise BadCallError(
+                    f"there is no service {name!r}", status=404, remedy="name a service"
+                )
+            place = self._place(request.query.get("availability_zone", ""))
+            homes = self._homes.homes(name, place.region)
+            return self._answer(name, place, homes)
+        except CallRefusedError as error:
+            return problem_response(problem_of(error))
+
+    async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer 200 while this instance has a configuration and offers addresses."""
+        offering = self._offering
+        return web.Response(status=200 if offering else 503, text="ready\n" if offering else "no\n")
+
+    @property
+    def _offering(self) -> bool:
+        return self._state.phase is Phase.SERVING and self._configured()
+
+    def _refuse_unless_offering(self, request: web.BaseRequest) -> None:
+        if request.method != "GET":
+            raise BadCallError("only GET is served here", status=405, remedy="use GET")
+        if not self._offering:
+            raise CallRefusedError(
+                f"this instance is {self._state.phase}", remedy="ask another instance"
+            )
+
+    def _place(self, availability_zone: str) -> _Place:
+        own = self._view.own
+        if not availability_zone:
+            return _Place(own.region, own.availability_zone)
+        for instance in self._view.by_id.values():
+            if instance.availability_zone == availability_zone:
+                return _Place(instance.region, availability_zone)
+        return _Place(own.region, availability_zone)
+
+    def _answer(self, service: str, place: _Place, homes: list[Home]) -> web.Response:
+        now = asyncio.get_running_loop().time()
+        nearest = sorted(
+            homes, key=lambda home: home.instance.availability_zone != place.availability_zone
+        )
+        document = {
+            "service": service,
+            "addresses": [_entry(home) for home in nearest[: self._settings.addresses_count]],
+            "keep_s": self._settings.addresses_keep_s,
+            "grant": self._issuer.issue(now),
+            "grant_address": str(self._view.own.callers),
+        }
+        self.given_until = now + self._issuer.lifetime_s
+        return web.Response(
+            body=json.dumps(document).encode(),
+            content_type="application/json",
+            headers={"Cache-Control": "no-store"},
+        )
+
+
+def _entry(home: Home) -> dict[str, object]:
+    instance: Instance = home.instance
+    return {
+        "address": str(instance.callers),
+        "instance": instance.id,
+        "region": instance.region,
+        "availability_zone": instance.availability_zone,
+        "weight": round(home.weight, 4),
+    }
+
+
+def create_address_answers(
+    settings: CallersSettings,
+    homes: HomeSets,
+    replica: Replica,
+    view: MembershipView,
+    issuer: GrantIssuer,
+    state: CallersState,
+    configured: Callable[[], bool],
+) -> AddressAnswers:
+    """Create the answers; `configured` tells whether the configuration can be used."""
+    return AddressAnswers(settings, homes, replica, view, issuer, state, configured)
--- a/heatherhead/callers/bodies.py
+++ b/heatherhead/callers/bodies.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from aiohttp import StreamReader
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web import RequestPayloadError
 
@@ -15,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from aiohttp import StreamReader
     from aiohttp.web import BaseRequest
 
     from heatherhead.settings.callers import CallersSettings
@@ -50,11 +50,14 @@
         self._settings = settings
         self.started = False
         self.error: BadCallError | CallCutError | None = None
+        self.on_start: Callable[[], None] | None = None
         self.on_end: Callable[[], None] | None = None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body; a broken one raises, so that it never ends as if whole."""
         self.started = True
+        if self.on_start is not None:
+            self.on_start()
         size = 0
         try:
             await _invite(self._request)
--- a/heatherhead/callers/headers.py
+++ b/heatherhead/callers/headers.py
@@ -18,6 +18,7 @@
     "NO_RETRY",
     "NOT_RUN",
     "PASSED_ON",
+    "REPLAYED",
     "SERVICE",
     "TENANT",
     "end_to_end_headers",
@@ -32,6 +33,7 @@
 NO_RETRY = istr("Heatherhead-No-Retry")  # "true": a layer nearer to the failure has retried
 DRAINING = istr("Heatherhead-Draining")  # "true": the upstream is leaving
 LOAD = istr("Heatherhead-Load")  # calls in flight, as the upstream says
+REPLAYED = istr("Heatherhead-Replayed")  # "true": the recorded answer of an earlier send
 IDEMPOTENCY_KEY = istr("Idempotency-Key")
 
 _HOP_BY_HOP = frozenset(
--- /dev/null
+++ b/heatherhead/callers/keyed.py
@@ -0,0 +1,153 @@
+"""Runs non-idempotent calls at most once, by the grant in their key."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from heatherhead.admission.grants import GrantProblem, parse_key
+from heatherhead.admission.key_errors import (
+    GrantForgedError,
+    GrantOwnerGoneError,
+    KeyMissingError,
+)
+from heatherhead.admission.key_table import KeyRun, KeyWait, request_fingerprint
+from heatherhead.callers.key_runs import StreamedAnswer
+from heatherhead.callers.relay import relay_answer, relay_recorded
+from heatherhead.callers.requests import outbound_request
+from heatherhead.exceptions import HeatherheadError
+from heatherhead.upstreams.attempts import CallRun
+
+if TYPE_CHECKING:
+    from aiohttp.web import StreamResponse
+
+    from heatherhead.admission.grants import GrantIssuer
+    from heatherhead.admission.key_table import KeyEnd, KeyTable
+    from heatherhead.callers.inbound import InboundCall
+    from heatherhead.callers.key_runs import KeyRunner
+    from heatherhead.callers.pass_on import PassOn
+    from heatherhead.callers.state import CallersState
+    from heatherhead.settings.callers import CallersSettings
+
+__all__ = ["KeyedCalls", "create_keyed_calls"]
+
+
+class KeyedCalls:
+    """Decides who runs a keyed call, and answers resends from the key table."""
+
+    def __init__(
+        self,
+        issuer: GrantIssuer,
+        table: KeyTable,
+        runner: KeyRunner,
+        pass_on: PassOn,
+        state: CallersState,
+        settings: CallersSettings,
+    ) -> None:
+        self._issuer = issuer
+        self._table = table
+        self._runner = runner
+        self._pass_on = pass_on
+        self._state = state
+        self._settings = settings
+
+    def check(self, inbound: InboundCall) -> None:
+        """Read the key of a non-idempotent call, before its body is asked for.
+
+        Raises `KeyedCallError` for a missing or malformed key, unless the service needs none.
+        """
+        call = inbound.call
+        if call.idempotent:
+            return
+        if call.key is None:
+            if inbound.service.key_required:
+                raise KeyMissingError
+            return
+        parsed = parse_key(call.key)
+        if not isinstance(parsed, Err):
+            inbound.key = parsed.ok_value
+        elif inbound.service.key_required:
+            raise parsed.err_value
+
+    async def serve(self, inbound: InboundCall) -> StreamResponse:
+        """Run a keyed call, wait for its run, answer it from the table or pass it on."""
+        key = inbound.key
+        assert key is not None
+        verified = self._issuer.verify(key.grant)
+        if isinstance(verified, Err):
+            return await self._serve_foreign(inbound, verified.err_value)
+        loop = asyncio.get_running_loop()
+        call = inbound.call
+        fingerprint = request_fingerprint(call.method, call.target, inbound.request.content_length)
+        begun = self._table.begin(verified.ok_value, key.caller_id, fingerprint, loop.time())
+        if isinstance(begun, Err):
+            raise begun.err_value
+        if isinstance(begun.ok_value, KeyRun):
+            return await self._first(inbound, begun.ok_value)
+        inbound.maybe_ran_before = True
+        if isinstance(begun.ok_value, KeyWait):
+            return await self._ended(inbound, await self._table.wait(begun.ok_value))
+        return await self._ended(inbound, begun.ok_value)
+
+    async def _serve_foreign(self, inbound: InboundCall, problem: GrantProblem) -> StreamResponse:
+        if problem is GrantProblem.FORGED:
+            raise GrantForgedError
+        if problem is GrantProblem.OTHER_INCARNATION:
+            raise GrantOwnerGoneError
+        assert inbound.key is not None
+        inbound.maybe_ran_before = True
+        return await self._pass_on.pass_on(inbound, inbound.key.grant)
+
+    async def _first(self, inbound: InboundCall, key_run: KeyRun) -> StreamResponse:
+        now = asyncio.get_running_loop().time()
+        request = outbound_request(inbound.request, inbound.call, inbound.body, now)
+        run = CallRun(inbound.call, inbound.service, request, inbound.body, began_at=now)
+        inbound.run = run
+        outcome = await self._runner.start(run, key_run).outcome()
+        if isinstance(outcome, HeatherheadError):
+            raise outcome
+        if isinstance(outcome, StreamedAnswer):
+            return await self._stream(inbound, outcome)
+        return await relay_recorded(
+            inbound.request, outcome, close=self._state.closing_connections, replayed=False
+        )
+
+    async def _stream(self, inbound: InboundCall, streamed: StreamedAnswer) -> StreamResponse:
+        opened = streamed.opened
+        complete = False
+        try:
+            assert opened.attempt.answer is not None
+            response = await relay_answer(
+                inbound.request,
+                opened.attempt.answer,
+                self._settings,
+                close=self._state.closing_connections,
+                begun=streamed.begun,
+            )
+            complete = True
+        finally:
+            opened.close(complete=complete)
+        return response
+
+    async def _ended(self, inbound: InboundCall, end: KeyEnd) -> StreamResponse:
+        error = end.error()
+        if error is not None:
+            raise error
+        assert end.answer is not None
+        return await relay_recorded(
+            inbound.request, end.answer, close=self._state.closing_connections, replayed=True
+        )
+
+
+def create_keyed_calls(
+    issuer: GrantIssuer,
+    table: KeyTable,
+    runner: KeyRunner,
+    pass_on: PassOn,
+    state: CallersState,
+    settings: CallersSettings,
+) -> KeyedCalls:
+    """Create the filter of keyed calls."""
+    return KeyedCalls(issuer, table, runner, pass_on, state, settings)
--- /dev/null
+++ b/heatherhead/callers/pass_on.py
@@ -0,0 +1,97 @@
+"""Passes a keyed call on to the instance that issued its grant."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from heatherhead.admission.key_errors import GrantOwnerGoneError
+from heatherhead.callers.headers import PASSED_ON
+from heatherhead.callers.relay import relay_answer
+from heatherhead.callers.requests import outbound_request
+from heatherhead.membership.interface import InstanceState
+from heatherhead.upstreams.client import Attempt
+
+if TYPE_CHECKING:
+    import ssl
+
+    from aiohttp.web import StreamResponse
+
+    from heatherhead.admission.grants import GrantClaim
+    from heatherhead.callers.inbound import InboundCall
+    from heatherhead.callers.state import CallersState
+    from heatherhead.membership.interface import Instance, MembershipView
+    from heatherhead.settings.callers import CallersSettings
+    from heatherhead.telemetry.interface import Telemetry
+    from heatherhead.upstreams.client import UpstreamClient
+
+__all__ = ["PassOn", "create_pass_on"]
+
+
+class PassOn:
+    """Sends a call to its owner once; whatever goes wrong on the way leaves it unknown.
+
+    Only the owner can know that a call was not run, so this never says so.
+    """
+
+    def __init__(
+        self,
+        view: MembershipView,
+        client: UpstreamClient,
+        settings: CallersSettings,
+        state: CallersState,
+        telemetry: Telemetry,
+        owner_tls: ssl.SSLContext | None,
+    ) -> None:
+        self._view = view
+        self._client = client
+        self._settings = settings
+        self._state = state
+        self._telemetry = telemetry
+        self._owner_tls = owner_tls
+
+    async def pass_on(self, inbound: InboundCall, grant: GrantClaim) -> StreamResponse:
+        """Relay the owner's answer; raises `GrantOwnerGoneError` if there is none."""
+        owner = self._owner(inbound, grant)
+        self._telemetry.count("keys.passed_on")
+        loop = asyncio.get_running_loop()
+        outbound = outbound_request(inbound.request, inbound.call, inbound.body, loop.time())
+        outbound.headers[PASSED_ON] = self._view.own.id
+        if self._owner_tls is not None:
+            outbound.scheme = "https"
+            outbound.ssl = self._owner_tls
+        attempt = Attempt(inbound.call.deadline)
+        await self._client.send(owner.callers.host, owner.callers.port, outbound, attempt)
+        if attempt.answer is None:
+            raise GrantOwnerGoneError
+        try:
+            return await relay_answer(
+                inbound.request,
+                attempt.answer,
+                self._settings,
+                close=self._state.closing_connections,
+                keep_promise=True,
+            )
+        except BaseException:
+            attempt.answer.close()
+            raise
+
+    def _owner(self, inbound: InboundCall, grant: GrantClaim) -> Instance:
+        owner = self._view.by_id.get(grant.instance_id)
+        if PASSED_ON in inbound.request.headers or owner is None:
+            raise GrantOwnerGoneError
+        if owner.incarnation != grant.incarnation or owner.state is InstanceState.DEAD:
+            raise GrantOwnerGoneError
+        return owner
+
+
+def create_pass_on(
+    view: MembershipView,
+    client: UpstreamClient,
+    settings: CallersSettings,
+    state: CallersState,
+    telemetry: Telemetry,
+    owner_tls: ssl.SSLContext | None = None,
+) -> PassOn:
+    """Create what passes calls on; `owner_tls` is needed if instances serve callers by TLS."""
+    return PassOn(view, client, settings, state, telemetry, owner_tls)
--- a/heatherhead/callers/problems.py
+++ b/heatherhead/callers/problems.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatch
 
 from aiohttp import web
 
+from heatherhead.admission.key_errors import KeyedCallError
 from heatherhead.callers.headers import NO_RETRY, NOT_RUN
 from heatherhead.exceptions import (
+    AlreadyRanError,
     CallRefusedError,
     HeatherheadError,
     OutcomeUnknownError,
@@ -30,38 +32,27 @@
     remedy: str
     outcome: ReportedOutcome
     kind: str = "about:blank"
-    no_retry: bool = False
-    headers: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def no_retry(self) -> bool:
+        """Tell layers above to leave retries to this one, which is nearer to the failure."""
+        return self.status >= 500
 
 
 @singledispatch
-def problem_of(error: HeatherheadError, *, no_retry: bool = False) -> Problem:
+def problem_of(error: HeatherheadError) -> Problem:
     """Describe an error to a caller; one of no known kind leaves the outcome unknown."""
-    return Problem(500, error.reason, error.remedy, ReportedOutcome.UNKNOWN, no_retry=no_retry)
-
-
-@problem_of.register
-def _(error: CallRefusedError, *, no_retry: bool = False) -> Problem:
-    return Problem(
-        error.status,
-        error.reason,
-        error.remedy,
-        error.outcome,
-        kind=_kind(error),
-        no_retry=no_retry,
-    )
+    return Problem(500, error.reason, error.remedy, ReportedOutcome.UNKNOWN)
 
 
-@problem_of.register
-def _(error: OutcomeUnknownError, *, no_retry: bool = False) -> Problem:
-    return Problem(
-        error.status,
-        error.reason,
-        error.remedy,
-        error.outcome,
-        kind=_kind(error),
-        no_retry=no_retry,
-    )
+@problem_of.register(AlreadyRanError)
+@problem_of.register(CallRefusedError)
+@problem_of.register(KeyedCallError)
+@problem_of.register(OutcomeUnknownError)
+def _(
+    error: AlreadyRanError | CallRefusedError | KeyedCallError | OutcomeUnknownError,
+) -> Problem:
+    return Problem(error.status, error.reason, error.remedy, error.outcome, kind=_kind(error))
 
 
 def _kind(error: HeatherheadError) -> str:
@@ -83,7 +74,6 @@
         status=problem.status,
         body=json.dumps(document).encode(),
         content_type=CONTENT_TYPE,
-        headers=problem.headers,
     )
     if problem.outcome is ReportedOutcome.NOT_RUN:
         response.headers[NOT_RUN] = "true"
--- /dev/null
+++ b/heatherhead/callers/protocol.py
@@ -0,0 +1,148 @@
+"""The HTTP/1.1 connections of callers, with their bounds."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+
+from heatherhead.callers.problems import problem_of, problem_response
+from heatherhead.exceptions import BadCallError, HeatherheadError
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Awaitable, Callable
+
+    from heatherhead.settings.callers import CallersSettings
+
+__all__ = ["CallersServer", "create_callers_server"]
+
+LINGERING_S = 2.0
+READ_BUFFER_BYTES = 128 * 1024
+
+
+class CallersProtocol(RequestHandler):
+    """One connection of a caller; a head that comes too slowly closes it."""
+
+    __slots__ = ("_head_timer", "_head_timeout_s")
+
+    def __init__(
+        self,
+        manager: CallersServer,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        head_timeout_s: float,
+        **options: object,
+    ) -> None:
+        super().__init__(manager, loop=loop, **options)  # type: ignore[arg-type]
+        self._head_timeout_s = head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser and watch over heads that have only begun."""
+        super().data_received(data)
+        if self._messages or self._current_request is not None:
+            if self._head_timer is not None:
+                self._head_timer.cancel()
+                self._head_timer = None
+        elif self._head_timer is None and self._waiter is not None and not self._waiter.done():
+            self._head_timer = self._loop.call_later(self._head_timeout_s, self._on_head_timeout)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+        super().connection_lost(exc)
+
+    def _on_head_timeout(self) -> None:
+        self._head_timer = None
+        if self._waiter is not None and not self._waiter.done():
+            self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that is not HTTP, or whose handling failed, and close."""
+        if status == 400:
+            error: HeatherheadError = _bad_request(exc, message)
+        else:
+            log_event("call_failed", level="ERROR", error=repr(exc))
+            error = HeatherheadError(
+                "the call failed inside heatherhead", remedy="report the logged error"
+            )
+        response = problem_response(problem_of(error))
+        response.force_close()
+        return response
+
+
+def _bad_request(exc: BaseException | None, message: str | None) -> BadCallError:
+    reason = (message or str(exc) or "the request is not HTTP/1.1").splitlines()[0][:200]
+    if isinstance(exc, LineTooLong):
+        return BadCallError(
+            "the request line or a header is too long", status=431, remedy="send less"
+        )
+    return BadCallError(reason, status=400, remedy="send one well-formed HTTP/1.1 request")
+
+
+class CallersServer(web.Server):
+    """Makes the protocol of each connection and closes connections beyond the bound."""
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        settings: CallersSettings,
+    ) -> None:
+        super().__init__(
+            handler,  # type: ignore[arg-type]
+            handler_cancellation=True,
+            access_log=None,
+            logger=_silent_logger(),
+            keepalive_timeout=settings.idle_timeout_s,
+            max_line_size=settings.max_target_bytes,
+            max_field_size=settings.max_header_bytes,
+            max_headers=settings.max_headers,
+            lingering_time=LINGERING_S,
+            read_bufsize=READ_BUFFER_BYTES,
+            auto_decompress=False,
+        )
+        self._settings = settings
+
+    def __call__(self) -> RequestHandler:
+        """Make the protocol of one connection."""
+        return CallersProtocol(
+            self,
+            loop=self._loop,
+            head_timeout_s=self._settings.head_timeout_s,
+            **self._kwargs,
+        )
+
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        """Take a connection in, or close it at once if there are too many."""
+        super().connection_made(handler, transport)
+        if len(self._connections) > self._settings.max_connections:
+            log_event("connection_refused", level="WARNING", connections=len(self._connections))
+            transport.abort()
+
+
+def _silent_logger() -> logging.Logger:
+    logger = logging.getLogger("heatherhead.callers.aiohttp")
+    logger.addHandler(logging.NullHandler())
+    logger.propagate = False
+    return logger
+
+
+def create_callers_server(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    settings: CallersSettings,
+) -> CallersServer:
+    """Create the server of the callers' port; must be called inside the running loop."""
+    return CallersServer(handler, settings)
--- a/heatherhead/callers/relay.py
+++ b/heatherhead/callers/relay.py
@@ -9,29 +9,31 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 
 from heatherhead.callers.headers import (
     DRAINING,
     LOAD,
     NO_RETRY,
     NOT_RUN,
+    REPLAYED,
     end_to_end_headers,
 )
-
 from heatherhead.exceptions import OutcomeUnknownError
 from heatherhead.upstreams.attempts import UNKNOWN_REMEDY
 
 if TYPE_CHECKING:
     from aiohttp import ClientResponse
-    from multidict import CIMultiDict
 
+    from heatherhead.admission.key_table import RecordedAnswer
     from heatherhead.settings.callers import CallersSettings
 
-__all__ = ["AnswerCutError", "abort_connection", "answer_headers", "relay_answer"]
+__all__ = ["AnswerCutError", "abort_connection", "answer_headers", "relay_answer", "relay_recorded"]
 
 SMALL_ANSWER_BYTES = 64 * 1024
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # closing then sends a reset, never a clean end
 _NOT_FOR_CALLERS = frozenset({LOAD.lower(), DRAINING.lower(), NOT_RUN.lower()})
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _GATEWAY_STATUSES = frozenset({502, 503, 504})
 
 
@@ -39,9 +41,11 @@
     """The answer ended early; the caller's connection has been closed abruptly."""
 
 
-def answer_headers(answer: ClientResponse) -> CIMultiDict[str]:
+def answer_headers(answer: ClientResponse, keep_promise: bool = False) -> CIMultiDict[str]:
     """Build the headers of the caller's answer."""
     headers = end_to_end_headers(answer.headers, _NOT_FOR_CALLERS)
+    if keep_promise and answer.headers.get(NOT_RUN) == "true":
+        headers[NOT_RUN] = "true"
     headers.add("Via", "1.1 heatherhead")
     if answer.status in _GATEWAY_STATUSES:
         headers[NO_RETRY] = "true"
@@ -49,20 +53,28 @@
 
 
 async def relay_answer(
-    request: web.BaseRequest, answer: ClientResponse, settings: CallersSettings, *, close: bool
+    request: web.BaseRequest,
+    answer: ClientResponse,
+    settings: CallersSettings,
+    *,
+    close: bool,
+    begun: bytes = b"",
+    keep_promise: bool = False,
 ) -> web.StreamResponse:
     """Stream an answer to the caller; `close` asks it to open another connection next time.
 
+    `begun` is the start of the body if that has been read already. `keep_promise` passes the
+    header on that says that the call was not run.
     Raises `AnswerCutError` when the upstream or the caller stops in the middle, and
     `OutcomeUnknownError` when nothing has reached the caller yet.
     """
     response = web.StreamResponse(
-        status=answer.status, reason=answer.reason, headers=answer_headers(answer)
+        status=answer.status, reason=answer.reason, headers=answer_headers(answer, keep_promise)
     )
     if close:
         response.force_close()
     try:
-        await _copy(request, response, answer, settings)
+        await _copy(request, response, answer, settings, begun)
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
         if not response.prepared:
             raise OutcomeUnknownError(
@@ -71,16 +83,37 @@
         abort_connection(request)
         raise AnswerCutError(f"answer cut short: {error}") from error
     except asyncio.CancelledError:
-        abort_connection(request)
+        if response.prepared:
+            abort_connection(request)
         raise
     return response
 
 
+async def relay_recorded(
+    request: web.BaseRequest, recorded: RecordedAnswer, *, close: bool, replayed: bool
+) -> web.StreamResponse:
+    """Send an answer that has been read whole."""
+    headers: CIMultiDict[str] = CIMultiDict(recorded.headers)
+    if replayed:
+        headers[REPLAYED] = "true"
+    response = web.StreamResponse(status=recorded.status, headers=headers)
+    if close:
+        response.force_close()
+    if recorded.status not in _STATUSES_WITHOUT_BODY:
+        response.content_length = len(recorded.body)
+    await response.prepare(request)
+    if recorded.body:
+        await response.write(recorded.body)
+    await response.write_eof()
+    return response
+
+
 async def _copy(
     request: web.BaseRequest,
     response: web.StreamResponse,
     answer: ClientResponse,
     settings: CallersSettings,
+    begun: bytes,
 ) -> None:
     length = answer.content_length
     if length is not None and length <= SMALL_ANSWER_BYTES:
@@ -91,6 +124,8 @@
         await response.write_eof()
         return
     await response.prepare(request)
+    if begun:
+        await response.write(begun)
     content = answer.content
     while chunk := await content.readany():
         async with asyncio.timeout(settings.answer_stall_timeout_s):
--- a/heatherhead/exceptions.py
+++ b/heatherhead/exceptions.py
@@ -126,7 +126,10 @@
 
 
 class OutcomeUnknownError(HeatherheadError):
-    """The call may or may not have run."""
+    """The call may or may not have run; `status` is the HTTP status to answer with."""
 
-    status = 502
     outcome = ReportedOutcome.UNKNOWN
+
+    def __init__(self, reason: str, *, remedy: str, status: int = 502) -> None:
+        super().__init__(reason, remedy=remedy)
+        self.status = status
--- /dev/null
+++ b/heatherhead/tests/daemon_tests.py
@@ -0,0 +1,83 @@
+"""Tests of `heatherhead.daemon` as a process."""
+
+from __future__ import annotations
+
+import json
+import re
+import signal
+import subprocess
+import sys
+import threading
+import urllib.request
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import TYPE_CHECKING
+
+from heatherhead.tests.callers.fakes import settings_for
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class _Upstream(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:  # noqa: N802
+        body = self.path.encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+def test_daemon_serves_a_call_and_leaves_on_sigterm(tmp_path: Path) -> None:
+    upstream = ThreadingHTTPServer(("127.0.0.1", 0), _Upstream)
+    threading.Thread(target=upstream.serve_forever, daemon=True).start()
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings_for([upstream.server_port])))
+    daemon = subprocess.Popen(
+        [sys.executable, "-m", "heatherhead.daemon", str(path)], stderr=subprocess.PIPE, text=True
+    )
+    try:
+        assert daemon.stderr is not None
+        port = _listening_port(daemon.stderr)
+        _wait_for_line(daemon.stderr, "event=started")
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}/stock?page=2") as answer:
+            assert answer.read() == b"/stock?page=2"
+        daemon.send_signal(signal.SIGTERM)
+        _wait_for_line(daemon.stderr, "event=stopped")
+        assert daemon.wait() == 0
+    finally:
+        daemon.kill()
+        daemon.wait()
+        daemon.stderr.close()
+        upstream.shutdown()
+        upstream.server_close()
+
+
+def test_check_names_the_wrong_field(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text('{"callers": {"listen": {"port": 70000}}}')
+    checked = subprocess.run(
+        [sys.executable, "-m", "heatherhead.daemon", "--check", str(path)],
+        capture_output=True,
+        text=True,
+    )
+    assert checked.returncode == 2
+    assert "callers.listen.port" in checked.stderr
+
+
+def _listening_port(lines: object) -> int:
+    line = _wait_for_line(lines, "listener=callers")
+    found = re.search(r"port=(\d+)", line)
+    assert found
+    return int(found.group(1))
+
+
+def _wait_for_line(lines: object, text: str) -> str:
+    for line in lines:  # type: ignore[attr-defined]
+        if text in line:
+            return line
+    raise AssertionError(f"the daemon ended before it logged {text}")
--- a/heatherhead/upstreams/attempts.py
+++ b/heatherhead/upstreams/attempts.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from heatherhead.admission.key_table import KeyRun
     from heatherhead.callers.bodies import CallBody
     from heatherhead.calls import Call
     from heatherhead.configuration.model import Service
@@ -45,17 +46,24 @@
 
 @dataclass(slots=True)
 class CallRun:
-    """One call while it is being run; `maybe_ran` says that an upstream may have seen it."""
+    """One call while it is being run, with all its attempts."""
 
     call: Call
     service: Service
     request: OutboundRequest
     body: CallBody
     avoid: set[str] = field(default_factory=set)
-    maybe_ran: bool = False
+    key_run: KeyRun | None = None
+    began_at: float = 0.0
+    attempts: list[Attempt] = field(default_factory=list)
     queue_wait_s: float = 0.0
     upstream_s: float = 0.0
 
+    @property
+    def maybe_ran(self) -> bool:
+        """Tell whether an upstream may have run the call, as far as known at this moment."""
+        return any(not state_of(attempt).surely_not_run for attempt in self.attempts)
+
 
 class OpenAnswer:
     """An attempt that holds a slot; given back once, by `close`."""
@@ -83,13 +91,20 @@
         self.slot.finish(_result_of(attempt, duration_s, now))
 
 
+def state_of(attempt: Attempt) -> AttemptState:
+    if attempt.answer is not None and promises_not_run(attempt.answer):
+        return AttemptState.REFUSED
+    return attempt.state
+
+
 def _result_of(attempt: Attempt, duration_s: float, now: float) -> AttemptResult:
     answer = attempt.answer
     if answer is None:
         return AttemptResult(attempt.state, 0, duration_s, attempt.sign)
-    state = AttemptState.REFUSED if promises_not_run(answer) else AttemptState.ANSWERED
     report = load_report(answer, now)
-    return AttemptResult(state, answer.status, duration_s, sign_of_answer(answer), report)
+    return AttemptResult(
+        state_of(attempt), answer.status, duration_s, sign_of_answer(answer), report
+    )
 
 
 class AttemptRunner:
@@ -173,14 +188,18 @@
         attempt = Attempt(run.call.deadline)
         opened = OpenAnswer(run, slot, attempt, self._telemetry)
         upstream = slot.upstream
+        if run.key_run is not None and not run.key_run.begin_attempt():
+            attempt.state = AttemptState.UNKNOWN
+            return opened
+        run.attempts.append(attempt)
         try:
             await self._client.send(upstream.host, upstream.port, run.request, attempt)
         except BaseException:
-            run.maybe_ran = run.maybe_ran or attempt.sent
             opened.close(complete=False)
             raise
-        if attempt.state is AttemptState.UNKNOWN:
-            run.maybe_ran = True
+        finally:
+            if run.key_run is not None:
+                run.key_run.end_attempt(state_of(attempt))
         return opened
 
     def _answered(self, run: CallRun, opened: OpenAnswer) -> Result[OpenAnswer, HeatherheadError]:
@@ -234,7 +253,9 @@
             return Err(OutcomeUnknownError(error.reason, remedy=UNKNOWN_REMEDY))
         return Err(error)
 
-    def _budget(self, by_service: dict[str, RetryBudget], run: CallRun, share: float) -> RetryBudget:
+    def _budget(
+        self, by_service: dict[str, RetryBudget], run: CallRun, share: float
+    ) -> RetryBudget:
         budget = by_service.get(run.service.name)
         if budget is None or budget.share != share:
             budget = create_retry_budget(share, self._settings.retry_burst)
@@ -248,8 +269,10 @@
             "the deadline passed before the call was sent", remedy="allow the call more time"
         )
     stream = run.body.stream
-    if stream is not None and stream.error is not None and not isinstance(
-        stream.error, CallRefusedError
+    if (
+        stream is not None
+        and stream.error is not None
+        and not isinstance(stream.error, CallRefusedError)
     ):
         return stream.error
     if attempt.state.surely_not_run:
