--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,10 @@
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
+	$(MAKE) prove
+
+prove: $(STAMP)
+	$(BIN)/python -m spec
 
 
 generate: $(STAMP)
