--- a/heatherhead/operators/changes.py
+++ b/heatherhead/operators/changes.py
@@ -116,7 +116,8 @@
         held = self._replica.by_name.get(name)
         if held is None or held.service is None:
             raise UnknownNameError(
-                f"there is no service {name}", remedy="see the names with: heatherhead services list"
+                f"there is no service {name}",
+                remedy="see the names with: heatherhead services list",
             )
         return held
 
--- a/heatherhead/operators/guard.py
+++ b/heatherhead/operators/guard.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
 from grpclib.events import RecvRequest, listen
@@ -45,7 +44,7 @@
                 await method(stream)
             except HeatherheadError as error:
                 raise to_grpc_error(error) from error
-            except (GRPCError, StreamTerminatedError, asyncio.TimeoutError):
+            except (TimeoutError, GRPCError, StreamTerminatedError):
                 raise
             except Exception as error:
                 log_event("operators_request_failed", level="ERROR", method=name, error=repr(error))
--- a/heatherhead/operators/handlers/configuration.py
+++ b/heatherhead/operators/handlers/configuration.py
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-
     from heatherhead.operators.backend import Backend
 
 __all__ = ["ConfigurationHandler"]
--- a/heatherhead/operators/handlers/histograms.py
+++ b/heatherhead/operators/handlers/histograms.py
@@ -25,9 +25,7 @@
         self._telemetry = backend.telemetry
         self._membership = backend.membership
 
-    async def List(
-        self, stream: Stream[pb.ListHistogramsRequest, pb.ListHistogramsReply]
-    ) -> None:
+    async def List(self, stream: Stream[pb.ListHistogramsRequest, pb.ListHistogramsReply]) -> None:
         """List histograms page by page, a service never divided."""
         request = await receive(stream)
         readings = self._telemetry.histograms(request.service or None, encoded=request.encoded)
--- a/heatherhead/operators/handlers/instances.py
+++ b/heatherhead/operators/handlers/instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cache
 from importlib.metadata import PackageNotFoundError, version
 from typing import TYPE_CHECKING
 
@@ -41,12 +42,11 @@
     async def Describe(self, stream: Stream[pb.DescribeRequest, pb.DescribeReply]) -> None:
         """Tell name and version of this instance."""
         await receive(stream)
-        reply = pb.DescribeReply(
-            instance_id=self._membership.own.id, version=installed_version()
-        )
+        reply = pb.DescribeReply(instance_id=self._membership.own.id, version=installed_version())
         await stream.send_message(reply)
 
 
+@cache
 def installed_version() -> str:
     """Return the version of the installed package."""
     try:
--- a/heatherhead/operators/server.py
+++ b/heatherhead/operators/server.py
@@ -75,7 +75,7 @@
 
 def _bound_socket(host: str, port: int) -> socket.socket:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # gets TCP_NODELAY
     try:
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound.bind((host, port))
--- /dev/null
+++ b/heatherhead/tests/operators/fakes.py
@@ -0,0 +1,195 @@
+"""A real operators' server over the embedded store, with small fakes beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from heatherhead.configuration.editor import create_editor
+from heatherhead.configuration.interface import AppliedRevision
+from heatherhead.configuration.replica import create_replica
+from heatherhead.exceptions import StoreAmbiguousError, StoreUnavailableError
+from heatherhead.membership.interface import Address, Instance, InstanceState
+from heatherhead.operators import Backend, create_operators_server
+from heatherhead.operators.client import create_operators_client
+from heatherhead.routing.interface import QuarantineEntry, UpstreamEvidence
+from heatherhead.settings.instance import ListenSettings
+from heatherhead.settings.operators import OperatorsSettings
+from heatherhead.store.memory import MemoryStore
+from heatherhead.telemetry.recorder import TelemetryRecorder
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from result import Result
+
+    from heatherhead.configuration.editor import Editor
+    from heatherhead.configuration.replica import Replica
+    from heatherhead.exceptions import HeatherheadError
+    from heatherhead.operators.client import OperatorsClient
+    from heatherhead.store.interface import WriteAnswer
+
+__all__ = ["Site", "dead_address", "running_site"]
+
+
+class LossyStore(MemoryStore):
+    """The embedded store, whose writes can lose their reply or fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.replies_to_lose = 0
+        self.is_down = False
+        self.writes = 0
+        self.before_write: Callable[[], Awaitable[object]] | None = None
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease_id: int = 0
+    ) -> Result[WriteAnswer, HeatherheadError]:
+        """Write; with `replies_to_lose` the write takes effect and its reply is lost."""
+        if self.is_down:
+            return Err(StoreUnavailableError("store down", remedy="wait for the store"))
+        if self.before_write is not None:
+            race, self.before_write = self.before_write, None
+            await race()
+        answer = await super().compare_and_swap(key, expected_revision, value, lease_id)
+        if answer.is_ok() and answer.ok_value.succeeded:
+            self.writes += 1
+        if self.replies_to_lose:
+            self.replies_to_lose -= 1
+            return Err(StoreAmbiguousError("no reply", remedy="ask again"))
+        return answer
+
+
+def create_instance(instance_id: str, state: InstanceState = InstanceState.LIVE) -> Instance:
+    """Create an instance of some zone."""
+    address = Address("127.0.0.1", 1)
+    return Instance(instance_id, "1", "nord", "nord-1", address, address, address, state)
+
+
+class FakeMembership:
+    """Three instances whose state tests change."""
+
+    def __init__(self) -> None:
+        self.own = create_instance("a1")
+        self.by_id = {each: create_instance(each) for each in ("a1", "a2", "a3")}
+        self._listeners: list[Callable[[], None]] = []
+
+    def live(self) -> list[Instance]:
+        """List the live instances."""
+        return [each for each in self.by_id.values() if each.state is InstanceState.LIVE]
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change."""
+        self._listeners.append(listener)
+
+    def set_state(self, instance_id: str, state: InstanceState) -> None:
+        """Change the state of an instance."""
+        self.by_id[instance_id] = create_instance(instance_id, state)
+        for listener in self._listeners:
+            listener()
+
+
+@dataclass
+class FakeStatus:
+    """Applied revisions that tests set; the own one is the replica's."""
+
+    replica: Replica
+    revision_by_id: dict[str, int] = field(default_factory=lambda: {"a2": 0, "a3": 0})
+
+    def applied(self) -> list[AppliedRevision]:
+        """List what each instance has in force."""
+        others = [AppliedRevision(key, value, 0.5) for key, value in self.revision_by_id.items()]
+        return [AppliedRevision("a1", self.replica.revision, 0.0), *others]
+
+    def missing(self, revision: int) -> list[str]:
+        """List the instances behind `revision`."""
+        return [each.instance_id for each in self.applied() if each.revision < revision]
+
+
+class FakeRouter:
+    """Shows the configured upstreams as ready or draining, and a quarantine of one entry."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self.entries = [QuarantineEntry("orders", -2, 2, 40.0, "POST /orders")]
+
+    def evidence(self, service: str) -> list[UpstreamEvidence]:
+        """List the upstreams of a service."""
+        found = self._replica.service(service)
+        return [
+            UpstreamEvidence(each, "draining" if each.draining else "ready", 1, 4.0, 0.25, "")
+            for each in (found.upstreams if found else ())
+        ]
+
+    def quarantined(self) -> list[QuarantineEntry]:
+        """List the entries."""
+        return self.entries
+
+    def release(self, service: str, fingerprint: int) -> bool:
+        """Drop an entry."""
+        before = len(self.entries)
+        self.entries = [
+            each
+            for each in self.entries
+            if (each.service, each.fingerprint) != (service, fingerprint)
+        ]
+        return len(self.entries) < before
+
+
+class Site:
+    """The parts behind one or two operators' servers, all on one store and replica."""
+
+    def __init__(self) -> None:
+        self.store = LossyStore()
+        self.replica = create_replica()
+        self.membership = FakeMembership()
+        self.status = FakeStatus(self.replica)
+        self.router = FakeRouter(self.replica)
+        self.telemetry = TelemetryRecorder(None, 8)
+        self.editor = create_editor(self.store, "/test/", self.replica, self.replica.apply)
+        self.backend = Backend(
+            self.replica,
+            self.editor,
+            self.status,
+            self.membership,  # type: ignore[arg-type]
+            self.router,  # type: ignore[arg-type]
+            self.telemetry,
+        )
+        self.addresses: list[Address] = []
+
+    def other_editor(self) -> Editor:
+        """Create the editor of an instance whose replica has nothing yet."""
+        return create_editor(self.store, "/test/", create_replica(), lambda _: True)
+
+    def client(self, timeout_s: float = 10.0) -> OperatorsClient:
+        """Create a client of all servers."""
+        return create_operators_client(self.addresses, timeout_s=timeout_s)
+
+
+@asynccontextmanager
+async def running_site(servers: int = 1) -> AsyncIterator[Site]:
+    """Run operators' servers on free ports of the loopback."""
+    site = Site()
+    settings = OperatorsSettings(listen=ListenSettings(port=0))
+    running = [create_operators_server(settings, site.backend) for _ in range(servers)]
+    try:
+        for server in running:
+            await server.start()
+            site.addresses.append(server.address)
+        yield site
+    finally:
+        for server in running:
+            await server.stop()
+
+
+async def dead_address() -> Address:
+    """Find an address of the loopback that nothing listens on."""
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    server.close()
+    await server.wait_closed()
+    return Address(host, port)
--- /dev/null
+++ b/heatherhead/tests/operators/server_tests.py
@@ -0,0 +1,427 @@
+"""Tests of the operators' server with its real client over the loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.membership.interface import InstanceState
+from heatherhead.operators import heatherhead_pb2 as pb
+from heatherhead.operators.client import RefusedError
+from heatherhead.operators.event_hub import MAX_BUFFERED_EVENTS, MAX_WATCHERS
+from heatherhead.operators.guard import MAX_REQUEST_BYTES
+from heatherhead.operators.heatherhead_grpc import (
+    ConfigurationStub,
+    EventsStub,
+    HistogramsStub,
+    InstancesStub,
+    QuarantineStub,
+    ServicesStub,
+    UpstreamsStub,
+)
+from heatherhead.operators.messages import message_of_schema, schema_of_message
+from heatherhead.telemetry import HistogramKind
+from heatherhead.tests.operators.fakes import Site, running_site
+
+
+def service(name: str = "orders", **fields: object) -> pb.Service:
+    """Create a service with two upstreams."""
+    upstreams = [{"id": f"u{number}", "host": "10.0.0.1", "port": 80} for number in (1, 2)]
+    return message_of_schema(
+        ServiceSchema.model_validate(
+            {"name": name, "hosts": [f"{name}.test"], "upstreams": upstreams, **fields}
+        )
+    )
+
+
+async def put(
+    site: Site, sent: pb.Service, expected: int = 0, change_id: str = "c1", dry_run: bool = False
+) -> pb.ChangeReply:
+    """Put a service through a client of its own."""
+    request = pb.PutServiceRequest(
+        service=sent, expected_revision=expected, change_id=change_id, dry_run=dry_run
+    )
+    client = site.client()
+    try:
+        return await client.change(
+            change_id, lambda channel, left_s: ServicesStub(channel).Put(request, timeout=left_s)
+        )
+    finally:
+        client.close()
+
+
+async def refused(site: Site, sent: pb.Service, **arguments: object) -> pb.ErrorDetail:
+    """Put a service and return the detail of the refusal."""
+    with pytest.raises(RefusedError) as caught:
+        await put(site, sent, **arguments)  # type: ignore[arg-type]
+    return caught.value.detail
+
+
+def test_put_get_list_and_delete() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            made = await put(site, service())
+            client = site.client()
+            got = await client.read(
+                lambda channel, left_s: ServicesStub(channel).Get(
+                    pb.GetServiceRequest(name="orders"), timeout=left_s
+                )
+            )
+            assert got == made.record
+            assert got.service == service()
+            listed = await client.read(
+                lambda channel, _: ServicesStub(channel).List(pb.ListServicesRequest())
+            )
+            assert [(each.name, each.upstreams) for each in listed.services] == [("orders", 2)]
+            request = pb.DeleteServiceRequest(
+                name="orders", expected_revision=got.revision, change_id="c2"
+            )
+            deleted = await client.change(
+                "c2", lambda channel, _: ServicesStub(channel).Delete(request)
+            )
+            assert not deleted.record.HasField("service")
+            assert site.replica.services() == []
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_bad_field_is_refused_and_never_reaches_the_store() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            bad = service()
+            bad.upstreams[1].port = 70_000
+            bad.upstreams[0].host = "db.local"
+            detail = await refused(site, bad)
+            assert detail.kind == pb.ERROR_KIND_INVALID
+            assert detail.field_path == "upstreams.0.host"
+            assert [each.path for each in detail.problems] == [
+                "upstreams.0.host",
+                "upstreams.1.port",
+            ]
+            assert all(each.remedy for each in detail.problems)
+            assert site.store.writes == 0
+
+    asyncio.run(scenario())
+
+
+def test_host_of_another_service_is_refused_and_empty_upstreams_are_warned_of() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            reply = await put(site, service(upstreams=[]))
+            assert [each.path for each in reply.warnings] == ["upstreams"]
+            detail = await refused(site, service("stock", hosts=["ORDERS.test"]), change_id="c2")
+            assert (detail.kind, detail.field_path) == (pb.ERROR_KIND_INVALID, "hosts.0")
+            assert "orders" in detail.reason
+            assert site.store.writes == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("change_id", ["", "with space", "x" * 129])
+def test_bad_change_id_is_refused(change_id: str) -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            detail = await refused(site, service(), change_id=change_id)
+            assert (detail.kind, detail.field_path) == (pb.ERROR_KIND_INVALID, "change_id")
+
+    asyncio.run(scenario())
+
+
+def test_race_gives_a_conflict_that_shows_the_other_change() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            first = await put(site, service(), change_id="first")
+            revision = first.record.revision
+            won = await put(site, service(queue_limit=7), revision, "winner")
+            detail = await refused(site, service(queue_limit=9), expected=revision, change_id="l")
+            assert detail.kind == pb.ERROR_KIND_CONFLICT
+            assert detail.conflicting_record == won.record
+            assert detail.conflicting_record.service.queue_limit == 7
+            assert site.store.writes == 2
+
+    asyncio.run(scenario())
+
+
+def test_conflict_over_a_large_service_fits_into_a_trailer() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            many = [{"id": f"u{n}", "host": "10.0.0.1", "port": 80} for n in range(2000)]
+            await put(site, service(upstreams=many), change_id="winner")
+            detail = await refused(site, service(), change_id="loser")
+            assert detail.kind == pb.ERROR_KIND_CONFLICT
+            assert detail.conflicting_record.change_id == "winner"
+            assert detail.conflicting_record.service_omitted
+
+    asyncio.run(scenario())
+
+
+def test_lost_replies_of_the_store_are_resolved_by_the_change_id() -> None:
+    async def scenario() -> None:
+        async with running_site(servers=2) as site:
+            site.store.replies_to_lose = 6  # more than the editor's own attempts
+            made = await put(site, service())
+            assert made.record.change_id == "c1"
+            assert site.store.writes == 1
+            again = await put(site, service())
+            assert again.record == made.record
+            assert site.store.writes == 1
+
+    asyncio.run(scenario())
+
+
+def test_store_outage_is_told_as_no_effect() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            site.store.is_down = True
+            detail = await refused(site, service())
+            assert detail.kind == pb.ERROR_KIND_STORE_UNAVAILABLE
+
+    asyncio.run(scenario())
+
+
+def test_dry_run_checks_and_writes_nothing() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            reply = await put(site, service(), dry_run=True)
+            assert reply.dry_run
+            assert reply.record.service == service()
+            detail = await refused(site, service(), expected=5, dry_run=True)
+            assert detail.kind == pb.ERROR_KIND_CONFLICT
+            assert site.store.writes == 0
+
+    asyncio.run(scenario())
+
+
+async def drain(site: Site, *upstream_ids: str, **fields: object) -> pb.ChangeReply:
+    """Drain upstreams of orders."""
+    request = pb.DrainRequest(
+        service="orders", upstream_ids=upstream_ids, change_id="drain-1", **fields
+    )
+    client = site.client()
+    try:
+        return await client.change(
+            "drain-1", lambda channel, _: UpstreamsStub(channel).Drain(request)
+        )
+    finally:
+        client.close()
+
+
+def test_drain_is_made_anew_on_what_a_race_has_left() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            made = await put(site, service())
+            other = schema_of_message(service(queue_limit=3))
+            site.store.before_write = lambda: site.other_editor().put(
+                other, made.record.revision, "racer"
+            )
+            reply = await drain(site, "u2")
+            assert [each.draining for each in reply.record.service.upstreams] == [False, True]
+            assert reply.record.service.queue_limit == 3
+            assert (await drain(site, "u2")).unchanged
+            assert site.store.writes == 3
+
+    asyncio.run(scenario())
+
+
+def test_drain_of_a_named_revision_gives_way_to_a_race() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            made = await put(site, service())
+            await put(site, service(queue_limit=3), made.record.revision, "winner")
+            with pytest.raises(RefusedError) as caught:
+                await drain(site, "u1", expected_revision=made.record.revision)
+            assert caught.value.detail.conflicting_record.change_id == "winner"
+
+    asyncio.run(scenario())
+
+
+def test_drain_of_an_unknown_upstream_is_told() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            await put(site, service())
+            with pytest.raises(RefusedError) as caught:
+                await drain(site, "u1", "u7")
+            assert caught.value.detail.kind == pb.ERROR_KIND_NOT_FOUND
+            assert "u7" in caught.value.detail.reason
+
+    asyncio.run(scenario())
+
+
+def test_upstreams_are_listed_with_evidence_page_by_page() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            many = [{"id": f"u{n}", "host": "10.0.0.1", "port": 80} for n in range(400)]
+            for name in ("a", "b", "c"):
+                await put(site, service(name, upstreams=many), change_id=name)
+            client = site.client()
+            seen, token, pages = [], "", 0
+            while pages == 0 or token:
+                request = pb.ListUpstreamsRequest(page_token=token)
+                reply = await client.read(
+                    lambda channel, _, sent=request: UpstreamsStub(channel).List(sent)
+                )
+                seen += [(each.service, each.upstream.id) for each in reply.upstreams]
+                token, pages = reply.next_page_token, pages + 1
+            client.close()
+            assert pages == 2
+            assert len(set(seen)) == len(seen) == 1200
+            assert reply.upstreams[0].state == "ready"
+            assert reply.upstreams[0].oldest_age_s == 0.25
+
+    asyncio.run(scenario())
+
+
+def test_quarantine_is_listed_and_released() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            client = site.client()
+            listed = await client.read(
+                lambda channel, _: QuarantineStub(channel).List(pb.ListQuarantineRequest())
+            )
+            assert [each.fingerprint for each in listed.entries] == [2**64 - 2]
+            request = pb.ReleaseRequest(service="orders", fingerprint=2**64 - 2)
+            await client.read(lambda channel, _: QuarantineStub(channel).Release(request))
+            assert site.router.entries == []
+            with pytest.raises(RefusedError) as caught:
+                await client.read(lambda channel, _: QuarantineStub(channel).Release(request))
+            assert caught.value.detail.kind == pb.ERROR_KIND_NOT_FOUND
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_instances_and_histograms() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            site.membership.set_state("a3", InstanceState.SUSPECTED)
+            site.telemetry.observe("orders", "default", HistogramKind.ADDED, 0.004)
+            client = site.client()
+            instances = await client.read(
+                lambda channel, _: InstancesStub(channel).List(pb.ListInstancesRequest())
+            )
+            states = [(each.id, each.state) for each in instances.instances]
+            assert states == [("a1", "live"), ("a2", "live"), ("a3", "suspected")]
+            histograms = await client.read(
+                lambda channel, _: HistogramsStub(channel).List(pb.ListHistogramsRequest())
+            )
+            (one,) = histograms.histograms
+            assert (one.service, one.kind, one.recent.count) == (
+                "orders",
+                pb.HISTOGRAM_KIND_ADDED,
+                1,
+            )
+            assert one.total.p99 == pytest.approx(0.004, rel=0.01)
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_status_and_follow_tell_who_is_missing() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            revision = (await put(site, service())).record.revision
+            client = site.client()
+            site.status.revision_by_id = {"a2": revision, "a3": revision - 1}
+            status = await client.read(
+                lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
+            )
+            assert (status.revision, list(status.missing)) == (revision, ["a3"])
+            progress = []
+            async for each in client.stream(
+                lambda channel: ConfigurationStub(channel).Follow,
+                pb.FollowRequest(revision=revision),
+            ):
+                progress.append((each.in_force, list(each.missing)))
+                site.status.revision_by_id["a3"] = revision
+            assert progress == [(2, ["a3"]), (3, [])]
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_status_warns_of_services_that_overlap() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            await put(site, service())
+            racer = schema_of_message(service("stock", hosts=["orders.test"]))
+            await site.editor.put(racer, 0, "c2")
+            status = await site.client().read(
+                lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
+            )
+            assert [each.path for each in status.warnings] == ["services.stock.hosts.0"]
+
+    asyncio.run(scenario())
+
+
+def test_watch_shows_changes_instances_and_log_lines() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            client = site.client()
+            events = client.stream(lambda channel: EventsStub(channel).Watch, pb.WatchRequest())
+            assert (await anext(events)).WhichOneof("event") == "watch_started"
+            await put(site, service())
+            site.membership.set_state("a2", InstanceState.DEAD)
+            seen = [await anext(events) for _ in range(3)]
+            assert seen[0].service_changed.change_id == "c1"
+            assert seen[1].notice.name == "service_changed_by_operator"
+            assert seen[1].notice.fields["service"] == "orders"
+            assert seen[2].instance_changed == pb.InstanceChanged(
+                instance_id="a2", old_state="live", new_state="dead"
+            )
+            assert [each.sequence for each in seen] == [1, 2, 3]
+            await events.aclose()
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_slow_watcher_is_told_how_many_events_it_lost() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            client = site.client()
+            kinds = [pb.EVENT_KIND_INSTANCE_CHANGED]
+            events = client.stream(
+                lambda channel: EventsStub(channel).Watch, pb.WatchRequest(kinds=kinds)
+            )
+            await anext(events)
+            changes = MAX_BUFFERED_EVENTS + 10
+            for number in range(changes):  # without giving the sender a turn
+                state = InstanceState.DEAD if number % 2 == 0 else InstanceState.LIVE
+                site.membership.set_state("a2", state)
+            lost = await anext(events)
+            assert lost.events_lost.count == 10
+            first = await anext(events)
+            assert first.sequence == lost.sequence + 1 == 11
+            await events.aclose()
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_watches_and_message_sizes_are_bounded() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            client = site.client()
+            watches = []
+            for _ in range(MAX_WATCHERS):
+                watches.append(
+                    client.stream(lambda channel: EventsStub(channel).Watch, pb.WatchRequest())
+                )
+                await anext(watches[-1])
+            with pytest.raises(RefusedError) as caught:
+                await anext(
+                    client.stream(lambda channel: EventsStub(channel).Watch, pb.WatchRequest())
+                )
+            assert caught.value.detail.kind == pb.ERROR_KIND_TOO_BUSY
+            large = pb.PutServiceRequest(change_id="x" * (MAX_REQUEST_BYTES + 1))
+            with pytest.raises(RefusedError) as caught:
+                await client.read(lambda channel, _: ServicesStub(channel).Put(large))
+            assert caught.value.detail.kind == pb.ERROR_KIND_TOO_BUSY
+            for watch in watches:
+                await watch.aclose()
+            client.close()
+
+    asyncio.run(scenario())
