--- /dev/null
+++ b/heatherhead/store/lease_guard.py
@@ -0,0 +1,89 @@
+"""Decides whether the holder of a lease may still act, by its own clock and also after a pause.
+
+The store counts a lease from the moment it takes a renewal, which is never before the holder sent
+it. The holder therefore counts from the sending, takes the possible drift of its clock off, and
+stops a margin early. It asks at each action, never once for several, since a pause may come
+between any two steps. A clock that stands still with the whole machine hides a pause; so every
+write under a lease also names the lease to the store, which refuses it once the lease has lapsed.
+
+Times are seconds of the loop clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from heatherhead.store.errors import LeaseLapsedError
+
+__all__ = [
+    "DEFAULT_LEASE_MARGIN_S",
+    "DEFAULT_MAX_DRIFT",
+    "LeaseGuard",
+    "LeasePermit",
+    "create_lease_guard",
+]
+
+DEFAULT_LEASE_MARGIN_S = 0.5
+DEFAULT_MAX_DRIFT = 0.01  # a share of the lease's time
+NO_LEASE_ID = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LeasePermit:
+    """Leave to act once, before `expires_at`; a write must name `lease_id` to the store."""
+
+    lease_id: int
+    expires_at: float
+
+
+class LeaseGuard:
+    """Holds what this process knows of its lease."""
+
+    def __init__(self, margin_s: float, max_drift: float) -> None:
+        self._margin_s = margin_s
+        self._max_drift = max_drift
+        self._lease_id: int | None = None
+        self._expires_at = 0.0
+        self._now = 0.0
+
+    def held(self, lease_id: int, ttl_s: float, sent_at: float) -> None:
+        """Take in that the store granted or renewed a lease, as asked for at `sent_at`.
+
+        Replies may come late and out of order; one to an earlier request takes no time away.
+        """
+        expires_at = sent_at + ttl_s * (1 - self._max_drift) - self._margin_s
+        if lease_id == self._lease_id:
+            expires_at = max(expires_at, self._expires_at)
+        self._lease_id = lease_id
+        self._expires_at = expires_at
+
+    def lost(self) -> None:
+        """Take in that the store no longer knows the lease, or that it was given back."""
+        self._lease_id = None
+
+    def permit(self, now: float, duration_s: float = 0.0) -> Result[LeasePermit, LeaseLapsedError]:
+        """Ask to begin an action that takes up to `duration_s`."""
+        self._now = max(self._now, now)
+        if self._lease_id is None or self._now + duration_s >= self._expires_at:
+            return Err(LeaseLapsedError(self._lease_id or NO_LEASE_ID))
+        return Ok(LeasePermit(self._lease_id, self._expires_at))
+
+    def still_holds(self, permit: LeasePermit, now: float) -> bool:
+        """Ask again right before the effect; a permit of another lease holds no longer."""
+        self._now = max(self._now, now)
+        return permit.lease_id == self._lease_id and self._now < permit.expires_at
+
+    def remaining_s(self, now: float) -> float:
+        """Tell for how long actions may still begin."""
+        if self._lease_id is None:
+            return 0.0
+        return max(0.0, self._expires_at - max(self._now, now))
+
+
+def create_lease_guard(
+    margin_s: float = DEFAULT_LEASE_MARGIN_S, max_drift: float = DEFAULT_MAX_DRIFT
+) -> LeaseGuard:
+    """Create a guard that holds no lease yet."""
+    return LeaseGuard(margin_s, max_drift)
