--- /dev/null
+++ b/heatherhead/callers/problems.py
@@ -0,0 +1,82 @@
+"""Answers that say what became of a call without an answer (RFC 9457)."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from functools import singledispatch
+
+from aiohttp import web
+
+from heatherhead.admission.key_errors import KeyedCallError
+from heatherhead.callers.headers import NO_RETRY, NOT_RUN
+from heatherhead.exceptions import (
+    AlreadyRanError,
+    CallRefusedError,
+    HeatherheadError,
+    OutcomeUnknownError,
+    ReportedOutcome,
+)
+
+__all__ = ["Problem", "problem_of", "problem_response"]
+
+CONTENT_TYPE = "application/problem+json"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """What a caller is told: HTTP status, outcome of the call and remedy."""
+
+    status: int
+    title: str
+    remedy: str
+    outcome: ReportedOutcome
+    kind: str = "about:blank"
+
+    @property
+    def no_retry(self) -> bool:
+        """Tell layers above to leave retries to this one, which is nearer to the failure."""
+        return self.status >= 500
+
+
+@singledispatch
+def problem_of(error: HeatherheadError) -> Problem:
+    """Describe an error to a caller; one of no known kind leaves the outcome unknown."""
+    return Problem(500, error.reason, error.remedy, ReportedOutcome.UNKNOWN)
+
+
+@problem_of.register(AlreadyRanError)
+@problem_of.register(CallRefusedError)
+@problem_of.register(KeyedCallError)
+@problem_of.register(OutcomeUnknownError)
+def _(
+    error: AlreadyRanError | CallRefusedError | KeyedCallError | OutcomeUnknownError,
+) -> Problem:
+    return Problem(error.status, error.reason, error.remedy, error.outcome, kind=_kind(error))
+
+
+def _kind(error: HeatherheadError) -> str:
+    name = type(error).__name__.removesuffix("Error")
+    words = "".join(f"-{char.lower()}" if char.isupper() else char for char in name)
+    return "urn:heatherhead:problem:" + words.lstrip("-")
+
+
+def problem_response(problem: Problem) -> web.Response:
+    """Build the HTTP answer of a problem."""
+    document = {
+        "type": problem.kind,
+        "title": problem.title,
+        "status": problem.status,
+        "outcome": problem.outcome.value,
+        "remedy": problem.remedy,
+    }
+    response = web.Response(
+        status=problem.status,
+        body=json.dumps(document).encode(),
+        content_type=CONTENT_TYPE,
+    )
+    if problem.outcome is ReportedOutcome.NOT_RUN:
+        response.headers[NOT_RUN] = "true"
+    if problem.no_retry:
+        response.headers[NO_RETRY] = "true"
+    return response
