--- a/heatherhead/exceptions.py
+++ b/heatherhead/exceptions.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 __all__ = [
+    "AlreadyRanError",
+    "BadCallError",
+    "CallCutError",
     "CallRefusedError",
     "ConfigurationError",
     "ConflictError",
     "DeadlineUnreachableError",
+    "FieldError",
+    "FieldProblem",
     "HeatherheadError",
     "NoUpstreamError",
     "OutcomeUnknownError",
@@ -42,12 +48,33 @@
         self.remedy = remedy
 
 
+@dataclass(frozen=True, slots=True)
+class FieldProblem:
+    """What is wrong with one field of a document; `path` names it, as `services.0.name`."""
+
+    path: str
+    reason: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.reason}; {self.remedy}"
+
+
 class FieldError(HeatherheadError):
-    """A value of a document is wrong; `path` names the field, as `services.0.name`."""
+    """Values of a document are wrong; `path` names the first such field.
 
-    def __init__(self, path: str, reason: str, *, remedy: str) -> None:
+    `problems` holds the first problem and all `others`, and the message has a line for each.
+    """
+
+    def __init__(
+        self, path: str, reason: str, *, remedy: str, others: tuple[FieldProblem, ...] = ()
+    ) -> None:
         super().__init__(f"{path}: {reason}", remedy=remedy)
         self.path = path
+        self.problems = (FieldProblem(path, reason, remedy), *others)
+
+    def __str__(self) -> str:
+        return "\n".join(str(problem) for problem in self.problems)
 
 
 class SettingsError(FieldError):
@@ -103,8 +130,30 @@
     """Calls like this one have crashed upstreams and are held back for a while."""
 
 
+class BadCallError(CallRefusedError):
+    """The caller's request breaks a rule or a bound; `status` says which kind."""
+
+    def __init__(self, reason: str, *, status: int, remedy: str) -> None:
+        super().__init__(reason, remedy=remedy)
+        self.status = status
+
+
+class CallCutError(HeatherheadError):
+    """The caller's connection or request body ended early."""
+
+
+class AlreadyRanError(HeatherheadError):
+    """The call ran before, and its answer is no longer kept."""
+
+    status = 409
+    outcome = ReportedOutcome.RAN
+
+
 class OutcomeUnknownError(HeatherheadError):
-    """The call may or may not have run."""
+    """The call may or may not have run; `status` is the HTTP status to answer with."""
 
-    status = 502
     outcome = ReportedOutcome.UNKNOWN
+
+    def __init__(self, reason: str, *, remedy: str, status: int = 502) -> None:
+        super().__init__(reason, remedy=remedy)
+        self.status = status
