--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 prove: $(STAMP)
 	$(BIN)/python -m spec
 
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+run: $(STAMP)
+	$(BIN)/python -m heatherhead.daemon examples/quickstart.json
