Add the operators' tool, a module for each verb

Tests run the tool's main function against real servers: race, reply cut by a proxy after the write took effect, dead first address, store outage.

--- /dev/null
+++ b/heatherhead/commands/documents.py
@@ -0,0 +1,75 @@
+"""Service documents: JSON with comments in files, JSON when printed."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import pyjson5
+from pydantic import ValidationError
+
+from heatherhead.commands.exit_codes import CommandError, ExitCode
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.exceptions import ConfigurationError
+from heatherhead.field_problems import WHOLE_DOCUMENT, problems_of
+from heatherhead.operators.messages import schema_of_message
+
+if TYPE_CHECKING:
+    from heatherhead.operators import heatherhead_pb2 as pb
+
+__all__ = ["document_of_service", "parse_service", "print_form", "read_service"]
+
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+
+
+def read_service(path: str) -> ServiceSchema:
+    """Read a service document from a file, or from standard input for `-`.
+
+    Raises `CommandError` for a file that can't be read, `ConfigurationError` for its content.
+    """
+    try:
+        text = sys.stdin.read() if path == "-" else Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandError(
+            ExitCode.USAGE, f"{path} can't be read: {error}", remedy="name a readable file"
+        ) from error
+    return parse_service(text)
+
+
+def parse_service(text: str) -> ServiceSchema:
+    """Parse a service document; raises `ConfigurationError` with every wrong field."""
+    if len(text) > MAX_DOCUMENT_BYTES:
+        raise ConfigurationError(
+            WHOLE_DOCUMENT, "the document is too long", remedy="divide the service into several"
+        )
+    try:
+        return ServiceSchema.model_validate(pyjson5.decode(text))
+    except pyjson5.Json5Exception as error:
+        raise ConfigurationError(
+            WHOLE_DOCUMENT, f"not JSON with comments: {error}", remedy="correct the syntax"
+        ) from error
+    except ValidationError as error:
+        first, *others = problems_of(error, ServiceSchema)
+        raise ConfigurationError(
+            first.path, first.reason, remedy=first.remedy, others=tuple(others)
+        ) from error
+
+
+def document_of_service(service: pb.Service | ServiceSchema) -> dict[str, Any]:
+    """Convert a service into the document that `services put` reads, with every field."""
+    schema = service if isinstance(service, ServiceSchema) else schema_of_message(service)
+    return schema.model_dump(mode="json")
+
+
+def print_form(document: dict[str, Any]) -> str:
+    """Write a service document with one line for each field, upstream, class and rule."""
+    lines = []
+    for name, value in document.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            entries = ",\n".join(f"    {json.dumps(each, ensure_ascii=False)}" for each in value)
+            lines.append(f"  {json.dumps(name)}: [\n{entries}\n  ]")
+        else:
+            lines.append(f"  {json.dumps(name)}: {json.dumps(value, ensure_ascii=False)}")
+    return "{\n" + ",\n".join(lines) + "\n}"
--- /dev/null
+++ b/heatherhead/commands/draining.py
@@ -0,0 +1,61 @@
+"""What draining and undraining have in common."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from heatherhead.commands.changing import (
+    change_id_of,
+    explain_conflicts,
+    find_record,
+    report_change,
+    service_document,
+    show_change,
+)
+from heatherhead.commands.differences import differences_of
+from heatherhead.operators import heatherhead_pb2 as pb
+from heatherhead.operators.heatherhead_grpc import UpstreamsStub
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from grpclib.client import Channel, UnaryUnaryMethod
+
+    from heatherhead.commands.exit_codes import ExitCode
+    from heatherhead.commands.session import Session
+
+__all__ = ["change_draining"]
+
+
+async def change_draining(
+    session: Session, arguments: Mapping[str, Any], *, draining: bool
+) -> ExitCode:
+    """Show, confirm and make the change; a race with another change is no conflict."""
+    request = pb.DrainRequest(
+        service=arguments["SERVICE"],
+        upstream_ids=arguments["UPSTREAM"],
+        change_id=change_id_of(arguments),
+        dry_run=True,
+    )
+
+    def method_of(channel: Channel) -> UnaryUnaryMethod[pb.DrainRequest, pb.ChangeReply]:
+        stub = UpstreamsStub(channel)
+        return stub.Drain if draining else stub.Undrain
+
+    before = await find_record(session, request.service)
+    reply = await session.client.read(
+        lambda channel, left_s: method_of(channel)(request, timeout=left_s)
+    )
+    differences = differences_of(service_document(before), service_document(reply.record))
+    show_change(session, differences, reply.warnings)
+    if not arguments["--dry-run"]:
+        if differences and not arguments["--yes"]:
+            verb = "Drain" if draining else "Undrain"
+            session.confirm(f"{verb} {', '.join(request.upstream_ids)} of {request.service}?")
+        request.dry_run = False
+        async with explain_conflicts(session, before):
+            reply = await session.client.change(
+                request.change_id,
+                lambda channel, left_s: method_of(channel)(request, timeout=left_s),
+            )
+    return await report_change(session, reply, before, differences, arguments)
--- /dev/null
+++ b/heatherhead/commands/output.py
@@ -0,0 +1,68 @@
+"""Prints for people or, with --json, for programs."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from google.protobuf.json_format import MessageToDict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+    from typing import TextIO
+
+    from google.protobuf.message import Message
+
+__all__ = ["Output", "document_of"]
+
+COLUMN_GAP = "  "
+
+
+class Output:
+    """Results go to standard output; notes, progress and errors to standard error."""
+
+    def __init__(self, stdout: TextIO, stderr: TextIO, *, as_json: bool) -> None:
+        self._stdout = stdout
+        self._stderr = stderr
+        self.as_json = as_json
+
+    def table(self, headers: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+        """Print aligned columns, headers in capitals first."""
+        texts = [[header.upper() for header in headers]]
+        texts += [[str(cell) for cell in row] for row in rows]
+        widths = [max(len(row[column]) for row in texts) for column in range(len(headers))]
+        for row in texts:
+            cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+            self.line(COLUMN_GAP.join(cells).rstrip())
+
+    def document(self, document: Any) -> None:
+        """Print a document as JSON over several lines."""
+        self.line(json.dumps(document, indent=2, ensure_ascii=False))
+
+    def json_line(self, document: Any) -> None:
+        """Print a document as one line of JSON."""
+        self.line(json.dumps(document, ensure_ascii=False))
+
+    def line(self, text: str) -> None:
+        """Print a line of the result."""
+        self._stdout.write(f"{text}\n")
+        self._stdout.flush()
+
+    def note(self, text: str) -> None:
+        """Tell a person something beside the result."""
+        self._stderr.write(f"{text}\n")
+        self._stderr.flush()
+
+    def error(self, document: dict[str, Any], text: str) -> None:
+        """Print an error, as a document with --json."""
+        if self.as_json:
+            self.note(json.dumps({"error": document}, ensure_ascii=False))
+        else:
+            self.note(text)
+
+
+def document_of(message: Message) -> dict[str, Any]:
+    """Convert a message into a JSON document with the field names of the proto file."""
+    return MessageToDict(
+        message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
+    )
--- /dev/null
+++ b/heatherhead/commands/paging.py
@@ -0,0 +1,32 @@
+"""Reads lists that come page by page."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from grpclib.client import Channel, UnaryUnaryMethod
+
+    from heatherhead.commands.session import Session
+
+__all__ = ["read_pages"]
+
+ReplyT = TypeVar("ReplyT")
+
+
+async def read_pages(
+    session: Session,
+    request: Any,
+    method_of: Callable[[Channel], UnaryUnaryMethod[Any, ReplyT]],
+) -> AsyncIterator[ReplyT]:
+    """Iterate over the pages of a list; `request` must have a `page_token`."""
+    while True:
+        page: Any = await session.client.read(
+            lambda channel, left_s: method_of(channel)(request, timeout=left_s)
+        )
+        yield page
+        if not page.next_page_token:
+            return
+        request.page_token = page.next_page_token
--- /dev/null
+++ b/heatherhead/tests/commands/main_tests.py
@@ -0,0 +1,278 @@
+"""Tests of the tool through its main function, with real servers over the loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import TYPE_CHECKING
+
+import pytest
+
+from heatherhead.commands.exit_codes import ExitCode
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.operators.event_hub import EventHub, Watcher
+from heatherhead.telemetry import HistogramKind
+from heatherhead.tests.commands.fakes import CuttingProxy, SiteThread, Tool, site_thread
+from heatherhead.tests.operators.fakes import dead_address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from heatherhead.operators.heatherhead_pb2 import EventKind
+
+ORDERS = """{
+    // Takes the wholesalers' orders.
+    "name": "orders",
+    "hosts": ["orders.test"],
+    "queue_limit": %d,
+    "upstreams": [
+        {"id": "u1", "host": "10.0.0.1", "port": 80},
+        {"id": "u2", "host": "10.0.0.2", "port": 80},
+    ],
+}"""
+
+
+@pytest.fixture
+def thread() -> Iterator[SiteThread]:
+    with site_thread(servers=2) as running:
+        yield running
+
+
+@pytest.fixture
+def tool(thread: SiteThread, capsys: pytest.CaptureFixture[str]) -> Tool:
+    return Tool(list(thread.site.addresses), capsys)
+
+
+@pytest.fixture
+def document(tmp_path: Path) -> str:
+    path = tmp_path / "orders.json"
+    path.write_text(ORDERS % 5)
+    return str(path)
+
+
+def put_other(thread: SiteThread, revision: int) -> None:
+    """Let another operator replace orders."""
+    other = ServiceSchema.model_validate({"name": "orders", "queue_limit": 77})
+    thread.call(thread.site.other_editor().put(other, revision, "other-operator"))
+
+
+def test_put_shows_the_differences_and_get_gives_the_document_back(
+    thread: SiteThread, tool: Tool, document: str, tmp_path: Path
+) -> None:
+    made = tool.run("services", "put", document, "--yes")
+    assert made.code == ExitCode.DONE
+    assert "+ service orders" in made.err
+    (tmp_path / "orders.json").write_text(ORDERS % 9)
+    changed = tool.run("services", "put", document, "--yes", "--json")
+    assert json.loads(changed.out)["differences"] == [
+        {"path": "queue_limit", "before": 5, "after": 9}
+    ]
+    got = tool.run("services", "get", "orders")
+    (tmp_path / "orders.json").write_text(got.out)
+    again = tool.run("services", "put", document, "--yes")
+    assert "nothing to change" in again.out
+    assert thread.site.store.writes == 2
+
+
+def test_change_needs_an_answer_or_yes(
+    thread: SiteThread, tool: Tool, document: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert tool.run("services", "put", document).code == ExitCode.NOT_CONFIRMED
+    monkeypatch.setattr(sys.stdin, "isatty", lambda: True, raising=False)
+    monkeypatch.setattr(sys.stdin, "readline", lambda: "no\n", raising=False)
+    assert tool.run("services", "put", document).code == ExitCode.NOT_CONFIRMED
+    assert thread.site.store.writes == 0
+    monkeypatch.setattr(sys.stdin, "readline", lambda: "y\n", raising=False)
+    assert tool.run("services", "put", document).code == ExitCode.DONE
+    assert thread.site.store.writes == 1
+
+
+def test_bad_document_names_every_field(tool: Tool, tmp_path: Path) -> None:
+    path = tmp_path / "bad.json"
+    path.write_text('{"name": "orders", "upstream": [], "queue_limit": 0}')
+    run = tool.run("services", "put", str(path), "--yes", "--json")
+    assert run.code == ExitCode.INVALID
+    problems = json.loads(run.err)["error"]["problems"]
+    assert [each["path"] for each in problems] == ["queue_limit", "upstream"]
+    assert problems[1]["remedy"] == "write upstreams instead"
+
+
+def test_refusal_of_the_instance_names_the_field(tool: Tool, document: str, tmp_path: Path) -> None:
+    tool.run("services", "put", document, "--yes")
+    path = tmp_path / "stock.json"
+    path.write_text('{"name": "stock", "hosts": ["orders.test"]}')
+    run = tool.run("services", "put", str(path), "--yes")
+    assert run.code == ExitCode.INVALID
+    assert "hosts.0: host name orders.test chooses service orders already" in run.err
+
+
+def test_race_ends_in_a_conflict_that_shows_the_other_change(
+    thread: SiteThread, tool: Tool, document: str, tmp_path: Path
+) -> None:
+    tool.run("services", "put", document, "--yes")
+    revision = thread.site.replica.revision
+    (tmp_path / "orders.json").write_text(ORDERS % 9)
+
+    async def race() -> None:
+        other = ServiceSchema.model_validate({"name": "orders", "queue_limit": 77})
+        await thread.site.other_editor().put(other, revision, "other-operator")
+
+    thread.site.store.before_write = race
+    run = tool.run("services", "put", document, "--yes")
+    assert run.code == ExitCode.CONFLICT
+    assert "change other-operator" in run.err
+    assert "~ queue_limit: 5 -> 77" in run.err
+    assert thread.site.replica.service("orders").queue_limit == 77  # type: ignore[union-attr]
+
+
+def test_old_expected_revision_is_a_conflict(thread: SiteThread, tool: Tool, document: str) -> None:
+    run = tool.run("services", "put", document, "--yes", "--expected-revision=3")
+    assert run.code == ExitCode.CONFLICT
+    assert thread.site.store.writes == 0
+
+
+def test_dead_first_address_gives_way(thread: SiteThread, tool: Tool, document: str) -> None:
+    dead = thread.call(dead_address())
+    tool.addresses.insert(0, dead)
+    assert tool.run("services", "put", document, "--yes").code == ExitCode.DONE
+    tool.addresses[1:] = []
+    run = tool.run("services", "list")
+    assert run.code == ExitCode.UNREACHABLE
+    assert str(dead) in run.err
+
+
+def test_change_whose_reply_was_lost_is_made_once(
+    thread: SiteThread, tool: Tool, document: str
+) -> None:
+    proxy = CuttingProxy(tool.addresses[0])
+    tool.addresses[0] = thread.call(proxy.start())
+
+    async def cut() -> None:
+        proxy.is_cutting = True
+
+    thread.site.store.before_write = cut
+    run = tool.run("services", "put", document, "--yes", "--change-id=c1")
+    assert run.code == ExitCode.DONE
+    assert proxy.is_cutting
+    assert thread.site.store.writes == 1
+    thread.call(proxy.stop())
+
+
+def test_change_in_doubt_is_told_with_its_id_and_resolved_later(
+    thread: SiteThread, tool: Tool, document: str
+) -> None:
+    proxy = CuttingProxy(tool.addresses[0])
+    whole = list(tool.addresses)
+    tool.addresses[:] = [thread.call(proxy.start())]
+
+    async def cut() -> None:
+        proxy.is_cutting = True
+
+    thread.site.store.before_write = cut
+    run = tool.run("services", "put", document, "--yes", "--change-id=c1", "--timeout=0.5")
+    assert run.code == ExitCode.OUTCOME_UNKNOWN
+    assert "--change-id c1" in run.err
+    tool.addresses[:] = whole
+    put_other(thread, thread.site.replica.revision)
+    thread.call(thread.site.editor.delete("orders", 0, "refresh"))  # reads the newest record
+    run = tool.run("services", "put", document, "--yes", "--change-id=c1")
+    assert run.code == ExitCode.DONE
+    assert "had been made before" in run.err
+    assert thread.site.store.writes == 2
+    thread.call(proxy.stop())
+
+
+def test_store_outage_is_told(thread: SiteThread, tool: Tool, document: str) -> None:
+    thread.site.store.is_down = True
+    run = tool.run("services", "put", document, "--yes")
+    assert run.code == ExitCode.STORE_UNAVAILABLE
+
+
+def test_wait_follows_the_change(thread: SiteThread, tool: Tool, document: str) -> None:
+    thread.site.status.revision_by_id = {"a2": 10**6, "a3": 0}
+    late = tool.run("services", "put", document, "--yes", "--wait", "--wait-timeout=0.3")
+    assert late.code == ExitCode.NOT_IN_FORCE
+    assert "in force on 2 of 3 instances, missing: a3" in late.err
+    status = tool.run("config", "status", "--json")
+    assert json.loads(status.out)["missing"] == ["a3"]
+    thread.site.status.revision_by_id["a3"] = 10**6
+    done = tool.run("upstreams", "drain", "orders", "u1", "--yes", "--wait")
+    assert done.code == ExitCode.DONE
+    assert "in force on 3 of 3 instances" in done.err
+    assert tool.run("config", "status", "--wait").code == ExitCode.DONE
+
+
+def test_drain_and_undrain(thread: SiteThread, tool: Tool, document: str) -> None:
+    tool.run("services", "put", document, "--yes")
+    drained = tool.run("upstreams", "drain", "orders", "u1", "u2", "--yes")
+    assert "~ upstreams.u1.draining: false -> true" in drained.err
+    assert "warning: upstreams: all are draining" in drained.err
+    listed = tool.run("upstreams", "list", "--state=draining")
+    assert [line.split()[1] for line in listed.out.splitlines()[1:]] == ["u1", "u2"]
+    assert tool.run("upstreams", "undrain", "orders", "u2", "--yes").code == ExitCode.DONE
+    states = [each.draining for each in thread.site.replica.service("orders").upstreams]  # type: ignore[union-attr]
+    assert states == [True, False]
+    assert tool.run("upstreams", "drain", "orders", "u9", "--yes").code == ExitCode.NOT_FOUND
+
+
+def test_delete(thread: SiteThread, tool: Tool, document: str) -> None:
+    tool.run("services", "put", document, "--yes")
+    assert tool.run("services", "delete", "orders", "--dry-run").code == ExitCode.DONE
+    assert tool.run("services", "list").out.count("orders") > 0
+    assert tool.run("services", "delete", "orders", "--yes", "--change-id=d1").code == ExitCode.DONE
+    assert tool.run("services", "delete", "orders", "--yes", "--change-id=d1").code == ExitCode.DONE
+    assert tool.run("services", "delete", "orders", "--yes").code == ExitCode.NOT_FOUND
+    assert tool.run("services", "get", "orders").code == ExitCode.NOT_FOUND
+    assert tool.run("services", "put", document, "--yes").code == ExitCode.DONE
+    assert thread.site.store.writes == 3
+
+
+def test_tables_for_people(thread: SiteThread, tool: Tool) -> None:
+    thread.site.telemetry.observe("orders", "default", HistogramKind.ADDED, 0.004)
+    histograms = tool.run("histograms")
+    assert "4.0" in histograms.out.splitlines()[1]
+    instances = tool.run("instances")
+    assert [line.split()[0] for line in instances.out.splitlines()] == ["ID", "a1", "a2", "a3"]
+    quarantine = tool.run("quarantine", "list")
+    fingerprint = quarantine.out.splitlines()[1].split()[1]
+    assert tool.run("quarantine", "release", "orders", fingerprint, "--yes").code == ExitCode.DONE
+    assert thread.site.router.entries == []
+    assert "a1" in tool.run("version").out
+
+
+def test_events(thread: SiteThread, tool: Tool, monkeypatch: pytest.MonkeyPatch) -> None:
+    begin_watch = EventHub.watch
+
+    async def change() -> None:
+        service = ServiceSchema.model_validate({"name": "stock"})
+        await thread.site.editor.put(service, 0, "c1")
+
+    def watch_and_change(hub: EventHub, kinds: list[EventKind]) -> Watcher:
+        watcher = begin_watch(hub, kinds)
+        asyncio.ensure_future(change())
+        return watcher
+
+    monkeypatch.setattr(EventHub, "watch", watch_and_change)
+    run = tool.run("events", "--kind=services", "--count=1")
+    assert run.code == ExitCode.DONE
+    assert "service stock changed" in run.out
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("nothing",),
+        ("services", "put"),
+        ("services", "list", "--timeout=soon"),
+        ("quarantine", "release", "orders", "xyz", "--yes"),
+    ],
+)
+def test_wrong_usage(tool: Tool, words: tuple[str, ...]) -> None:
+    assert tool.run(*words).code == ExitCode.USAGE
+
+
+def test_options_may_stand_before_the_verb(tool: Tool) -> None:
+    run = tool.run("--json", "services", "list")
+    assert (run.code, json.loads(run.out)) == (ExitCode.DONE, [])
