Add membership: peer streams, gossip of members and failure detection

The codec's decode gave unpackb an argument that it does not have, so that no message could be read; it checks the size itself now.

--- /dev/null
+++ b/heatherhead/membership/gossip.py
@@ -0,0 +1,122 @@
+"""Spreads reports of instances over the overlay and repairs differences between tables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.membership.interface import Traffic
+from heatherhead.membership.member_messages import (
+    Heartbeat,
+    MemberHashes,
+    MemberReports,
+    pack_member,
+    unpack_member,
+)
+from heatherhead.membership.outbox import create_outbox
+from heatherhead.token_bucket import create_token_bucket
+
+if TYPE_CHECKING:
+    from heatherhead.membership.links import PeerLinks
+    from heatherhead.membership.member_table import Member, MemberTable
+
+__all__ = ["Gossip", "create_gossip"]
+
+GATHER_S = 0.02
+REPORTS_PER_MESSAGE = 128
+DIFFERENCES_BEFORE_REPAIR = 3  # heartbeats in a row with another hash
+REFUTATIONS_PER_S = 1.0
+REFUTATIONS_BURST = 5
+
+
+class Gossip:
+    """Passes each changed entry on to the neighbours, and compares hashes with them."""
+
+    def __init__(self, table: MemberTable, links: PeerLinks) -> None:
+        self._table = table
+        self._links = links
+        self._outbox = create_outbox(links, self._build, GATHER_S)
+        self._differences_by_peer: dict[str, int] = {}
+        self._source: str | None = None
+        # Bounds the exchange between two instances that were given the same id.
+        self._refutations = create_token_bucket(REFUTATIONS_PER_S, REFUTATIONS_BURST)
+        table.subscribe(self._spread)
+        links.on_greeting(self._on_greeting)
+        links.on_lost(self._on_lost)
+        links.subscribe(MemberReports, self._on_reports)
+        links.subscribe(MemberHashes, self._on_hashes)
+        links.subscribe(Heartbeat, self._on_heartbeat)
+
+    def flush(self) -> None:
+        """Send waiting reports now."""
+        self._outbox.flush()
+
+    def close(self) -> None:
+        """Stop sending."""
+        self._outbox.close()
+
+    def _spread(self, member: Member) -> None:
+        if member.sequence:
+            self._outbox.add(member.id, but_not_to=self._source)
+
+    def _build(self, ids: list[str]) -> tuple[object, int]:
+        chosen = ids[:REPORTS_PER_MESSAGE]
+        members = [self._table.by_id[each] for each in chosen if each in self._table.by_id]
+        return MemberReports([pack_member(each) for each in members]), len(chosen)
+
+    def _on_greeting(self, peer: Member) -> None:
+        self._take_in(peer.id, peer)
+        held = self._table.by_id.get(peer.id)
+        if held is not None and held.is_newer_than(peer):
+            self._outbox.add_for(peer.id, [peer.id])
+        if self._links.is_wanted(peer.id):
+            self._compare(peer.id, is_answer=False)
+
+    def _on_lost(self, peer_id: str) -> None:
+        self._outbox.drop(peer_id)
+        self._differences_by_peer.pop(peer_id, None)
+
+    def _on_reports(self, peer_id: str, message: MemberReports) -> None:
+        for values in message.members:
+            self._take_in(peer_id, unpack_member(values))
+
+    def _take_in(self, source: str, report: Member) -> None:
+        if report.id == self._table.own_id and not self._may_answer(report):
+            return
+        self._source = source
+        try:
+            self._table.merge(report)
+        finally:
+            self._source = None
+
+    def _may_answer(self, report: Member) -> bool:
+        is_news = report.sequence >= self._table.own.sequence
+        return is_news and report != self._table.own and self._refutations.take()
+
+    def _on_hashes(self, peer_id: str, message: MemberHashes) -> None:
+        if len(message.hashes) != len(self._table.hashes):
+            return
+        pairs = enumerate(zip(message.hashes, self._table.hashes, strict=True))
+        differing = {number for number, (theirs, ours) in pairs if theirs != ours}
+        if not differing:
+            return
+        self._outbox.add_for(peer_id, [each.id for each in self._table.bucket(differing)])
+        if not message.is_answer:
+            self._compare(peer_id, is_answer=True)
+
+    def _on_heartbeat(self, peer_id: str, message: Heartbeat) -> None:
+        if message.members_hash == self._table.total_hash:
+            self._differences_by_peer.pop(peer_id, None)
+            return
+        count = self._differences_by_peer.get(peer_id, 0) + 1
+        self._differences_by_peer[peer_id] = count
+        if count % DIFFERENCES_BEFORE_REPAIR == 0:
+            self._compare(peer_id, is_answer=False)
+
+    def _compare(self, peer_id: str, *, is_answer: bool) -> None:
+        message = MemberHashes(list(self._table.hashes), is_answer)
+        self._links.send(peer_id, message, Traffic.CONTROL)
+
+
+def create_gossip(table: MemberTable, links: PeerLinks) -> Gossip:
+    """Create the gossip of a table over the peer streams."""
+    return Gossip(table, links)
--- /dev/null
+++ b/heatherhead/membership/instance_list.py
@@ -0,0 +1,140 @@
+"""The platform's list of instances: HTTP JSON, or held in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Literal, Protocol
+
+import aiohttp
+from pydantic import BaseModel, Field, IPvAnyAddress, ValidationError
+from result import Err, Ok
+
+from heatherhead.exceptions import HeatherheadError
+from heatherhead.membership.interface import Address, Instance, InstanceState
+
+if TYPE_CHECKING:
+    from result import Result
+
+__all__ = [
+    "HttpInstanceList",
+    "InstanceList",
+    "InstanceListError",
+    "MemoryInstanceList",
+    "create_http_instance_list",
+    "create_memory_instance_list",
+]
+
+MAX_LISTED = 8_192
+MAX_BODY_BYTES = 8 * 1024 * 1024
+TIMEOUT_S = 5.0
+
+
+class InstanceListError(HeatherheadError):
+    """The platform's list of instances could not be read."""
+
+
+class InstanceList(Protocol):
+    """Gives the listed instances, live and leaving ones; it may lag."""
+
+    async def read(self) -> Result[list[Instance], HeatherheadError]:
+        """Read the list; incarnations are unknown and empty."""
+        ...
+
+    async def close(self) -> None:
+        """Close connections."""
+        ...
+
+
+class _AddressSchema(BaseModel):
+    host: IPvAnyAddress
+    port: int = Field(ge=1, le=65535)
+
+
+class _InstanceSchema(BaseModel):
+    id: str = Field(min_length=1, max_length=64)
+    region: str = Field(min_length=1, max_length=64)
+    availability_zone: str = Field(min_length=1, max_length=64)
+    state: Literal["live", "leaving"] = "live"
+    callers: _AddressSchema
+    peers: _AddressSchema
+    operators: _AddressSchema
+
+
+class _ListSchema(BaseModel):
+    instances: list[_InstanceSchema] = Field(max_length=MAX_LISTED)
+
+
+class HttpInstanceList:
+    """Reads the list by `GET` of one URL."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url
+        self._session: aiohttp.ClientSession | None = None
+
+    async def read(self) -> Result[list[Instance], HeatherheadError]:
+        """Read the list; incarnations are unknown and empty."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TIMEOUT_S))
+        try:
+            async with self._session.get(self._url) as reply:
+                reply.raise_for_status()
+                data = await _read_bounded(reply.content)
+            document = _ListSchema.model_validate_json(data)
+        except (TimeoutError, OSError, aiohttp.ClientError, ValidationError) as error:
+            return Err(_list_error(error))
+        return Ok([_instance(each) for each in document.instances])
+
+    async def close(self) -> None:
+        """Close connections."""
+        if self._session is not None:
+            await self._session.close()
+
+
+class MemoryInstanceList:
+    """A list held in memory."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Instance] = {}
+
+    async def read(self) -> Result[list[Instance], HeatherheadError]:
+        """Read the list."""
+        await asyncio.sleep(0)
+        return Ok(list(self.by_id.values()))
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+async def _read_bounded(content: aiohttp.StreamReader) -> bytes:
+    data = bytearray()
+    async for chunk in content.iter_any():
+        data += chunk
+        if len(data) > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError(f"list above {MAX_BODY_BYTES} bytes")
+    return bytes(data)
+
+
+def _instance(schema: _InstanceSchema) -> Instance:
+    addresses = [
+        Address(str(each.host), each.port)
+        for each in (schema.callers, schema.peers, schema.operators)
+    ]
+    place = (schema.region, schema.availability_zone)
+    return Instance(schema.id, "", *place, *addresses, InstanceState(schema.state))
+
+
+def _list_error(error: Exception) -> InstanceListError:
+    return InstanceListError(
+        f"the instance list can't be read, {type(error).__name__}: {error}"[:500],
+        remedy="check membership.instance_list_url; docs/operators/partitions.md has its form",
+    )
+
+
+def create_http_instance_list(url: str) -> HttpInstanceList:
+    """Create the adapter for a URL."""
+    return HttpInstanceList(url)
+
+
+def create_memory_instance_list() -> MemoryInstanceList:
+    """Create an empty list."""
+    return MemoryInstanceList()
--- a/heatherhead/membership/member_table.py
+++ b/heatherhead/membership/member_table.py
@@ -63,6 +63,7 @@
         self.by_id: dict[str, Member] = {own.id: Member(own, 1)}
         self.hashes = [0] * MEMBER_BUCKETS
         self._listeners: list[Callable[[Member], None]] = []
+        self._forget_listeners: list[Callable[[str], None]] = []
         self._toggle(self.own)
 
     @property
@@ -73,7 +74,8 @@
     def merge(self, report: Member) -> bool:
         """Take in a report if it is newer; tell whether the table changed.
 
-        A report of this instance that it can't let stand is refuted by a higher sequence.
+        A report of this instance is refuted by a higher sequence, unless it says that the
+        platform has this instance leave.
         """
         if report.id == self.own_id:
             return self._refute(report)
@@ -99,8 +101,11 @@
     def forget(self, instance_id: str) -> None:
         """Drop an entry."""
         member = self.by_id.pop(instance_id, None)
-        if member is not None:
-            self._toggle(member)
+        if member is None:
+            return
+        self._toggle(member)
+        for listener in self._forget_listeners:
+            listener(instance_id)
 
     def bucket(self, numbers: set[int]) -> list[Member]:
         """List the entries of some buckets that somebody has reached."""
@@ -120,13 +125,21 @@
         """Call `listener` with each changed entry."""
         self._listeners.append(listener)
 
+    def on_forgotten(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with the id of each dropped entry."""
+        self._forget_listeners.append(listener)
+
     def _refute(self, report: Member) -> bool:
         is_ours = report.instance == self.own.instance
         if report.sequence < self.own.sequence or (
             is_ours and report.sequence == self.own.sequence
         ):
             return False
-        self._store(Member(self.own.instance, report.sequence + 1))
+        is_leaving = report.state is InstanceState.LEAVING
+        if is_leaving and report.instance.incarnation == self.own.instance.incarnation:
+            self._store(Member(report.instance, report.sequence + 1))
+        else:
+            self._store(Member(self.own.instance, report.sequence + 1))
         return True
 
     def _store(self, member: Member) -> None:
--- a/heatherhead/membership/messages.py
+++ b/heatherhead/membership/messages.py
@@ -53,7 +53,9 @@
     Raises `PeerProtocolError` for data that is no message.
     """
     try:
-        number, *values = msgpack.unpackb(data, max_buffer_size=MAX_MESSAGE_BYTES)
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise ValueError(f"{len(data)} bytes")
+        number, *values = msgpack.unpackb(data)
         cls = _class_by_number.get(number)
         return cls(*values) if cls else None
     except (ValueError, TypeError, msgpack.UnpackException) as error:
--- a/heatherhead/membership/service.py
+++ b/heatherhead/membership/service.py
@@ -2,63 +2,151 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING
 
+from heatherhead.membership.confirmer import create_confirmer
+from heatherhead.membership.failure_detector import create_failure_detector
+from heatherhead.membership.gossip import create_gossip
+from heatherhead.membership.instance_list import create_http_instance_list
 from heatherhead.membership.interface import Address, Instance, InstanceState
+from heatherhead.membership.list_poller import create_list_poller, is_among_best
+from heatherhead.membership.member_table import create_member_table
+from heatherhead.membership.network import create_network
+from heatherhead.membership.overlay import overlay_neighbours
 from heatherhead.membership.view import create_view
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from heatherhead.membership.interface import PeerNetwork, Traffic
-    from heatherhead.membership.view import View
+    from heatherhead.membership.instance_list import InstanceList
+    from heatherhead.membership.links import PeerLinks
+    from heatherhead.membership.member_table import Member, MemberTable
     from heatherhead.settings import Settings
+    from heatherhead.settings.membership import MembershipSettings
 
-__all__ = ["Membership", "create_membership"]
-
-
-class _NoPeers:
-    """The network of a lone instance."""
-
-    def send(self, instance_id: str, message: object, traffic: Traffic) -> bool:
-        """Refuse every message."""
-        return False
+__all__ = ["Membership", "assemble_membership", "create_membership", "own_instance"]
 
-    def neighbours(self) -> list[str]:
-        """List nobody."""
-        return []
-
-    def subscribe(self, message_type: type, handler: Callable[[str, object], None]) -> None:
-        """Take a handler that is never called."""
+OVERLAY_DELAY_S = 0.05  # several changes of the view make one change of the overlay
+LEAVING_SPREAD_S = 0.2
 
 
 class Membership:
-    """Starts and stops what keeps the view up to date."""
-
-    def __init__(self, view: View, network: PeerNetwork) -> None:
-        self.view = view
-        self.network = network
+    """Keeps `view` up to date and `network` linked to the neighbours that the overlay gives."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: MemberTable,
+        links: PeerLinks,
+        instance_list: InstanceList | None,
+        random: Random,
+    ) -> None:
+        self.view = create_view(table.own.instance)
+        self.network = links
+        self.table = table
+        self._list = instance_list
+        self._overlay_timer: asyncio.TimerHandle | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        table.subscribe(self._on_member)
+        table.on_forgotten(lambda instance_id: self.view.update([], [instance_id]))
+        self._gossip = create_gossip(table, links)
+        self._detector = create_failure_detector(settings, table, links, random)
+        self._confirmer = create_confirmer(table, links)
+        self._poller = (
+            create_list_poller(settings, instance_list, table, links, random)
+            if instance_list is not None
+            else None
+        )
+
+    def advertise(self, callers: Address, operators: Address) -> None:
+        """Set the addresses told to others, once the listeners know their ports."""
+        own = self.table.own.instance
+        if (own.callers, own.operators) != (callers, operators):
+            self.table.set_own(replace(own, callers=callers, operators=operators))
 
     async def start(self) -> None:
         """Listen for peers and begin to follow the instance list."""
+        if self._poller is None:
+            return
+        port = await self.network.start()
+        own = self.table.own.instance
+        if own.peers.port != port:
+            self.table.set_own(replace(own, peers=Address(own.peers.host, port)))
+        coroutines = (self._poller.run(), self._poller.run_reaching(), self._detector.run())
+        self._tasks.extend(asyncio.create_task(each) for each in coroutines)
 
     async def stop(self) -> None:
         """Close all streams."""
+        if self._overlay_timer is not None:
+            self._overlay_timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        self._confirmer.close()
+        self._gossip.close()
+        if self._list is not None:
+            await self.network.stop()
+            await self._list.close()
 
     async def announce_leaving(self) -> None:
         """Tell the others that this instance gets no new callers from now on."""
-        self.view.update([replace(self.view.own, state=InstanceState.LEAVING)])
+        if self._poller is not None:
+            self._poller.leaves_by_itself = True
+        self.table.set_own(replace(self.table.own.instance, state=InstanceState.LEAVING))
+        self._gossip.flush()
+        if self.network.neighbours():
+            await asyncio.sleep(LEAVING_SPREAD_S)
+
+    def is_among_best(self, job: str, count: int) -> bool:
+        """Tell whether this instance is one of `count` of its region that should do a job."""
+        return is_among_best(self.table, job, count)
+
+    def _on_member(self, member: Member) -> None:
+        if member.sequence:
+            self.view.update([member.instance])
+        if member.state is InstanceState.DEAD:
+            self.network.drop(member.id)
+        if self._list is not None and self._overlay_timer is None:
+            loop = asyncio.get_running_loop()
+            self._overlay_timer = loop.call_later(OVERLAY_DELAY_S, self._choose_overlay)
+
+    def _choose_overlay(self) -> None:
+        self._overlay_timer = None
+        by_id = {
+            each.id: each.instance
+            for each in self.table.by_id.values()
+            if each.state is not InstanceState.DEAD
+        }
+        neighbours = overlay_neighbours(self.table.own.instance, by_id.values())
+        self.network.want([by_id[each] for each in neighbours])
 
 
 def create_membership(settings: Settings, incarnation: str) -> Membership:
     """Create the membership of this instance; without an instance list it is a lone one."""
-    return Membership(create_view(own_instance(settings, incarnation)), _NoPeers())
+    table = create_member_table(own_instance(settings, incarnation))
+    links = create_network(settings.membership, table)
+    url = settings.membership.instance_list_url
+    instance_list = create_http_instance_list(url) if url else None
+    random = Random(incarnation)
+    return assemble_membership(settings.membership, table, links, instance_list, random)
+
+
+def assemble_membership(
+    settings: MembershipSettings,
+    table: MemberTable,
+    links: PeerLinks,
+    instance_list: InstanceList | None,
+    random: Random,
+) -> Membership:
+    """Put a membership together from given streams and list; without a list it is a lone one."""
+    return Membership(settings, table, links, instance_list, random)
 
 
 def own_instance(settings: Settings, incarnation: str) -> Instance:
     """Describe this instance by its settings."""
-    callers = settings.callers
+    callers, peers = settings.callers, settings.membership
     return Instance(
         settings.instance.id,
         incarnation,
@@ -68,6 +156,6 @@
             callers.advertised_host or callers.listen.host,
             callers.advertised_port or callers.listen.port,
         ),
-        peers=Address(settings.membership.listen.host, settings.membership.listen.port),
+        peers=Address(peers.advertised_host or peers.listen.host, peers.listen.port),
         operators=Address(settings.operators.listen.host, settings.operators.listen.port),
     )
