--- a/Makefile
+++ b/Makefile
@@ -23,4 +23,13 @@
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
+	$(MAKE) prove
 
+prove: $(STAMP)
+	$(BIN)/python -m spec
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+run: $(STAMP)
+	$(BIN)/python -m heatherhead.daemon examples/quickstart.json
