Spread the configuration over the overlay

Change: two watchers a region by rendezvous; changes pushed to neighbours, differences found by 64 bucket hashes and repaired; applied revisions gathered without store calls; a new instance starts from its peers and waits for the highest state it has heard of; deletions are tombstones, also after a compaction; changes found again by id after later ones; TLS of the peers' port.

--- /dev/null
+++ b/heatherhead/configuration/dissemination.py
@@ -0,0 +1,211 @@
+"""Spreads records over the overlay: changes are pushed, differences found by hashes repaired."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from typing import TYPE_CHECKING
+
+from heatherhead.configuration.documents import MAX_DOCUMENT_BYTES, decode_record
+from heatherhead.configuration.record_messages import (
+    Digest,
+    RecordHashes,
+    RecordHeads,
+    RecordRequest,
+    Records,
+)
+from heatherhead.configuration.record_table import BUCKETS, PackedRecord
+from heatherhead.exceptions import ConfigurationError, PeerProtocolError
+from heatherhead.membership.interface import Traffic
+from heatherhead.membership.outbox import create_outbox
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from heatherhead.configuration.applied_board import AppliedBoard
+    from heatherhead.configuration.model import ServiceRecord
+    from heatherhead.configuration.record_table import RecordTable
+    from heatherhead.membership.links import PeerLinks
+    from heatherhead.membership.member_table import Member
+
+__all__ = ["Dissemination", "create_dissemination"]
+
+GATHER_S = 0.01
+RECORD_BYTES_PER_MESSAGE = 32 * 1024
+DIGEST_INTERVAL_S = 10.0
+RECHECK_S = 0.5  # after a push whose hash differs, as others may be under way
+MAX_NAMES_PER_MESSAGE = 10_000
+BOARD_DIFFERENCES_BEFORE_REPAIR = 2  # digests in a row
+
+
+class Dissemination:
+    """Keeps the record tables of neighbours equal, and tells how far the own one is whole."""
+
+    def __init__(
+        self, table: RecordTable, board: AppliedBoard, links: PeerLinks, random: Random
+    ) -> None:
+        self._table = table
+        self._board = board
+        self._links = links
+        self._random = random
+        self._outbox = create_outbox(links, self._build, GATHER_S)
+        self._source: str | None = None
+        self._rechecks: set[str] = set()
+        self._board_differences_by_peer: dict[str, int] = {}
+        self.digest_by_peer: dict[str, Digest] = {}
+        table.on_record(lambda record: self._outbox.add(record.name, but_not_to=self._source))
+        links.on_greeting(self._on_greeting)
+        links.on_lost(self._on_lost)
+        links.subscribe(Records, self._on_records)
+        links.subscribe(Digest, self._on_digest)
+        links.subscribe(RecordHashes, self._on_hashes)
+        links.subscribe(RecordHeads, self._on_heads)
+        links.subscribe(RecordRequest, self._on_request)
+
+    async def run(self) -> None:
+        """Compare with each neighbour now and then, until cancelled."""
+        while True:
+            await asyncio.sleep(DIGEST_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+            for peer_id in self._links.neighbours():
+                self._send_digest(peer_id)
+
+    def close(self) -> None:
+        """Stop sending."""
+        self._outbox.close()
+
+    def _on_greeting(self, peer: Member) -> None:
+        if self._links.is_wanted(peer.id):
+            self._send_digest(peer.id)
+            self._board.send_all(peer.id)
+
+    def _on_lost(self, peer_id: str) -> None:
+        self._outbox.drop(peer_id)
+        self.digest_by_peer.pop(peer_id, None)
+        self._board_differences_by_peer.pop(peer_id, None)
+
+    def _on_digest(self, peer_id: str, digest: Digest) -> None:
+        is_first = peer_id not in self.digest_by_peer
+        self.digest_by_peer[peer_id] = digest
+        self._table.hear_of(max(digest.applied, digest.heard_of))
+        self._compare_boards(peer_id, digest)
+        if digest.total_hash != self._table.total_hash:
+            self._links.send(peer_id, RecordHashes(list(self._table.hashes)), Traffic.CONTROL)
+        elif digest.applied > self._table.applied:
+            self._table.advance(digest.applied)
+        if is_first or digest.applied < self._table.applied:
+            self._send_digest(peer_id)
+
+    def _compare_boards(self, peer_id: str, digest: Digest) -> None:
+        if digest.board_hash == self._board.board_hash:
+            self._board_differences_by_peer.pop(peer_id, None)
+            return
+        count = self._board_differences_by_peer.get(peer_id, 0) + 1
+        self._board_differences_by_peer[peer_id] = count
+        if count % BOARD_DIFFERENCES_BEFORE_REPAIR == 0:
+            self._board.send_all(peer_id)
+
+    def _on_hashes(self, peer_id: str, message: RecordHashes) -> None:
+        if len(message.hashes) != BUCKETS:
+            return
+        pairs = enumerate(zip(message.hashes, self._table.hashes, strict=True))
+        differing = {number for number, (theirs, ours) in pairs if theirs != ours}
+        heads = [list(each) for each in self._table.heads(differing)]
+        self._links.send(peer_id, RecordHeads(sorted(differing), heads), Traffic.CONTROL)
+
+    def _on_heads(self, peer_id: str, message: RecordHeads) -> None:
+        theirs = {name: revision for name, revision in message.heads[:MAX_NAMES_PER_MESSAGE]}
+        wanted = [
+            name for name, revision in theirs.items() if revision > self._table.revision_of(name)
+        ]
+        newer_here = [
+            name
+            for name, revision in self._table.heads(set(message.buckets))
+            if revision > theirs.get(name, 0)
+        ]
+        self._outbox.add_for(peer_id, newer_here)
+        if wanted:
+            self._links.send(peer_id, RecordRequest(wanted), Traffic.CONTROL)
+        elif not newer_here:
+            self._send_digest(peer_id)
+
+    def _on_request(self, peer_id: str, message: RecordRequest) -> None:
+        known = [name for name in message.names if self._table.packed(name) is not None]
+        self._outbox.add_for(peer_id, known[:MAX_NAMES_PER_MESSAGE])
+
+    def _on_records(self, peer_id: str, message: Records) -> None:
+        self._source = peer_id
+        try:
+            for name, revision, data in message.records:
+                self._take_in(peer_id, PackedRecord(name, revision, data))
+        finally:
+            self._source = None
+        self._table.hear_of(message.applied)
+        if message.total_hash == self._table.total_hash:
+            if message.applied >= 0:
+                self._table.advance(message.applied)
+        elif message.applied > self._table.applied:
+            self._recheck(peer_id)
+
+    def _take_in(self, peer_id: str, packed: PackedRecord) -> None:
+        held = self._table.revision_of(packed.name)
+        if held <= packed.revision:
+            self._outbox.discard(peer_id, packed.name)
+        if held < packed.revision:
+            self._table.take_in_packed(_unpack(packed), packed)
+
+    def _recheck(self, peer_id: str) -> None:
+        """Compare with a peer soon, unless that is planned already."""
+        if peer_id in self._rechecks:
+            return
+        self._rechecks.add(peer_id)
+        asyncio.get_running_loop().call_later(RECHECK_S, self._check_again, peer_id)
+
+    def _check_again(self, peer_id: str) -> None:
+        self._rechecks.discard(peer_id)
+        if self._table.applied < self._table.heard_of:
+            self._send_digest(peer_id)
+
+    def _send_digest(self, peer_id: str) -> None:
+        table = self._table
+        digest = Digest(table.total_hash, table.applied, table.heard_of, self._board.board_hash)
+        self._links.send(peer_id, digest, Traffic.CONTROL)
+
+    def _build(self, names: list[str]) -> tuple[object, int]:
+        """Pack records up to the size of one message, at least one."""
+        records: list[list[object]] = []
+        size = taken = 0
+        for name in names:
+            packed = self._table.packed(name)
+            if packed is not None:
+                if records and size + len(packed.data) > RECORD_BYTES_PER_MESSAGE:
+                    break
+                records.append([packed.name, packed.revision, packed.data])
+                size += len(packed.data)
+            taken += 1
+        return Records(records, self._table.total_hash, self._table.applied), taken
+
+
+def _unpack(packed: PackedRecord) -> ServiceRecord:
+    """Unpack a peer's record; raises `PeerProtocolError` for anything else."""
+    try:
+        unpacker = zlib.decompressobj()
+        document = unpacker.decompress(packed.data, MAX_DOCUMENT_BYTES)
+        record = decode_record(document, packed.revision)
+    except (zlib.error, ConfigurationError) as error:
+        raise PeerProtocolError(
+            f"unreadable record of {packed.name}: {error}",
+            remedy="run the same release everywhere",
+        ) from error
+    if record.name != packed.name:
+        raise PeerProtocolError(
+            f"record of {record.name} sent as {packed.name}",
+            remedy="run the same release everywhere",
+        )
+    return record
+
+
+def create_dissemination(
+    table: RecordTable, board: AppliedBoard, links: PeerLinks, random: Random
+) -> Dissemination:
+    """Create the dissemination of a record table over the peer streams."""
+    return Dissemination(table, board, links, random)
--- a/heatherhead/configuration/record_table.py
+++ b/heatherhead/configuration/record_table.py
@@ -19,6 +19,7 @@
 
 BUCKETS = 64
 HASH_BYTES = 8
+NOTHING_APPLIED = -1
 PACK_LEVEL = 6  # zlib; the documents of a service's upstreams shrink about eightfold
 
 
@@ -34,14 +35,14 @@
 class RecordTable:
     """Knows each record's packed form and up to which revision all changes are in force.
 
-    `applied` is that revision: the store's watch or a peer with the same records vouches for it.
-    `heard_of` is the highest such revision that any instance has told of.
+    `applied` is that revision, -1 before the first whole snapshot: the store's watch or a peer with
+    the same records vouches for it. `heard_of` is the highest that any instance has told of.
     """
 
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
-        self.applied = 0
-        self.heard_of = 0
+        self.applied = NOTHING_APPLIED
+        self.heard_of = NOTHING_APPLIED
         self.hashes = [0] * BUCKETS
         self._packed_by_name: dict[str, PackedRecord] = {}
         self._record_listeners: list[Callable[[PackedRecord], None]] = []
@@ -78,6 +79,19 @@
         for listener in self._applied_listeners:
             listener(revision)
 
+    def advance_to_records(self, revision: int) -> None:
+        """Note that all changes up to a revision of the store are in force here.
+
+        `applied` becomes the newest of them, as the store may count other keys' changes too.
+        """
+        known = (each.revision for each in self._packed_by_name.values())
+        self.advance(max((each for each in known if each <= revision), default=0))
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the records are as new as any snapshot heard of."""
+        return self.applied >= max(self.heard_of, 0)
+
     def hear_of(self, revision: int) -> None:
         """Note that some instance has all changes up to `revision` in force."""
         self.heard_of = max(self.heard_of, revision)
--- a/heatherhead/configuration/service.py
+++ b/heatherhead/configuration/service.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import TYPE_CHECKING
 
 from result import Err
 
+from heatherhead.backoff import create_backoff
+from heatherhead.configuration.applied_board import create_applied_board
+from heatherhead.configuration.dissemination import create_dissemination
 from heatherhead.configuration.editor import create_editor
 from heatherhead.configuration.record_table import create_record_table
 from heatherhead.configuration.store_watcher import create_store_watcher
 from heatherhead.exceptions import SettingsError
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from result import Result
@@ -27,6 +32,11 @@
 __all__ = ["ConfigurationService", "create_configuration"]
 
 SETTINGS_CHANGE_ID = "settings"
+ROLE_CHECK_S = 1.0
+VIEW_WAIT_S = 1.5  # a new instance knows only itself, and would take every role
+ROLE_KEPT_S = 5.0  # a watcher goes on for a while after another seems the better one
+PEER_WAIT_S = 3.0  # for a first snapshot from peers, before the store is read
+SETTLE_S = 0.5  # for digests of further neighbours after the first
 
 
 class ConfigurationService:
@@ -42,24 +52,38 @@
         self.ready = asyncio.Event()
         self._settings = settings
         self._membership = membership
-        self._table = create_record_table(replica)
-        self._editor = create_editor(store, settings.store.prefix, replica, self._table.take_in)
-        self._watcher = create_store_watcher(store, settings.store.prefix, self._table)
-        self._table.on_applied(lambda _: self.ready.set())
+        links = membership.network
+        random = Random(membership.view.own.incarnation)
+        self._random = random
+        self.table = create_record_table(replica)
+        self._editor = create_editor(store, settings.store.prefix, replica, self.table.take_in)
+        self._watcher = create_store_watcher(store, settings.store.prefix, self.table)
+        self._board = create_applied_board(self.table, membership.view, links)
+        self._dissemination = create_dissemination(self.table, self._board, links, random)
+        self._watching: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Begin to follow store and peers; `ready` tells when the replica can be used."""
         if not self._settings.store.urls:
             await self._put_settings_services()
-        self._tasks.append(asyncio.create_task(self._watcher.run()))
+        coroutines = (self._keep_role(), self._get_ready(), self._dissemination.run())
+        self._tasks.extend(asyncio.create_task(each) for each in coroutines)
 
     async def stop(self) -> None:
         """Stop following; the replica stays as it is."""
+        self._stop_watching()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
+        self._dissemination.close()
+        self._board.close()
+
+    @property
+    def is_watching(self) -> bool:
+        """Tell whether this instance holds the store's watch."""
+        return self._watching is not None
 
     async def put(
         self, service: ServiceSchema, expected_revision: int, change_id: str
@@ -75,11 +99,57 @@
 
     def applied(self) -> list[AppliedRevision]:
         """List what each known instance has in force."""
-        return []
+        return self._board.applied()
 
     def missing(self, revision: int) -> list[str]:
         """List the live instances that do not have `revision` in force yet."""
-        return []
+        return self._board.missing(revision)
+
+    async def _keep_role(self) -> None:
+        """Hold the store's watch while the view makes this instance one of the watchers."""
+        loop = asyncio.get_running_loop()
+        chosen_at = loop.time()
+        if not self._membership.is_lone:
+            await asyncio.sleep(VIEW_WAIT_S)
+        while True:
+            count = self._settings.store.watchers_per_region
+            if self._membership.is_among_best("store-watch", count):
+                chosen_at = loop.time()
+                if self._watching is None:
+                    log_event("store_watch_taken", applied=self.table.applied)
+                    self._watching = asyncio.create_task(self._watcher.run())
+            elif self._watching is not None and loop.time() - chosen_at > ROLE_KEPT_S:
+                log_event("store_watch_left")
+                self._stop_watching()
+            await asyncio.sleep(ROLE_CHECK_S)
+
+    def _stop_watching(self) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+
+    async def _get_ready(self) -> None:
+        """Wait for a snapshot of the peers, and read the store if none has one."""
+        loop = asyncio.get_running_loop()
+        backoff = create_backoff(PEER_WAIT_S, 30.0, self._random)
+        read_at = loop.time() + PEER_WAIT_S
+        while not self._may_be_ready():
+            await asyncio.sleep(SETTLE_S / 2)
+            if loop.time() >= read_at and not self._has_peer_with_snapshot():
+                await self._watcher.read_all()
+                read_at = loop.time() + backoff.next_s()
+        log_event("configuration_ready", applied=self.table.applied)
+        self.ready.set()
+
+    def _may_be_ready(self) -> bool:
+        """Tell whether the snapshot is whole and no linked neighbour may know a newer one."""
+        links = self._membership.network
+        heard = self._dissemination.digest_by_peer
+        return self.table.is_whole and all(each in heard for each in links.neighbours())
+
+    def _has_peer_with_snapshot(self) -> bool:
+        digests = self._dissemination.digest_by_peer.values()
+        return any(each.applied >= 0 for each in digests)
 
     async def _put_settings_services(self) -> None:
         for service in self._settings.services:
--- a/heatherhead/configuration/store_watcher.py
+++ b/heatherhead/configuration/store_watcher.py
@@ -35,7 +35,9 @@
         self._next_revision = 0
 
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the store until cancelled; peers may have given a snapshot to go on from."""
+        if self._table.is_whole:
+            self._next_revision = self._table.applied + 1
         while True:
             try:
                 if self._next_revision == 0 and not await self.read_all():
@@ -59,7 +61,7 @@
         for value in sorted(by_key.values(), key=lambda each: each.mod_revision):
             self._take_in(value.key, value.value, value.mod_revision)
         self._bury_absent(set(by_key), revision)
-        self._table.advance(revision)
+        self._table.advance_to_records(revision)
         self._next_revision = revision + 1
         self._backoff.reset()
         return True
--- a/heatherhead/membership/network.py
+++ b/heatherhead/membership/network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import defaultdict, deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from heatherhead.exceptions import PeerProtocolError
@@ -23,7 +24,7 @@
     from heatherhead.membership.member_table import Member, MemberTable
     from heatherhead.settings.membership import MembershipSettings
 
-__all__ = ["Network", "create_network"]
+__all__ = ["Network", "TlsContexts", "create_network"]
 
 UPKEEP_S = 0.25
 SECOND_DIALER_WAIT_S = 1.0  # the lower id dials first; the higher one only if that fails
@@ -32,11 +33,19 @@
 MAX_WAITING_INSTANCES = 256
 
 
+@dataclass(frozen=True, slots=True)
+class TlsContexts:
+    """The TLS contexts of both directions."""
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
 class Network:
     """Implements `PeerLinks`; frames are counted and budgeted when handed to a socket."""
 
     def __init__(
-        self, settings: MembershipSettings, table: MemberTable, tls: _TlsContexts | None
+        self, settings: MembershipSettings, table: MemberTable, tls: TlsContexts | None
     ) -> None:
         self.budget = create_byte_budget(
             settings.control_budget, settings.measuring_budget, settings.budget_burst_s
@@ -272,14 +281,6 @@
                 connection.close()
 
 
-class _TlsContexts:
-    """The TLS contexts of both directions."""
-
-    def __init__(self, server: ssl.SSLContext, client: ssl.SSLContext) -> None:
-        self.server = server
-        self.client = client
-
-
 def _is_better(held: PeerConnection, other: PeerConnection) -> bool:
     """Tell whether `held` stays: the same incarnation, dialled by the lower id."""
     if held.peer.instance.incarnation != other.peer.instance.incarnation:
@@ -288,7 +289,7 @@
 
 
 def create_network(
-    settings: MembershipSettings, table: MemberTable, tls: _TlsContexts | None = None
+    settings: MembershipSettings, table: MemberTable, tls: TlsContexts | None = None
 ) -> Network:
     """Create the peer network of an instance; it begins to listen when started."""
     return Network(settings, table, tls)
--- a/heatherhead/membership/service.py
+++ b/heatherhead/membership/service.py
@@ -14,9 +14,10 @@
 from heatherhead.membership.interface import Address, Instance, InstanceState
 from heatherhead.membership.list_poller import create_list_poller, is_among_best
 from heatherhead.membership.member_table import create_member_table
-from heatherhead.membership.network import create_network
+from heatherhead.membership.network import TlsContexts, create_network
 from heatherhead.membership.overlay import overlay_neighbours
 from heatherhead.membership.view import create_view
+from heatherhead.settings.tls import create_client_context, create_server_context
 
 if TYPE_CHECKING:
     from heatherhead.membership.instance_list import InstanceList
@@ -99,6 +100,11 @@
         if self.network.neighbours():
             await asyncio.sleep(LEAVING_SPREAD_S)
 
+    @property
+    def is_lone(self) -> bool:
+        """Tell whether this instance has no instance list, and so no peers."""
+        return self._poller is None
+
     def is_among_best(self, job: str, count: int) -> bool:
         """Tell whether this instance is one of `count` of its region that should do a job."""
         return is_among_best(self.table, job, count)
@@ -126,7 +132,7 @@
 def create_membership(settings: Settings, incarnation: str) -> Membership:
     """Create the membership of this instance; without an instance list it is a lone one."""
     table = create_member_table(own_instance(settings, incarnation))
-    links = create_network(settings.membership, table)
+    links = create_network(settings.membership, table, _tls_contexts(settings.membership))
     url = settings.membership.instance_list_url
     instance_list = create_http_instance_list(url) if url else None
     random = Random(incarnation)
@@ -144,6 +150,13 @@
     return Membership(settings, table, links, instance_list, random)
 
 
+def _tls_contexts(settings: MembershipSettings) -> TlsContexts | None:
+    tls = settings.listen.tls
+    if tls is None:
+        return None
+    return TlsContexts(create_server_context(tls), create_client_context(tls))
+
+
 def own_instance(settings: Settings, incarnation: str) -> Instance:
     """Describe this instance by its settings."""
     callers, peers = settings.callers, settings.membership
--- /dev/null
+++ b/heatherhead/tests/configuration/editor_tests.py
@@ -0,0 +1,128 @@
+"""Tests of `heatherhead.configuration.editor`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from heatherhead.configuration.editor import MAX_EARLIER_CHANGES, Editor, create_editor
+from heatherhead.configuration.replica import create_replica
+from heatherhead.configuration.schema import ServiceSchema, UpstreamSchema
+from heatherhead.exceptions import ConfigurationError, ConflictError, StoreAmbiguousError
+from heatherhead.store.memory import create_memory_store
+from heatherhead.tests.base import run_paused
+from heatherhead.tests.configuration.fleet import service
+from heatherhead.tests.faulty_store import FaultyStore, create_faulty_store
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+def _run(scenario: Callable[[Editor, Editor, FaultyStore], Awaitable[None]]) -> None:
+    """Run with two operators' editors; the first one's way to the store is handed over."""
+
+    async def main() -> None:
+        store = create_memory_store()
+        way = create_faulty_store(store)
+        editors = []
+        for each in (way, create_faulty_store(store)):
+            replica = create_replica()
+            editors.append(create_editor(each, "/h/", replica, replica.apply))
+        await scenario(*editors, way)
+
+    run_paused(main())
+
+
+def test_second_of_two_racing_operators_is_shown_the_first_ones_change() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        created = (await one.put(service("orders", 1), 0, "c1")).ok_value
+        won = (await two.put(service("orders", 2), created.revision, "c2")).ok_value
+        lost = (await one.put(service("orders", 3), created.revision, "c3")).err_value
+        assert isinstance(lost, ConflictError)
+        assert lost.revision == won.revision
+        assert "c2" in str(lost)
+        again = (await one.put(service("orders", 3), won.revision, "c3")).ok_value
+        assert again.revision > won.revision
+
+    _run(scenario)
+
+
+def test_change_whose_reply_was_lost_is_found_by_its_id() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        way.lose_replies = 1
+        put = (await one.put(service("orders", 1), 0, "c1")).ok_value
+        assert way.calls == 2
+        assert (await two.put(service("orders", 1), 0, "c1")).ok_value == put
+
+    _run(scenario)
+
+
+def test_change_without_any_answer_stays_in_doubt_until_asked_again() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        way.lose_replies = 99
+        doubt = await one.put(service("orders", 1), 0, "c1")
+        assert isinstance(doubt.err_value, StoreAmbiguousError)
+        changed = (await two.put(service("orders", 2), 2, "c2")).ok_value
+        way.lose_replies = 0
+        found = (await one.put(service("orders", 1), 0, "c1")).ok_value
+        assert (found.revision, found.change_id) == (2, "c1")
+        now = (await two.put(service("orders", 3), changed.revision, "c3")).ok_value
+        assert [each.change_id for each in now.earlier_changes] == ["c1", "c2"]
+
+    _run(scenario)
+
+
+def test_deleted_service_may_be_created_again_but_not_by_the_old_change() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        created = (await one.put(service("orders", 1), 0, "c1")).ok_value
+        deleted = (await two.delete("orders", created.revision, "c2")).ok_value
+        assert deleted.service is None
+        old = (await one.put(service("orders", 1), 0, "c1")).ok_value
+        assert old.revision == created.revision
+        assert isinstance((await one.delete("orders", 0, "c3")).err_value, ConflictError)
+        fresh = (await one.put(service("orders", 4), 0, "c4")).ok_value
+        assert fresh.revision > deleted.revision
+
+    _run(scenario)
+
+
+def test_tombstone_that_may_have_forgotten_a_change_asks_for_its_revision() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        revision = (await one.put(service("orders", 1), 0, "first")).ok_value.revision
+        for number in range(MAX_EARLIER_CHANGES):
+            changed = await two.put(service("orders", number + 2), revision, f"c{number}")
+            revision = changed.ok_value.revision
+        revision = (await two.delete("orders", revision, "gone")).ok_value.revision
+        late = (await one.put(service("orders", 1), 0, "first")).err_value
+        assert isinstance(late, ConflictError)
+        assert (await one.put(service("orders", 1), revision, "new")).is_ok()
+
+    _run(scenario)
+
+
+def test_editor_with_an_old_replica_reads_before_it_refuses() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        created = (await one.put(service("orders", 1), 0, "c1")).ok_value
+        changed = (await two.put(service("orders", 2), created.revision, "c2")).ok_value
+        assert (await one.put(service("orders", 3), changed.revision, "c3")).is_ok()
+
+    _run(scenario)
+
+
+def test_document_above_the_stores_limit_never_reaches_it() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        upstreams = tuple(
+            UpstreamSchema(id=f"{number:063}", host="10.0.0.1", port=80) for number in range(2_000)
+        )
+        large = ServiceSchema(
+            name="large",
+            upstreams=upstreams,
+            hosts=tuple(f"{number:01000}.example" for number in range(1_000)),
+        )
+        answer = await one.put(large, 0, "c1")
+        assert isinstance(answer, Err)
+        assert isinstance(answer.err_value, ConfigurationError)
+        assert way.calls == 0
+
+    _run(scenario)
--- /dev/null
+++ b/heatherhead/tests/faulty_store.py
@@ -0,0 +1,99 @@
+"""One instance's way to a shared memory store, with faults on it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from heatherhead.store.errors import ambiguous, unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from typing import Any
+
+    from result import Result
+
+    from heatherhead.exceptions import HeatherheadError
+    from heatherhead.store.interface import RangeAnswer, StoreLease, WatchEvent, WriteAnswer
+    from heatherhead.store.memory import MemoryStore
+
+__all__ = ["FaultyStore", "create_faulty_store"]
+
+WATCH_POLL_S = 0.1
+
+
+class FaultyStore:
+    """Implements `Store`; `lose_replies` writes take effect and are not answered."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.is_down = False
+        self.lose_replies = 0
+        self.delay_s = 0.0
+        self.calls = 0
+        self._store = store
+
+    async def read_prefix(self, prefix: str) -> Result[RangeAnswer, HeatherheadError]:
+        """Read all keys below a prefix."""
+        return await self._call(self._store.read_prefix(prefix))
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease_id: int = 0
+    ) -> Result[WriteAnswer, HeatherheadError]:
+        """Write if the key is at a revision, and perhaps lose the reply."""
+        answer = await self._call(
+            self._store.compare_and_swap(key, expected_revision, value, lease_id)
+        )
+        if self.lose_replies > 0 and not isinstance(answer, Err):
+            self.lose_replies -= 1
+            return Err(ambiguous("reply lost"))
+        return answer
+
+    async def grant_lease(self, ttl_s: float) -> Result[StoreLease, HeatherheadError]:
+        """Obtain a lease."""
+        return await self._call(self._store.grant_lease(ttl_s))
+
+    async def keep_lease(self, lease_id: int) -> Result[StoreLease, HeatherheadError]:
+        """Renew a lease."""
+        return await self._call(self._store.keep_lease(lease_id))
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, HeatherheadError]:
+        """Give a lease back."""
+        return await self._call(self._store.revoke_lease(lease_id))
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Iterate over changes until the store is down."""
+        self.calls += 1
+        events = self._store.watch(prefix, from_revision)
+        following = asyncio.ensure_future(anext(events))
+        try:
+            while True:
+                done, _ = await asyncio.wait([following], timeout=WATCH_POLL_S)
+                if self.is_down:
+                    raise unavailable("down")
+                if done:
+                    event = following.result()
+                    following = asyncio.ensure_future(anext(events))
+                    yield event
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+            await events.aclose()
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+    async def _call(self, call: Any) -> Any:
+        self.calls += 1
+        if self.is_down:
+            call.close()
+            return Err(unavailable("down"))
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        return await call
+
+
+def create_faulty_store(store: MemoryStore) -> FaultyStore:
+    """Create a way to a store, without faults at first."""
+    return FaultyStore(store)
