Specify the configuration's compare-and-swap, replicas and restarts

Change: the part on configuration, with 19 moves: lost replies, changes asked for again at another instance, deletions, bounded histories, late documents, new instances with the store down. Conclusion: a conflict may only be told from a fresh read of a document whose history reaches back to the expected revision; else the change may have taken effect and been forgotten.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -10,12 +10,12 @@
 import json
 import sys
 
-from spec import keyed_calls, leases
+from spec import configuration, keyed_calls, leases
 from spec.checker import PartReport, check_part
 
 __all__ = ["PARTS", "main"]
 
-PARTS = (keyed_calls.part, leases.part)
+PARTS = (keyed_calls.part, configuration.part, leases.part)
 
 
 def main() -> int:
