Specify the leaving of instances and of upstreams

Change: two parts. An instance waits for the answers that others gave before they learned, with their transit, and for its calls; an upstream gets no work after a sign, also into slots given before it, and no call in progress ends with it. Conclusion: counting from the last answer of its own is too short for an instance to exit: it must add the time that others take to learn, and the transit of their answers.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -10,12 +10,18 @@
 import json
 import sys
 
-from spec import configuration, keyed_calls, leases
+from spec import configuration, keyed_calls, leases, leaving_instances, leaving_upstreams
 from spec.checker import PartReport, check_part
 
 __all__ = ["PARTS", "main"]
 
-PARTS = (keyed_calls.part, configuration.part, leases.part)
+PARTS = (
+    keyed_calls.part,
+    configuration.part,
+    leases.part,
+    leaving_instances.part,
+    leaving_upstreams.part,
+)
 
 
 def main() -> int:
