Tell not-run of a keyed call only after the key table has closed its key

Cause: held against the specification, a request with a key that was refused before the key table saw it (bad deadline header, unknown service, slow or oversized body, deadline passed within the body) was told as not-run, although an earlier copy may have run and a later one could. And a POST without a body got another fingerprint with Content-Length: 0 than without, as it has after being passed on, so that a good resend was refused with 422. Change: such a refusal closes the key at its owner, or says that the outcome is unknown; a missing body counts as length 0. The specification has the move refuse_early with its guard.

--- a/heatherhead/callers/handler.py
+++ b/heatherhead/callers/handler.py
@@ -20,6 +20,7 @@
 )
 from heatherhead.exceptions import (
     CallCutError,
+    CallRefusedError,
     DeadlineUnreachableError,
     HeatherheadError,
     OutcomeUnknownError,
@@ -97,21 +98,36 @@
         return response
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
-        loop = asyncio.get_running_loop()
+        try:
+            inbound = self._take_in(request)
+        except CallRefusedError as error:
+            raise self._keyed.refuse(request, error) from error
+        self._keyed.check(inbound)
+        try:
+            return await self._serve_in_time(inbound)
+        except CallRefusedError as error:
+            if inbound.key is None or inbound.reached_key_table:
+                raise
+            raise self._keyed.refuse(request, error) from error
+
+    def _take_in(self, request: BaseRequest) -> InboundCall:
         target = target_of(request)
         service = service_of(request, target, self._choice)
-        call, asked = call_of(request, target, service, self._settings, loop.time())
-        inbound = InboundCall(request, service, call, asked)
-        self._keyed.check(inbound)
+        now = asyncio.get_running_loop().time()
+        call, asked = call_of(request, target, service, self._settings, now)
+        return InboundCall(request, service, call, asked)
+
+    async def _serve_in_time(self, inbound: InboundCall) -> StreamResponse:
+        call = inbound.call
         try:
             async with asyncio.timeout_at(call.deadline) as scope:
                 inbound.scope = scope
-                inbound.body = await read_body(request, self._settings)
+                inbound.body = await read_body(inbound.request, self._settings)
                 inbound.loosen_for_upload()
                 call.fingerprint = fingerprint_of(call, inbound.body)
                 if inbound.key is not None:
                     return await self._keyed.serve(inbound)
-                return await self._run(inbound, loop.time())
+                return await self._run(inbound, asyncio.get_running_loop().time())
         except TimeoutError:
             raise _deadline_error(inbound) from None
 
--- a/heatherhead/callers/inbound.py
+++ b/heatherhead/callers/inbound.py
@@ -36,6 +36,7 @@
     key: CallKey | None = None
     run: CallRun | None = None
     maybe_ran_before: bool = False
+    reached_key_table: bool = False
     scope: asyncio.Timeout | None = None
 
     @property
--- a/heatherhead/callers/keyed.py
+++ b/heatherhead/callers/keyed.py
@@ -13,22 +13,30 @@
     GrantOwnerGoneError,
     KeyMissingError,
 )
-from heatherhead.admission.key_table import KeyRun, KeyWait, request_fingerprint
+from heatherhead.admission.key_table import (
+    KeyEnd,
+    KeyRun,
+    KeyState,
+    KeyWait,
+    request_fingerprint,
+)
+from heatherhead.callers.headers import IDEMPOTENCY_KEY
 from heatherhead.callers.key_runs import StreamedAnswer
 from heatherhead.callers.relay import relay_answer, relay_recorded
 from heatherhead.callers.requests import outbound_request
-from heatherhead.exceptions import HeatherheadError
-from heatherhead.upstreams.attempts import CallRun
+from heatherhead.exceptions import HeatherheadError, OutcomeUnknownError, ReportedOutcome
+from heatherhead.upstreams.attempts import UNKNOWN_REMEDY, CallRun
 
 if TYPE_CHECKING:
-    from aiohttp.web import StreamResponse
+    from aiohttp.web import BaseRequest, StreamResponse
 
-    from heatherhead.admission.grants import GrantIssuer
-    from heatherhead.admission.key_table import KeyEnd, KeyTable
+    from heatherhead.admission.grants import CallKey, GrantIssuer
+    from heatherhead.admission.key_table import KeyTable
     from heatherhead.callers.inbound import InboundCall
     from heatherhead.callers.key_runs import KeyRunner
     from heatherhead.callers.pass_on import PassOn
     from heatherhead.callers.state import CallersState
+    from heatherhead.exceptions import CallRefusedError
     from heatherhead.settings.callers import CallersSettings
 
 __all__ = ["KeyedCalls", "create_keyed_calls"]
@@ -71,16 +79,46 @@
         elif inbound.service.key_required:
             raise parsed.err_value
 
+    def refuse(self, request: BaseRequest, error: CallRefusedError) -> HeatherheadError:
+        """Word the refusal of a request that was refused before the key table saw its key.
+
+        Another copy of a keyed call may have run, or may run later; so the refusal says not-run
+        only if the key can be closed here, and else that the outcome is unknown.
+        """
+        parsed = parse_key(request.headers.get(IDEMPOTENCY_KEY, ""))
+        if isinstance(parsed, Err):
+            return error
+        if self._close(parsed.ok_value, request):
+            error.remedy = f"{error.remedy}, with a new key"
+            return error
+        return OutcomeUnknownError(error.reason, remedy=UNKNOWN_REMEDY, status=error.status)
+
+    def _close(self, key: CallKey, request: BaseRequest) -> bool:
+        """Close a key that was never begun; tell whether it is sure that it never runs."""
+        verified = self._issuer.verify(key.grant)
+        if isinstance(verified, Err):
+            return verified.err_value is GrantProblem.FORGED
+        fingerprint = _fingerprint(request, request.raw_path)
+        now = asyncio.get_running_loop().time()
+        begun = self._table.begin(verified.ok_value, key.caller_id, fingerprint, now)
+        if isinstance(begun, Err):
+            return begun.err_value.outcome is ReportedOutcome.NOT_RUN
+        found = begun.ok_value
+        if isinstance(found, KeyRun):
+            found = found.finish_not_run()
+        return isinstance(found, KeyEnd) and found.state is KeyState.CLOSED
+
     async def serve(self, inbound: InboundCall) -> StreamResponse:
         """Run a keyed call, wait for its run, answer it from the table or pass it on."""
         key = inbound.key
         assert key is not None
+        inbound.reached_key_table = True
         verified = self._issuer.verify(key.grant)
         if isinstance(verified, Err):
             return await self._serve_foreign(inbound, verified.err_value)
         loop = asyncio.get_running_loop()
         call = inbound.call
-        fingerprint = request_fingerprint(call.method, call.target, inbound.request.content_length)
+        fingerprint = _fingerprint(inbound.request, call.target)
         begun = self._table.begin(verified.ok_value, key.caller_id, fingerprint, loop.time())
         if isinstance(begun, Err):
             raise begun.err_value
@@ -141,6 +179,12 @@
         )
 
 
+def _fingerprint(request: BaseRequest, target: str) -> int:
+    """Condense a request; one without a body may or may not say that its length is 0."""
+    length = request.content_length if request.body_exists else 0
+    return request_fingerprint(request.method, target, length)
+
+
 def create_keyed_calls(
     issuer: GrantIssuer,
     table: KeyTable,
--- a/spec/keyed_calls/key_table.py
+++ b/spec/keyed_calls/key_table.py
@@ -124,6 +124,18 @@
     )
 
 
+@part.move
+def refuse_early(s: State, pick: Choices, guard: Guards) -> Step:
+    """Refuse a copy, at any instance, before the key table has seen its key.
+
+    The owner may say not-run only by `begin` and `finish_not_run`.
+    """
+    return step(
+        arrived(s, pick("request", Request)),
+        told_not_run=guard("early_refusal_is_unknown", s.told_not_run, True),
+    )
+
+
 @part.move
 def refuse_unreachable(s: State, pick: Choices, guard: Guards) -> Step:
     """Tell, at an instance that can't reach the owner, that the outcome is not known."""
