--- a/bench/fake_upstream.py
+++ b/bench/fake_upstream.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["Fault", "UpstreamScript", "main"]
+__all__ = ["Fault", "SlowSpells", "UpstreamScript", "main"]
 
 LOAD_HEADER = "Heatherhead-Load"
 NOT_RUN_HEADER = "Heatherhead-Not-Run"
@@ -54,7 +54,8 @@
     """One fake upstream and its slow spells.
 
     Spells of `slow_s` seconds, `slow_factor` times slower, begin at random about every
-    `slow_every_s` seconds from a generator seeded with `seed`; 0 for none.
+    `slow_every_s` seconds from a generator seeded with `seed`; 0 for none. See `SlowSpells` for
+    `epoch`.
     """
 
     port: int
@@ -66,9 +67,39 @@
     slow_s: float = 0.2
     slow_factor: float = 10.0
     seed: int = 1
+    epoch: float = 0.0
     fault: Fault = field(default_factory=Fault)
 
 
+class SlowSpells:
+    """Spells in which an upstream is `factor` times slower, from a seeded generator.
+
+    The same seed and `epoch` (a time on the machine's monotonic clock) give the same spells in
+    every process; without an epoch the first question sets it.
+    """
+
+    def __init__(
+        self, every_s: float, spell_s: float, factor: float, seed: int, epoch: float = 0.0
+    ) -> None:
+        self._every_s = every_s
+        self._spell_s = spell_s
+        self._factor = factor
+        self._random = random.Random(seed)
+        self._until = 0.0
+        self._next = epoch + self._random.expovariate(1 / every_s) if epoch and every_s else 0.0
+
+    def factor(self, now: float) -> float:
+        """Say how much slower a call that starts now is; times must not go back."""
+        if self._every_s <= 0:
+            return 1.0
+        if self._next == 0.0:
+            self._next = now + self._random.expovariate(1 / self._every_s)
+        while now >= self._next:
+            self._until = self._next + self._spell_s
+            self._next = self._until + self._random.expovariate(1 / self._every_s)
+        return self._factor if now < self._until else 1.0
+
+
 class FakeUpstream:
     """Serves calls in its slots, first come first served, slowly in its slow spells."""
 
@@ -82,10 +113,10 @@
         self.runs_by_id: Counter[str] = Counter()
         self.answered_by_id: Counter[str] = Counter()
         self._slots = asyncio.Semaphore(script.slots)
-        self._random = random.Random(script.seed)
+        self._spells = SlowSpells(
+            script.slow_every_s, script.slow_s, script.slow_factor, script.seed, script.epoch
+        )
         self._body = b"x" * script.answer_bytes
-        self._slow_until = 0.0
-        self._next_slow = 0.0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -113,22 +144,11 @@
 
     def service_s(self, now: float) -> float:
         """Say how long a call that starts now takes, in seconds."""
-        factor = self.script.slow_factor if self._is_slow(now) else 1.0
+        factor = self._spells.factor(now)
         if self.fault.cold and self.calls < COLD_CALLS:
             factor *= COLD_FACTOR
         return self.script.service_s * factor
 
-    def _is_slow(self, now: float) -> bool:
-        every = self.script.slow_every_s
-        if every <= 0:
-            return False
-        if self._next_slow == 0.0:
-            self._next_slow = now + self._random.expovariate(1 / every)
-        while now >= self._next_slow:
-            self._slow_until = self._next_slow + self.script.slow_s
-            self._next_slow = self._slow_until + self._random.expovariate(1 / every)
-        return now < self._slow_until
-
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
         self.in_flight_max = max(self.in_flight_max, self.in_flight)
