Let slow upstreams back by trial calls when others are full

Change: 20 ms after it was seen slow an upstream takes a trial call when all others are full, and competes with them again after 200 ms; slow is twice the usual time.

--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -41,6 +41,7 @@
 JITTER_MEAN_S = 0.0003
 FAIL_FAST_S = 0.0005
 MAX_TOKENS = 10.0
+PATIENCE_S = 0.09
 
 
 @dataclass(slots=True)
@@ -55,8 +56,9 @@
     hedge_share: float = 0.05
     slow_every_s: float = 2.0
     slow_s: float = 0.2
-    slow_factor: float = 10.0
+    spell_factor: float = 10.0
     failing: int = 0
+    told_speed: bool = False
     exponential: bool = False
     seed: int = 7
 
@@ -66,7 +68,7 @@
 
     def __init__(self, plan: TrialPlan, index: int) -> None:
         self.spells = SlowSpells(
-            plan.slow_every_s, plan.slow_s, plan.slow_factor, plan.seed * 1000 + index
+            plan.slow_every_s, plan.slow_s, plan.spell_factor, plan.seed * 1000 + index
         )
         self.failing = index < plan.failing
         self.waiting: deque[asyncio.Future[None]] = deque()
@@ -103,6 +105,42 @@
         self.running -= 1
 
 
+class _ToldSpeed:
+    """A policy that is told every upstream's speed: quick ones first, slow ones in need only."""
+
+    def __init__(self, router: RoutingRouter, upstream_by_id: dict[str, _Upstream]) -> None:
+        self._dispatcher = router.dispatcher_by_service[SERVICE]
+        self._upstream_by_id = upstream_by_id
+        self._dispatcher.policy = self
+        self._dispatcher.evidence._policy = self
+
+    def refresh(self, state: Any) -> None:
+        """Need nothing: each choice looks at every upstream."""
+
+    def forget(self, state: Any) -> None:
+        """Need nothing: each choice looks at every upstream."""
+
+    def choose(self, avoid: frozenset[str], *, anywhere: bool = False) -> Any:
+        """Choose a quick upstream with room, or a slow one when waiting costs more."""
+        now = asyncio.get_running_loop().time()
+        quick_slots = 0
+        slow_choice = None
+        choice = None
+        for state in self._dispatcher.state_by_id.values():
+            quick = self._upstream_by_id[state.upstream.id].spells.factor(now) == 1.0
+            quick_slots += SLOTS * quick
+            if state.in_flight >= SLOTS:
+                continue
+            if quick and (choice is None or state.in_flight < choice.in_flight):
+                choice = state
+            elif not quick:
+                slow_choice = state
+        if choice is not None:
+            return choice
+        wait_s = len(self._dispatcher.queue) / max(1, quick_slots) * SERVICE_S
+        return slow_choice if wait_s > PATIENCE_S else None
+
+
 @dataclass(slots=True)
 class _Trial:
     plan: TrialPlan
@@ -196,6 +234,9 @@
         if each.id in home_ids:
             routers.append(router)
     upstream_by_id = {each.id: _Upstream(plan, index) for index, each in enumerate(upstreams)}
+    if plan.told_speed:
+        for router in routers:
+            _ToldSpeed(router, upstream_by_id)
     trial = _Trial(plan, routers, upstream_by_id, Random(plan.seed))
     await _drive(trial)
     return _summary(plan, trial, switch)
@@ -213,7 +254,8 @@
         task = asyncio.create_task(trial.call(arrivals.choice(trial.routers), measured))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
-    await asyncio.wait(tasks)
+        task.add_done_callback(asyncio.Task.result)
+    await asyncio.gather(*tasks)
 
 
 def _summary(plan: TrialPlan, trial: _Trial, switch: FakeSwitch) -> dict[str, Any]:
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -28,7 +28,6 @@
 
 AGE_SLACK_S = 0.002  # jitter of the network and of busy event loops
 HIGH_FACTOR = 1.2
-MAX_SLOW_ROUNDS = 3
 MAX_EJECTIONS = 5
 FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
 FAILING_SHARE_WEIGHT = 0.02
@@ -81,8 +80,6 @@
         state = slot.state
         if state.slow and slot.started_at < state.slow_since:
             return
-        if not state.slow:
-            state.slow_rounds = 0
         self._mark_slow(state, now)
 
     def drain(self, state: UpstreamState, now: float) -> None:
@@ -108,6 +105,10 @@
                 state.limit.restart()
             if state.trial_at and state.trial_at <= now:
                 state.trial_at = 0.0
+                state.on_trial = True
+                self._pause(state, state.slow_since + self._settings.slow_pause_ms / 1000)
+            elif state.on_trial and now - state.slow_since >= self._settings.slow_pause_ms / 1000:
+                state.on_trial = False
             self._policy.refresh(state)
 
     def next_pause_end(self) -> float | None:
@@ -140,6 +141,7 @@
         state.limit.answered()
         if state.slow and slot.started_at >= state.slow_since:
             state.slow = False
+            state.on_trial = False
             state.trial_at = 0.0
             state.reason = ""
         if state.limit.allowed >= state.limit.slots:
@@ -153,12 +155,9 @@
         state.slow = True
         state.slow_since = now
         state.reason = "its calls take far longer than usual"
-        pause_s = (
-            self._settings.trial_delay_ms / 1000 * 2 ** min(state.slow_rounds, MAX_SLOW_ROUNDS)
-        )
-        state.slow_rounds += 1
         state.limit.restart()
-        state.trial_at = now + pause_s
+        state.on_trial = False
+        state.trial_at = now + self._settings.trial_delay_ms / 1000
         self._pause(state, state.trial_at)
 
     def _failed(self, state: UpstreamState, now: float, *, at_once: bool) -> None:
--- a/heatherhead/routing/policies/late_binding.py
+++ b/heatherhead/routing/policies/late_binding.py
@@ -19,7 +19,8 @@
 __all__ = ["LateBinding", "create_late_binding"]
 
 LEVELS = 8
-TIERS_IN_REGION = 4
+TIERS_IN_REGION = 5
+TRIAL_TIER = 4
 BUCKETS = (TIERS_IN_REGION + 1) * LEVELS
 IN_REGION = (1 << TIERS_IN_REGION * LEVELS) - 1
 ANYWHERE = (1 << BUCKETS) - 1
@@ -50,6 +51,8 @@
     tier = TIERS_IN_REGION
     if state.local_region:
         tier = (0 if state.own_share else 2) + (0 if state.local_zone else 1)
+        if state.on_trial:
+            tier = TRIAL_TIER
     if state.failures:
         return tier * LEVELS + LEVELS - 1
     load = state.in_flight + state.others_in_flight
--- a/heatherhead/settings/routing.py
+++ b/heatherhead/settings/routing.py
@@ -35,13 +35,16 @@
         default=20, ge=1, le=10_000, description="Time between in-flight vectors to co-homes."
     )
     slow_factor: float = Field(
-        default=1.5, gt=1, le=100, description="Age over the usual time that marks as slow."
+        default=2.0, gt=1, le=100, description="Age over the usual time that marks as slow."
     )
     hedge_factor: float = Field(
         default=1.5, gt=0, le=100, description="Hedge delay over the usual service time."
     )
     trial_delay_ms: int = Field(
-        default=100, ge=1, le=60_000, description="Pause of a slow upstream before a trial."
+        default=20, ge=1, le=60_000, description="Pause of a slow upstream before a trial."
+    )
+    slow_pause_ms: int = Field(
+        default=200, ge=1, le=60_000, description="Pause before it competes with the others again."
     )
     eject_failures: int = Field(
         default=3, ge=1, le=1000, description="Failures in a row that eject an upstream."
