--- a/Makefile
+++ b/Makefile
@@ -23,4 +23,19 @@
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
+	$(MAKE) prove
 
+prove: $(STAMP)
+	$(BIN)/python -m spec
+
+generate: $(STAMP)
+	$(BIN)/python heatherhead/operators/generate.py
+
+docs: $(STAMP)
+	$(BIN)/python -m heatherhead.settings.reference docs/settings.md
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+run: $(STAMP)
+	$(BIN)/python -m heatherhead.daemon examples/quickstart.json
