--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,12 @@
 prove: $(STAMP)
 	$(BIN)/python -m spec
 
+generate: $(STAMP)
+	$(BIN)/python heatherhead/operators/generate.py
+
+docs: $(STAMP)
+	$(BIN)/python -m heatherhead.settings.reference docs/settings.md
+
 demo: $(STAMP)
 	$(BIN)/python -m bench.demo
 
