--- a/heatherhead/operators/checks.py
+++ b/heatherhead/configuration/service_checks.py
@@ -1,33 +1,17 @@
-"""Checks of a change that need more than the service itself."""
+"""Checks of services that need more than the schema of one."""
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
-from heatherhead.exceptions import ConfigurationError, FieldProblem
+from heatherhead.exceptions import FieldProblem
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from heatherhead.configuration.model import Service
 
-__all__ = ["check_change_id", "overlaps", "warnings_of"]
-
-MAX_CHANGE_ID_CHARACTERS = 128
-
-_CHANGE_ID = re.compile(r"[!-~]+")
-
-
-def check_change_id(change_id: str) -> None:
-    """Refuse a change id that can't be stored or told apart; raises `ConfigurationError`."""
-    if len(change_id) <= MAX_CHANGE_ID_CHARACTERS and _CHANGE_ID.fullmatch(change_id):
-        return
-    raise ConfigurationError(
-        "change_id",
-        "not an identifier",
-        remedy=f"send 1 to {MAX_CHANGE_ID_CHARACTERS} printable characters without spaces",
-    )
+__all__ = ["overlaps", "warnings_of"]
 
 
 def overlaps(service: Service, others: Iterable[Service]) -> list[FieldProblem]:
--- a/heatherhead/operators/changes.py
+++ b/heatherhead/operators/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -10,9 +11,9 @@
 
 from heatherhead.configuration.model import ServiceRecord
 from heatherhead.configuration.schema import service_from_schema, service_to_schema
+from heatherhead.configuration.service_checks import overlaps, warnings_of
 from heatherhead.exceptions import ConfigurationError, ConflictError
 from heatherhead.operators import heatherhead_pb2 as pb
-from heatherhead.operators.checks import check_change_id, overlaps, warnings_of
 from heatherhead.operators.errors import ChangeConflictError, UnknownNameError
 from heatherhead.operators.messages import to_message
 from heatherhead.telemetry.logs import log_event
@@ -27,10 +28,13 @@
 
 __all__ = ["Change", "ServiceChanger"]
 
+MAX_CHANGE_ID_CHARACTERS = 128
 MAX_DRAIN_RACES = 5
 REPLICA_WAIT_S = 1.0
 REPLICA_POLL_S = 0.05
 
+_CHANGE_ID = re.compile(r"[!-~]+")
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
@@ -44,7 +48,13 @@
     dry_run: bool = False
 
     def __post_init__(self) -> None:
-        check_change_id(self.change_id)
+        is_short = len(self.change_id) <= MAX_CHANGE_ID_CHARACTERS
+        if not is_short or not _CHANGE_ID.fullmatch(self.change_id):
+            raise ConfigurationError(
+                "change_id",
+                "not an identifier",
+                remedy=f"send 1 to {MAX_CHANGE_ID_CHARACTERS} printable characters without spaces",
+            )
 
 
 class ServiceChanger:
--- a/heatherhead/operators/handlers/configuration.py
+++ b/heatherhead/operators/handlers/configuration.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from heatherhead.configuration.service_checks import overlaps
 from heatherhead.exceptions import FieldProblem
 from heatherhead.operators import heatherhead_pb2 as pb
-from heatherhead.operators.checks import overlaps
 from heatherhead.operators.handlers.requests import receive
 from heatherhead.operators.heatherhead_grpc import ConfigurationBase
 from heatherhead.operators.messages import to_message
