--- /dev/null
+++ b/heatherhead/commands/histogram_merge.py
@@ -0,0 +1,53 @@
+"""Merges the histograms and outcomes of several instances."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from heatherhead.operators import heatherhead_pb2 as pb
+from heatherhead.operators.messages import to_message
+from heatherhead.telemetry.histogram import MICROSECONDS, decode_buckets, distribution_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+__all__ = ["MergedCalls", "merge_replies"]
+
+
+@dataclass(frozen=True, slots=True)
+class MergedCalls:
+    """Histograms and outcomes to show, each in order of service and class."""
+
+    histograms: Sequence[pb.Histogram]
+    outcomes: Sequence[pb.OutcomeCount]
+
+
+def merge_replies(replies: Iterable[pb.ListHistogramsReply]) -> MergedCalls:
+    """Add up histograms bucket by bucket, and outcomes; only totals are filled in."""
+    buckets_by_key: dict[tuple[str, str, int], Counter[int]] = {}
+    total_by_key: Counter[tuple[str, str, str]] = Counter()
+    for reply in replies:
+        for histogram in reply.histograms:
+            key = (histogram.service, histogram.call_class, histogram.kind)
+            buckets = buckets_by_key.setdefault(key, Counter())
+            buckets.update(decode_buckets(histogram.encoded))
+        for outcome in reply.outcomes:
+            total_by_key[outcome.service, outcome.call_class, outcome.outcome] += outcome.total
+    return MergedCalls(
+        [_histogram(key, buckets_by_key[key]) for key in sorted(buckets_by_key)],
+        [_outcome(key, total_by_key[key]) for key in sorted(total_by_key)],
+    )
+
+
+def _histogram(key: tuple[str, str, int], buckets: Counter[int]) -> pb.Histogram:
+    service, call_class, kind = key
+    scale = 1 if kind == pb.HISTOGRAM_KIND_ATTEMPTS else MICROSECONDS
+    total = to_message(distribution_of(buckets, scale))
+    return pb.Histogram(service=service, call_class=call_class, kind=kind, total=total)
+
+
+def _outcome(key: tuple[str, str, str], total: int) -> pb.OutcomeCount:
+    service, call_class, outcome = key
+    return pb.OutcomeCount(service=service, call_class=call_class, outcome=outcome, total=total)
--- a/heatherhead/commands/histograms.py
+++ b/heatherhead/commands/histograms.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from heatherhead.commands.exit_codes import ExitCode
+from heatherhead.commands.fleet import ask_instances
+from heatherhead.commands.histogram_merge import MergedCalls, merge_replies
 from heatherhead.commands.output import document_of
 from heatherhead.commands.paging import read_pages
 from heatherhead.operators import heatherhead_pb2 as pb
@@ -17,13 +19,17 @@
 
 __all__ = ["USAGE", "run"]
 
-USAGE = """Print percentiles by service and class, of the last one to two minutes.
+USAGE = """Print percentiles and outcomes of calls by service and class.
+
+They are those of the last one to two minutes on the answering instance. With --all the histograms
+of all instances are merged before percentiles are taken.
 
 Usage:
-  heatherhead histograms [SERVICE] [--total] [--address=ADDRESS]... [options]
+  heatherhead histograms [SERVICE] [--total | --all] [--address=ADDRESS]... [options]
 
 Options:
   --total            Of all calls since the instance started.
+  --all              Of all calls since their start on all live instances.
 """
 
 MILLISECONDS = 1000
@@ -37,28 +43,61 @@
 
 
 async def run(session: Session, arguments: Mapping[str, Any]) -> ExitCode:
-    """Print a row for each histogram."""
-    request = pb.ListHistogramsRequest(
-        service=arguments["SERVICE"] or "", encoded=session.output.as_json
-    )
-    histograms: list[pb.Histogram] = []
-    instance_id = ""
-    async for page in read_pages(session, request, lambda channel: HistogramsStub(channel).List):
-        histograms.extend(page.histograms)
-        instance_id = page.instance_id
-    if session.output.as_json:
-        documents = [document_of(each) for each in histograms]
-        session.output.document({"instance_id": instance_id, "histograms": documents})
-        return ExitCode.DONE
-    session.output.note(f"as seen by {instance_id}")
-    session.output.table(
+    """Print a row for each histogram and for each outcome."""
+    service = arguments["SERVICE"] or ""
+    if arguments["--all"]:
+        replies = await ask_instances(
+            session, lambda there: _read_calls(there, service, encoded=True)
+        )
+        merged = merge_replies([page for pages in replies for page in pages])
+        source = f"{len(replies)} instances"
+    else:
+        pages = await _read_calls(session, service, encoded=session.output.as_json)
+        merged = MergedCalls(
+            [each for page in pages for each in page.histograms],
+            [each for page in pages for each in page.outcomes],
+        )
+        source = pages[0].instance_id
+    is_total = arguments["--total"] or arguments["--all"]
+    _show(session, merged, source, is_total=is_total)
+    return ExitCode.DONE
+
+
+async def _read_calls(
+    session: Session, service: str, *, encoded: bool
+) -> list[pb.ListHistogramsReply]:
+    request = pb.ListHistogramsRequest(service=service, encoded=encoded)
+    pages = read_pages(session, request, lambda channel: HistogramsStub(channel).List)
+    return [page async for page in pages]
+
+
+def _show(session: Session, calls: MergedCalls, source: str, *, is_total: bool) -> None:
+    output = session.output
+    if output.as_json:
+        output.document(
+            {
+                "source": source,
+                "histograms": [document_of(each) for each in calls.histograms],
+                "outcomes": [document_of(each) for each in calls.outcomes],
+            }
+        )
+        return
+    output.note(f"as seen by {source}")
+    output.table(
         ("service", "class", "what", "calls", "mean", "p50", "p90", "p99", "p99.9", "max"),
-        [_row(each, is_total=arguments["--total"]) for each in histograms],
+        [_histogram_row(each, is_total=is_total) for each in calls.histograms],
+    )
+    output.line("")
+    output.table(
+        ("service", "class", "outcome", "calls"),
+        [
+            (each.service, each.call_class, each.outcome, each.total if is_total else each.recent)
+            for each in calls.outcomes
+        ],
     )
-    return ExitCode.DONE
 
 
-def _row(histogram: pb.Histogram, *, is_total: bool) -> tuple[object, ...]:
+def _histogram_row(histogram: pb.Histogram, *, is_total: bool) -> tuple[object, ...]:
     shown = histogram.total if is_total else histogram.recent
     values = (shown.mean, shown.p50, shown.p90, shown.p99, shown.p999, shown.maximum)
     is_count = histogram.kind == pb.HISTOGRAM_KIND_ATTEMPTS
--- a/heatherhead/commands/output.py
+++ b/heatherhead/commands/output.py
@@ -5,12 +5,11 @@
 import json
 from typing import TYPE_CHECKING, Any
 
-from google.protobuf.json_format import MessageToDict
-
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
     from typing import TextIO
 
+    from google.protobuf.descriptor import FieldDescriptor
     from google.protobuf.message import Message
 
 __all__ = ["Output", "document_of"]
@@ -62,7 +61,30 @@
 
 
 def document_of(message: Message) -> dict[str, Any]:
-    """Convert a message into a JSON document with the field names of the proto file."""
-    return MessageToDict(
-        message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
-    )
+    """Convert a message into a JSON document with the field names of the proto file.
+
+    Unlike the usual JSON form, whole numbers of 64 bits are numbers, and fields without presence
+    are there also when they are empty.
+    """
+    return {
+        field.name: _value_of(field, getattr(message, field.name))
+        for field in message.DESCRIPTOR.fields
+        if not field.has_presence or message.HasField(field.name)
+    }
+
+
+def _value_of(field: FieldDescriptor, value: Any) -> Any:
+    if field.message_type is not None and field.message_type.GetOptions().map_entry:
+        return dict(value)
+    if field.is_repeated:
+        return [_single_value_of(field, each) for each in value]
+    return _single_value_of(field, value)
+
+
+def _single_value_of(field: FieldDescriptor, value: Any) -> Any:
+    if field.message_type is not None:
+        return document_of(value)
+    if field.enum_type is not None:
+        known = field.enum_type.values_by_number.get(value)
+        return known.name if known else value
+    return value
--- a/heatherhead/commands/session.py
+++ b/heatherhead/commands/session.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from heatherhead.commands.exit_codes import CommandError, ExitCode
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from typing import TextIO
 
     from heatherhead.commands.output import Output
+    from heatherhead.membership.interface import Address
     from heatherhead.operators.client import OperatorsClient
 
 __all__ = ["Session"]
@@ -24,6 +27,15 @@
     output: Output
     stdin: TextIO
 
+    @contextmanager
+    def at(self, address: Address) -> Iterator[Session]:
+        """Work with one instance only until the end of the block."""
+        client = self.client.at(address)
+        try:
+            yield replace(self, client=client)
+        finally:
+            client.close()
+
     def confirm(self, question: str) -> None:
         """Ask a person; raises `CommandError` unless the answer is yes."""
         if not self.stdin.isatty():
--- a/heatherhead/operators/changes.py
+++ b/heatherhead/operators/changes.py
@@ -70,9 +70,10 @@
 
     async def put(self, schema: ServiceSchema, change: Change) -> pb.ChangeReply:
         """Create or replace a service."""
+        service = service_from_schema(schema)
         if not _is_known(self._replica.by_name.get(schema.name), change.change_id):
-            self._refuse_overlaps(service_from_schema(schema))
-        return await self._put(schema, change)
+            self._refuse_overlaps(service)
+        return await self._put(schema, service, change)
 
     async def delete(self, name: str, change: Change) -> pb.ChangeReply:
         """Delete a service."""
@@ -105,14 +106,13 @@
             expected = held.revision if expected_revision is None else expected_revision
             change = Change(change_id, expected, dry_run)
             try:
-                return await self._put(service_to_schema(wanted), change)
+                return await self._put(service_to_schema(wanted), wanted, change)
             except ChangeConflictError:
                 if expected_revision is not None or not races_left:
                     raise
         raise AssertionError("the last race raises")
 
-    async def _put(self, schema: ServiceSchema, change: Change) -> pb.ChangeReply:
-        service = service_from_schema(schema)
+    async def _put(self, schema: ServiceSchema, service: Service, change: Change) -> pb.ChangeReply:
         held = self._replica.by_name.get(schema.name)
         if change.dry_run:
             self._compare(held, schema.name, change)
--- a/heatherhead/operators/client.py
+++ b/heatherhead/operators/client.py
@@ -155,6 +155,10 @@
         except (OSError, ProtocolError, StreamTerminatedError) as error:
             raise _reply_lost(address, "the connection broke") from error
 
+    def at(self, address: Address) -> OperatorsClient:
+        """Create a client of one instance, with the same TLS and timeout."""
+        return OperatorsClient([address], self._tls, self._timeout_s)
+
     def close(self) -> None:
         """Close all connections."""
         for channel in self._channel_by_address.values():
--- a/heatherhead/operators/handlers/histograms.py
+++ b/heatherhead/operators/handlers/histograms.py
@@ -1,8 +1,7 @@
-"""Histograms: list."""
+"""Histograms and outcomes: list."""
 
 from __future__ import annotations
 
-from itertools import groupby
 from typing import TYPE_CHECKING
 
 from heatherhead.operators import heatherhead_pb2 as pb
@@ -14,6 +13,7 @@
     from grpclib.server import Stream
 
     from heatherhead.operators.backend import Backend
+    from heatherhead.telemetry.interface import HistogramReading, OutcomeReading
 
 __all__ = ["HistogramsHandler"]
 
@@ -28,18 +28,22 @@
     async def List(self, stream: Stream[pb.ListHistogramsRequest, pb.ListHistogramsReply]) -> None:
         """List histograms page by page, a service never divided."""
         request = await receive(stream)
-        readings = self._telemetry.histograms(request.service or None, encoded=request.encoded)
-        readings_by_service = {
-            service: list(group) for service, group in groupby(readings, lambda each: each.service)
-        }
-        histograms, token = page_of(
+        service = request.service or None
+        readings_by_service: dict[str, list[HistogramReading | OutcomeReading]] = {}
+        for reading in (
+            *self._telemetry.histograms(service, encoded=request.encoded),
+            *self._telemetry.outcomes(service),
+        ):
+            readings_by_service.setdefault(reading.service, []).append(reading)
+        messages, token = page_of(
             readings_by_service,
             request.page_token,
-            lambda service: [to_message(each) for each in readings_by_service[service]],
+            lambda name: [to_message(each) for each in readings_by_service[name]],
         )
         await stream.send_message(
             pb.ListHistogramsReply(
-                histograms=histograms,
+                histograms=[each for each in messages if isinstance(each, pb.Histogram)],
+                outcomes=[each for each in messages if isinstance(each, pb.OutcomeCount)],
                 next_page_token=token,
                 instance_id=self._membership.own.id,
             )
--- a/heatherhead/operators/messages.py
+++ b/heatherhead/operators/messages.py
@@ -15,7 +15,12 @@
 from heatherhead.field_problems import problems_of
 from heatherhead.operators import heatherhead_pb2 as pb
 from heatherhead.routing.interface import QuarantineEntry
-from heatherhead.telemetry.interface import Distribution, HistogramKind, HistogramReading
+from heatherhead.telemetry.interface import (
+    Distribution,
+    HistogramKind,
+    HistogramReading,
+    OutcomeReading,
+)
 
 if TYPE_CHECKING:
     from google.protobuf.message import Message
@@ -166,3 +171,14 @@
         total=to_message(value.total),
         encoded=value.encoded,
     )
+
+
+@to_message.register
+def _(value: OutcomeReading) -> pb.OutcomeCount:
+    return pb.OutcomeCount(
+        service=value.service,
+        call_class=value.call_class,
+        outcome=value.outcome,
+        recent=value.recent,
+        total=value.total,
+    )
--- a/heatherhead/telemetry/__init__.py
+++ b/heatherhead/telemetry/__init__.py
@@ -1,9 +1,11 @@
 """Logs, metrics and histograms."""
 
 from heatherhead.telemetry.interface import (
+    CallOutcome,
     Distribution,
     HistogramKind,
     HistogramReading,
+    OutcomeReading,
     Telemetry,
     TelemetryReader,
 )
@@ -11,9 +13,11 @@
 from heatherhead.telemetry.recorder import TelemetryRecorder, create_telemetry
 
 __all__ = [
+    "CallOutcome",
     "Distribution",
     "HistogramKind",
     "HistogramReading",
+    "OutcomeReading",
     "Telemetry",
     "TelemetryReader",
     "TelemetryRecorder",
--- a/heatherhead/telemetry/histogram.py
+++ b/heatherhead/telemetry/histogram.py
@@ -17,7 +17,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["Histogram", "distribution_of", "encode_buckets"]
+__all__ = [
+    "MICROSECONDS",
+    "Histogram",
+    "decode_buckets",
+    "distribution_of",
+    "encode_buckets",
+]
 
 SIGNIFICANT_FIGURES = 2
 MAX_VALUE = 3_600_000_000  # one hour in microseconds
@@ -124,8 +130,7 @@
 
 
 def _bucket_end(bucket: int) -> int:
-    shift = max(0, bucket.bit_length() - _PRECISION_BITS)
-    return bucket + (1 << shift) - 1
+    return bucket + _bucket_width(bucket) - 1
 
 
 def encode_buckets(buckets: Mapping[int, int]) -> str:
@@ -134,3 +139,17 @@
     for bucket, count in buckets.items():
         histogram.record_value(bucket, count)
     return histogram.encode().decode("ascii")
+
+
+def decode_buckets(text: str) -> dict[int, int]:
+    """Decode what `encode_buckets` made; raises `HdrLengthException` and its kin for other text."""
+    histogram = HdrHistogram.decode(text)
+    return {
+        item.value_iterated_to
+        & -_bucket_width(item.value_iterated_to): item.count_at_value_iterated_to
+        for item in histogram.get_recorded_iterator()
+    }
+
+
+def _bucket_width(value: int) -> int:
+    return 1 << max(0, value.bit_length() - _PRECISION_BITS)
--- a/heatherhead/telemetry/histograms.py
+++ b/heatherhead/telemetry/histograms.py
@@ -39,7 +39,7 @@
         histogram = self._by_key.get((service, call_class, kind))
         if histogram is not None:
             return histogram
-        pair = self._admit(service, call_class)
+        pair = self.admit(service, call_class)
         key = (*pair, kind)
         if key not in self._by_key:
             self._by_key[key] = Histogram(kind)
@@ -67,7 +67,8 @@
         text = histogram.encoded() if encoded else ""
         return HistogramReading(*key, histogram.recent(), histogram.total(), text)
 
-    def _admit(self, service: str, call_class: str) -> tuple[str, str]:
+    def admit(self, service: str, call_class: str) -> tuple[str, str]:
+        """Return the pair under which a service and class are recorded."""
         pair = (service, call_class)
         if pair in self._pairs:
             return pair
--- a/heatherhead/telemetry/interface.py
+++ b/heatherhead/telemetry/interface.py
@@ -6,7 +6,15 @@
 from enum import StrEnum
 from typing import Protocol
 
-__all__ = ["Distribution", "HistogramKind", "HistogramReading", "Telemetry", "TelemetryReader"]
+__all__ = [
+    "CallOutcome",
+    "Distribution",
+    "HistogramKind",
+    "HistogramReading",
+    "OutcomeReading",
+    "Telemetry",
+    "TelemetryReader",
+]
 
 
 class HistogramKind(StrEnum):
@@ -18,6 +26,16 @@
     ATTEMPTS = "attempts"
 
 
+class CallOutcome(StrEnum):
+    """How a call ended for its caller."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+    CUT = "cut"
+
+
 @dataclass(frozen=True, slots=True)
 class Distribution:
     """A summary of observations, in the unit of their kind; all 0 for none."""
@@ -48,6 +66,17 @@
     encoded: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class OutcomeReading:
+    """How many calls of a service and class ended in one way."""
+
+    service: str
+    call_class: str
+    outcome: CallOutcome
+    recent: int
+    total: int
+
+
 class Telemetry(Protocol):
     """Takes counts and observations; never waits and never fails."""
 
@@ -55,6 +84,10 @@
         """Record one observation in the histogram of a service and class."""
         ...
 
+    def count_outcome(self, service: str, call_class: str, outcome: CallOutcome) -> None:
+        """Count the end of one call of a service and class."""
+        ...
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         ...
@@ -72,3 +105,7 @@
     ) -> list[HistogramReading]:
         """List the histograms of one service or of all, by service, class and kind."""
         ...
+
+    def outcomes(self, service: str | None = None) -> list[OutcomeReading]:
+        """List the outcomes of one service or of all, by service, class and outcome."""
+        ...
--- a/heatherhead/telemetry/recorder.py
+++ b/heatherhead/telemetry/recorder.py
@@ -8,11 +8,13 @@
 from aiomisc import PeriodicCallback
 
 from heatherhead.telemetry.histograms import OTHER, HistogramTable
+from heatherhead.telemetry.outcomes import OutcomeTable
 from heatherhead.telemetry.reporter import (
     CounterSource,
     GaugeSource,
     HistogramSource,
     MetricsReporter,
+    OutcomeSource,
 )
 from heatherhead.telemetry.statsd import create_statsd_sink
 
@@ -20,7 +22,13 @@
     from heatherhead.settings.telemetry import TelemetrySettings
     from heatherhead.telemetry.histogram import Histogram
     from heatherhead.telemetry.histograms import HistogramKey
-    from heatherhead.telemetry.interface import HistogramKind, HistogramReading
+    from heatherhead.telemetry.interface import (
+        CallOutcome,
+        HistogramKind,
+        HistogramReading,
+        OutcomeReading,
+    )
+    from heatherhead.telemetry.outcomes import OutcomeCounter, OutcomeKey
 
 __all__ = ["TelemetryRecorder", "create_telemetry"]
 
@@ -40,6 +48,7 @@
     def __init__(self, reporter: MetricsReporter | None, max_pairs: int) -> None:
         self._reporter = reporter
         self._histograms = HistogramTable(max_pairs, self._report_histogram)
+        self._outcomes = OutcomeTable(self._histograms.admit, self._report_outcome)
         self._counter_by_name: dict[str, CounterSource] = {}
         self._gauge_by_name: dict[str, GaugeSource] = {}
         self._flushes = 0
@@ -53,6 +62,10 @@
         except (ValueError, OverflowError):
             self.count("telemetry.bad_values")
 
+    def count_outcome(self, service: str, call_class: str, outcome: CallOutcome) -> None:
+        """Count the end of one call of a service and class."""
+        self._outcomes.find(service, call_class, outcome).add()
+
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         counter = self._counter_by_name.get(name) or self._create_counter(name)
@@ -72,6 +85,10 @@
         """List the histograms of one service or of all, by service, class and kind."""
         return self._histograms.readings(service, encoded=encoded)
 
+    def outcomes(self, service: str | None = None) -> list[OutcomeReading]:
+        """List the outcomes of one service or of all, by service, class and outcome."""
+        return self._outcomes.readings(service)
+
     def start(self) -> None:
         """Flush each second on the running loop until `close`."""
         self._timer.start(FLUSH_INTERVAL_S)
@@ -89,6 +106,7 @@
         self._histograms.settle()
         if self._flushes % WINDOW_FLUSHES == 0:
             self._histograms.rotate()
+            self._outcomes.rotate()
         if self._reporter is not None:
             self._report(self._reporter)
 
@@ -106,6 +124,10 @@
             histogram.keeps_unsent = True
             self._reporter.add(HistogramSource(key, histogram))
 
+    def _report_outcome(self, key: OutcomeKey, counter: OutcomeCounter) -> None:
+        if self._reporter is not None:
+            self._reporter.add(OutcomeSource(key, counter))
+
     def _create_counter(self, name: str) -> CounterSource:
         if len(self._counter_by_name) >= MAX_NAMES:
             name = OTHER
--- a/heatherhead/telemetry/reporter.py
+++ b/heatherhead/telemetry/reporter.py
@@ -12,9 +12,16 @@
 if TYPE_CHECKING:
     from heatherhead.telemetry.histogram import Histogram
     from heatherhead.telemetry.histograms import HistogramKey
+    from heatherhead.telemetry.outcomes import OutcomeCounter, OutcomeKey
     from heatherhead.telemetry.statsd import MetricsSink
 
-__all__ = ["CounterSource", "GaugeSource", "HistogramSource", "MetricsReporter"]
+__all__ = [
+    "CounterSource",
+    "GaugeSource",
+    "HistogramSource",
+    "MetricsReporter",
+    "OutcomeSource",
+]
 
 MILLISECONDS = 1000
 
@@ -99,6 +106,29 @@
         self.histogram.mark_sent()
 
 
+@dataclass(slots=True)
+class OutcomeSource:
+    """The counter of one outcome."""
+
+    key: OutcomeKey
+    counter: OutcomeCounter
+    _name: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        service, call_class, outcome = self.key
+        pair = f"{metric_part(service)}.{metric_part(call_class)}"
+        self._name = f"calls.{pair}.outcome.{metric_part(outcome)}"
+
+    def metrics(self) -> list[Metric]:
+        """List the increase."""
+        unsent = self.counter.unsent
+        return [Metric(self._name, unsent, is_counter=True)] if unsent else []
+
+    def mark_sent(self) -> None:
+        """Start again from 0."""
+        self.counter.unsent = 0
+
+
 class MetricsReporter:
     """Sends each source's metrics in turn.
 
--- a/heatherhead/tests/commands/main_tests.py
+++ b/heatherhead/tests/commands/main_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import sys
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -12,7 +13,7 @@
 from heatherhead.commands.exit_codes import ExitCode
 from heatherhead.configuration.schema import ServiceSchema
 from heatherhead.operators.event_hub import EventHub, Watcher
-from heatherhead.telemetry import HistogramKind
+from heatherhead.telemetry import CallOutcome, HistogramKind
 from heatherhead.tests.commands.fakes import CuttingProxy, SiteThread, Tool, site_thread
 from heatherhead.tests.operators.fakes import dead_address
 
@@ -195,8 +196,9 @@
     late = tool.run("services", "put", document, "--yes", "--wait", "--wait-timeout=0.3")
     assert late.code == ExitCode.NOT_IN_FORCE
     assert "in force on 2 of 3 instances, missing: a3" in late.err
-    status = tool.run("config", "status", "--json")
-    assert json.loads(status.out)["missing"] == ["a3"]
+    status = json.loads(tool.run("config", "status", "--json").out)
+    assert status["missing"] == ["a3"]
+    assert status["revision"] == thread.site.replica.revision
     thread.site.status.revision_by_id["a3"] = 10**6
     done = tool.run("upstreams", "drain", "orders", "u1", "--yes", "--wait")
     assert done.code == ExitCode.DONE
@@ -242,12 +244,32 @@
     assert "a1" in tool.run("version").out
 
 
+def test_histograms_of_all_instances_are_merged(thread: SiteThread, tool: Tool) -> None:
+    site = thread.site
+    for value in (0.001, 0.002, 0.1):
+        site.telemetry.observe("orders", "default", HistogramKind.UPSTREAM, value)
+    site.telemetry.count_outcome("orders", "default", CallOutcome.ANSWERED)
+    for instance_id, address in zip(("a1", "a2"), site.addresses, strict=True):
+        instance = site.membership.by_id[instance_id]
+        site.membership.by_id[instance_id] = replace(instance, operators=address)
+    run = tool.run("histograms", "--all", "--json")
+    assert run.code == ExitCode.DONE
+    assert "a3 is left out" in run.err
+    document = json.loads(run.out)
+    (histogram,) = document["histograms"]
+    assert histogram["total"]["count"] == 6
+    assert histogram["total"]["p50"] == pytest.approx(0.002, rel=0.01)
+    assert histogram["total"]["p99"] == pytest.approx(0.1, rel=0.01)
+    assert [each["total"] for each in document["outcomes"]] == [2]
+
+
 def test_events(thread: SiteThread, tool: Tool, monkeypatch: pytest.MonkeyPatch) -> None:
     begin_watch = EventHub.watch
+    change_ids = iter(("c1", "c3"))
 
     async def change() -> None:
         service = ServiceSchema.model_validate({"name": "stock"})
-        await thread.site.editor.put(service, 0, "c1")
+        await thread.site.editor.put(service, 0, next(change_ids))
 
     def watch_and_change(hub: EventHub, kinds: list[EventKind]) -> Watcher:
         watcher = begin_watch(hub, kinds)
@@ -258,6 +280,11 @@
     run = tool.run("events", "--kind=services", "--count=1")
     assert run.code == ExitCode.DONE
     assert "service stock changed" in run.out
+    thread.call(thread.site.editor.delete("stock", thread.site.replica.revision, "c2"))
+    run = tool.run("events", "--count=1", "--json")
+    started, changed = (json.loads(line) for line in run.out.splitlines())
+    assert "watch_started" in started
+    assert changed["service_changed"]["change_id"] == "c3"
 
 
 @pytest.mark.parametrize(
--- a/heatherhead/tests/telemetry/histogram_tests.py
+++ b/heatherhead/tests/telemetry/histogram_tests.py
@@ -7,7 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heatherhead.telemetry.histogram import MAX_VALUE, SIGNIFICANT_FIGURES, Histogram
+from heatherhead.telemetry.histogram import (
+    MAX_VALUE,
+    SIGNIFICANT_FIGURES,
+    Histogram,
+    decode_buckets,
+    distribution_of,
+)
 from heatherhead.telemetry.interface import HistogramKind
 
 
@@ -24,8 +30,8 @@
     assert total.p50 == reference.get_value_at_percentile(50)
     assert total.p99 == reference.get_value_at_percentile(99)
     decoded = HdrHistogram.decode(histogram.encoded())
-    assert decoded.get_total_count() == len(values)
     assert decoded.get_value_at_percentile(90) == reference.get_value_at_percentile(90)
+    assert distribution_of(decode_buckets(histogram.encoded()), 1) == total
 
 
 def test_values_beyond_the_range_count_at_its_ends() -> None:
--- a/heatherhead/tests/telemetry/recorder_tests.py
+++ b/heatherhead/tests/telemetry/recorder_tests.py
@@ -9,8 +9,8 @@
 import pytest
 
 from heatherhead.settings.telemetry import TelemetrySettings
-from heatherhead.telemetry import HistogramKind, create_telemetry
-from heatherhead.telemetry.recorder import MAX_NAMES, TelemetryRecorder
+from heatherhead.telemetry import CallOutcome, HistogramKind, create_telemetry
+from heatherhead.telemetry.recorder import MAX_NAMES, WINDOW_FLUSHES, TelemetryRecorder
 from heatherhead.telemetry.reporter import MetricsReporter
 from heatherhead.tests.base import run_paused
 
@@ -87,6 +87,22 @@
     assert sink.total("telemetry.pairs_over_bound") == 3
 
 
+def test_outcomes_are_counted_by_service_and_class() -> None:
+    sink = ListSink()
+    telemetry = create_recorder(sink, max_pairs=1)
+    telemetry.count_outcome("orders", "default", CallOutcome.NOT_RUN)
+    telemetry.flush()
+    telemetry.count_outcome("orders", "default", CallOutcome.NOT_RUN)
+    telemetry.count_outcome("stock", "default", CallOutcome.ANSWERED)
+    telemetry.flush()
+    assert sink.total("calls.orders.default.outcome.not-run") == 2
+    assert sink.total("calls.other.other.outcome.answered") == 1
+    assert [each.total for each in telemetry.outcomes("orders")] == [2]
+    for _ in range(2 * WINDOW_FLUSHES):
+        telemetry.flush()
+    assert [(each.recent, each.total) for each in telemetry.outcomes("orders")] == [(0, 2)]
+
+
 def test_names_beyond_the_bound_are_counted_as_other() -> None:
     sink = ListSink()
     telemetry = create_recorder(sink, max_bytes=1_000_000)
