--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -19,8 +19,9 @@
 from heatherhead.callers.state import CallersState, Phase
 from heatherhead.configuration.replica import create_replica
 from heatherhead.configuration.service import create_configuration
-from heatherhead.interim_router import InterimHomes, InterimRouter
 from heatherhead.membership.service import create_membership
+from heatherhead.routing.homes import create_home_sets
+from heatherhead.routing.router import create_router
 from heatherhead.settings.tls import create_client_context
 from heatherhead.store.factory import create_store
 from heatherhead.telemetry.logs import log_event
@@ -57,8 +58,8 @@
         self.configuration = create_configuration(
             settings, self.store, self.replica, self.membership
         )
-        self.router = InterimRouter()
-        homes = InterimHomes(view)
+        self.router = create_router(settings.routing, view, self.membership.network, self.telemetry)
+        homes = create_home_sets(view)
         self.client = create_upstream_client(settings.admission)
         self.runner = create_attempt_runner(
             self.router, self.client, settings.admission, self.telemetry
@@ -141,11 +142,13 @@
 
     async def stop(self) -> None:
         """Stop all parts."""
+        self.listener.stop_accepting()
         await self.listener.close()
         await self.configuration.stop()
         await self.membership.stop()
         await self.client.close()
         await self.store.close()
+        await self.telemetry.close()
         log_event("stopped")
 
 
--- a/heatherhead/callers/addresses.py
+++ b/heatherhead/callers/addresses.py
@@ -67,6 +67,11 @@
                 )
             place = self._place(request.query.get("availability_zone", ""))
             homes = self._homes.homes(name, place.region)
+            if not homes:
+                raise CallRefusedError(
+                    f"no instance is live in region {place.region}",
+                    remedy="ask for an availability zone of another region",
+                )
             return self._answer(name, place, homes)
         except CallRefusedError as error:
             return problem_response(problem_of(error))
--- a/heatherhead/callers/protocol.py
+++ b/heatherhead/callers/protocol.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from heatherhead.callers.problems import problem_of, problem_response
 from heatherhead.exceptions import BadCallError, HeatherheadError
@@ -45,6 +45,8 @@
     def data_received(self, data: bytes) -> None:
         """Feed the parser and watch over heads that have only begun."""
         super().data_received(data)
+        if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
+            self._break_body()
         if self._messages or self._current_request is not None:
             if self._head_timer is not None:
                 self._head_timer.cancel()
@@ -52,6 +54,12 @@
         elif self._head_timer is None and self._waiter is not None and not self._waiter.done():
             self._head_timer = self._loop.call_later(self._head_timeout_s, self._on_head_timeout)
 
+    def _break_body(self) -> None:
+        """Tell the reader of a body that what follows is no body; the parser does not."""
+        request = self._current_request
+        if request is not None and not request.content.is_eof():
+            request.content.set_exception(web.RequestPayloadError("bad chunk"))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
         if self._head_timer is not None:
--- /dev/null
+++ b/heatherhead/tests/callers/bounds_tests.py
@@ -0,0 +1,162 @@
+"""Tests of what the callers' port refuses and closes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from heatherhead.tests.callers.fakes import RawCaller, hold, run_shifted, stand
+
+POST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        POST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /y HTTP/1.1",
+        POST + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        POST + b"Content-Length: +3\r\n\r\nabc",
+        POST + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        POST + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        POST + b"X: a\x00b\r\n\r\n",
+        b"GET /x y HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET x HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /x HTTP/1.1\r\n\r\n",
+        b"GET /x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+    ],
+)
+def test_malformed_requests_reach_no_upstream(sent: bytes) -> None:
+    async def main() -> None:
+        async with stand(None, service={"key_required": False}) as here:
+            caller = await here.caller()
+            await caller.send(sent)
+            head = await caller.head()
+            assert head.split(" ")[1] in ("400", "501")
+            problem = json.loads((await _body_of(caller, head)).decode())
+            assert problem["outcome"] == "not-run"
+            assert here.upstreams[0].seen == []
+
+    run_shifted(main())
+
+
+async def _body_of(caller: RawCaller, head: str) -> bytes:
+    length = next(
+        int(line.split(":")[1])
+        for line in head.splitlines()
+        if line.lower().startswith("content-length")
+    )
+    return await caller.reader.readexactly(length)
+
+
+def test_bad_chunk_breaks_the_upstream_request() -> None:
+    async def main() -> None:
+        async with stand(None, service={"key_required": False}) as here:
+            caller = await here.caller()
+            await caller.send(POST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+            await here.upstreams[0].arrived.wait()
+            await caller.send(b"zz\r\nabc\r\n0\r\n\r\n")
+            head = await caller.head()
+            assert head.split(" ")[1] == "400"
+            assert here.upstreams[0].bodies == []
+
+    run_shifted(main())
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\nHost: a\r\n\r\n", "431"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 9000 + b"\r\n\r\n", "431"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n" + b"X: a\r\n" * 200 + b"\r\n", "400"),
+        (POST + b"Content-Length: 2000\r\n\r\n", "413"),
+        (b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", "501"),
+    ],
+)
+def test_sizes_are_bounded(sent: bytes, status: str) -> None:
+    async def main() -> None:
+        async with stand(
+            None, callers={"max_body_bytes": 1000}, service={"key_required": False}
+        ) as here:
+            caller = await here.caller()
+            await caller.send(sent)
+            assert (await caller.head()).split(" ")[1] == status
+            assert here.upstreams[0].seen == []
+
+    run_shifted(main())
+
+
+def test_streamed_body_beyond_the_bound_is_cut() -> None:
+    async def main() -> None:
+        async with stand(
+            None, callers={"max_body_bytes": 1000}, service={"key_required": False}
+        ) as here:
+            caller = await here.caller()
+            await caller.send(POST + b"Transfer-Encoding: chunked\r\n\r\n")
+            await caller.send(b"3e8\r\n" + b"a" * 1000 + b"\r\n")
+            await here.upstreams[0].arrived.wait()
+            await caller.send(b"1\r\na\r\n0\r\n\r\n")
+            assert (await caller.head()).split(" ")[1] == "413"
+            assert here.upstreams[0].bodies == []
+
+    run_shifted(main())
+
+
+@pytest.mark.parametrize(("sent", "seconds"), [(b"GET / HT", 11), (b"", 80)])
+def test_slow_heads_and_idle_connections_are_closed(sent: bytes, seconds: float) -> None:
+    async def main() -> None:
+        async with stand(None) as here:
+            caller = await here.caller()
+            await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" + sent)
+            await caller.head()
+            assert await caller.reader.readexactly(5) == b"hello"
+            await _idle()
+            _advance(seconds)
+            assert await caller.rest() == b""
+
+    run_shifted(main())
+
+
+def test_slow_body_gets_408() -> None:
+    async def main() -> None:
+        async with stand(None, service={"key_required": False}) as here:
+            caller = await here.caller()
+            await caller.send(
+                POST + b"Heatherhead-Deadline-Ms: 100000\r\nContent-Length: 9\r\n\r\na"
+            )
+            await _idle()
+            _advance(31)
+            head = await caller.head()
+            assert head.split(" ")[1] == "408"
+            assert json.loads(await _body_of(caller, head))["outcome"] == "not-run"
+            assert here.upstreams[0].seen == []
+
+    run_shifted(main())
+
+
+def test_connections_beyond_the_bound_are_closed() -> None:
+    async def main() -> None:
+        async with stand(hold, callers={"max_connections": 1}) as here:
+            first = await here.caller()
+            await first.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await here.upstreams[0].arrived.wait()
+            second = await here.caller()
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await second.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                await second.head()
+            here.upstreams[0].go.set()
+            assert (await first.head()).split(" ")[1] == "200"
+
+    run_shifted(main())
+
+
+async def _idle() -> None:
+    """Let the loop read what has been sent."""
+    for _ in range(50):
+        await asyncio.sleep(0)
+
+
+def _advance(seconds: float) -> None:
+    asyncio.get_running_loop().advance(seconds)  # type: ignore[attr-defined]
--- a/heatherhead/tests/callers/fakes.py
+++ b/heatherhead/tests/callers/fakes.py
@@ -146,11 +146,13 @@
     upstreams: list[FakeUpstream]
     session: aiohttp.ClientSession
     url: str
+    callers: list[RawCaller] = field(default_factory=list)
 
     async def caller(self) -> RawCaller:
         """Connect a raw caller."""
         port = self.assembly.settings.callers.listen.port
-        return RawCaller(*await asyncio.open_connection("127.0.0.1", port))
+        self.callers.append(RawCaller(*await asyncio.open_connection("127.0.0.1", port)))
+        return self.callers[-1]
 
     async def grant(self) -> str:
         """Ask for a grant."""
@@ -198,7 +200,10 @@
         async with started(settings_for(ports, **overrides)) as assembly:
             url = f"http://127.0.0.1:{assembly.settings.callers.listen.port}"
             async with aiohttp.ClientSession() as session:
-                yield Stand(assembly, upstreams, session, url)
+                here = Stand(assembly, upstreams, session, url)
+                yield here
+                for caller in here.callers:
+                    caller.close()
     finally:
         for upstream in upstreams:
             upstream.go.set()
--- a/heatherhead/upstreams/answers.py
+++ b/heatherhead/upstreams/answers.py
@@ -12,6 +12,7 @@
 
 __all__ = ["is_final", "load_report", "promises_not_run", "sign_of_answer"]
 
+YOUNG_CONNECTION_CALLS = 50
 _MAX_LOAD_DIGITS = 9
 _HTTP_1_1 = (1, 1)
 
@@ -26,10 +27,16 @@
     return answer.headers.get(NO_RETRY) == "true"
 
 
-def sign_of_answer(answer: ClientResponse) -> UpstreamSign:
-    """Read whether the upstream is leaving or shedding load."""
+def sign_of_answer(answer: ClientResponse, connection_calls: int) -> UpstreamSign:
+    """Read whether the upstream is leaving or shedding load.
+
+    Many servers close each connection after some number of calls. So a close is taken as leaving
+    only on a connection that has served few; one that leaves closes the next connection as well.
+    """
     headers = answer.headers
-    if headers.get(DRAINING) == "true" or _announces_close(answer):
+    if headers.get(DRAINING) == "true" or (
+        connection_calls <= YOUNG_CONNECTION_CALLS and _announces_close(answer)
+    ):
         return UpstreamSign.DRAINING
     if promises_not_run(answer):
         return UpstreamSign.SHEDDING
--- a/heatherhead/upstreams/attempts.py
+++ b/heatherhead/upstreams/attempts.py
@@ -100,7 +100,9 @@
 def _result_of(attempt: Attempt, duration_s: float, now: float) -> AttemptResult:
     answer = attempt.answer
     if answer is None:
-        return AttemptResult(attempt.state, 0, duration_s, attempt.sign)
+        return AttemptResult(
+            attempt.state, 0, duration_s, attempt.sign, cancelled=attempt.cancelled
+        )
     report = load_report(answer, now)
     return AttemptResult(
         state_of(attempt), answer.status, duration_s, sign_of_answer(answer), report
@@ -250,7 +252,8 @@
         self, run: CallRun, error: HeatherheadError
     ) -> Result[OpenAnswer, HeatherheadError]:
         if run.maybe_ran and isinstance(error, CallRefusedError):
-            return Err(OutcomeUnknownError(error.reason, remedy=UNKNOWN_REMEDY))
+            status = 502 if error.status == CallRefusedError.status else error.status
+            return Err(OutcomeUnknownError(error.reason, remedy=UNKNOWN_REMEDY, status=status))
         return Err(error)
 
     def _budget(
@@ -269,11 +272,7 @@
             "the deadline passed before the call was sent", remedy="allow the call more time"
         )
     stream = run.body.stream
-    if (
-        stream is not None
-        and stream.error is not None
-        and not isinstance(stream.error, CallRefusedError)
-    ):
+    if stream is not None and stream.error is not None:
         return stream.error
     if attempt.state.surely_not_run:
         return CallRefusedError(
--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -6,6 +6,7 @@
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
+from weakref import WeakKeyDictionary
 
 import aiohttp
 from yarl import URL
@@ -25,6 +26,7 @@
 
 _UNSET_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 _attempt: ContextVar[Attempt] = ContextVar("attempt")
+_calls_by_connection: WeakKeyDictionary[object, int] = WeakKeyDictionary()
 
 
 class DispatchTooLateError(Exception):
@@ -54,6 +56,8 @@
     error: Exception | None = None
     state: AttemptState = field(default=AttemptState.NOT_SENT)
     sign: UpstreamSign = UpstreamSign.NONE
+    cancelled: bool = False
+    connection_calls: int = 0
 
     @property
     def too_late(self) -> bool:
@@ -73,6 +77,10 @@
         attempt = _attempt.get()
         if asyncio.get_running_loop().time() >= attempt.deadline:
             raise DispatchTooLateError
+        protocol = conn.protocol
+        if protocol is not None:
+            attempt.connection_calls = _calls_by_connection.get(protocol, 0) + 1
+            _calls_by_connection[protocol] = attempt.connection_calls
         attempt.sent = True
         attempt.state = AttemptState.UNKNOWN
         return await super().send(conn)
@@ -102,6 +110,9 @@
                 ssl=request.ssl,
             )
             attempt.state = AttemptState.ANSWERED
+        except asyncio.CancelledError:
+            attempt.cancelled = True
+            raise
         except (aiohttp.ClientError, OSError, ValueError, DispatchTooLateError) as error:
             attempt.error = error
             attempt.sign = _sign_of(attempt)
