--- a/heatherhead/callers/listener.py
+++ b/heatherhead/callers/listener.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     import ssl
 
-    from heatherhead.callers.protocol import CallersServer
+    from heatherhead.callers.protocol import CallersProtocol, CallersServer
     from heatherhead.settings.callers import CallersSettings
     from heatherhead.settings.instance import ListenSettings
 
@@ -63,6 +63,10 @@
         if self._tls is not None and tls is not None:
             reload_certificate(self._tls, tls)
 
+    def connections(self) -> list[CallersProtocol]:
+        """List the open connections."""
+        return self._server.callers_connections()
+
     def stop_accepting(self) -> None:
         """Accept no more connections and close those without a call."""
         if self._accepting is not None:
--- a/heatherhead/callers/protocol.py
+++ b/heatherhead/callers/protocol.py
@@ -19,7 +19,7 @@
 
     from heatherhead.settings.callers import CallersSettings
 
-__all__ = ["CallersServer", "create_callers_server"]
+__all__ = ["CallersProtocol", "CallersServer", "create_callers_server"]
 
 LINGERING_S = 2.0
 READ_BUFFER_BYTES = 128 * 1024
@@ -51,9 +51,19 @@
             if self._head_timer is not None:
                 self._head_timer.cancel()
                 self._head_timer = None
-        elif self._head_timer is None and self._waiter is not None and not self._waiter.done():
+        elif self._head_timer is None and self.waits_for_call:
             self._head_timer = self._loop.call_later(self._head_timeout_s, self._on_head_timeout)
 
+    @property
+    def waits_for_call(self) -> bool:
+        """Tell whether the connection has no call at the moment."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def head_begun(self) -> bool:
+        """Tell whether a head has begun and not ended."""
+        return self._head_timer is not None
+
     def _break_body(self) -> None:
         """Tell the reader of a body that what follows is no body; the parser does not."""
         request = self._current_request
@@ -69,7 +79,7 @@
 
     def _on_head_timeout(self) -> None:
         self._head_timer = None
-        if self._waiter is not None and not self._waiter.done():
+        if self.waits_for_call:
             self.force_close()
 
     def handle_error(
@@ -133,6 +143,10 @@
             **self._kwargs,
         )
 
+    def callers_connections(self) -> list[CallersProtocol]:
+        """List the open connections."""
+        return [each for each in self._connections if isinstance(each, CallersProtocol)]
+
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         """Take a connection in, or close it at once if there are too many."""
         super().connection_made(handler, transport)
--- a/heatherhead/tests/callers/bounds_tests.py
+++ b/heatherhead/tests/callers/bounds_tests.py
@@ -109,10 +109,15 @@
     async def main() -> None:
         async with stand(None) as here:
             caller = await here.caller()
-            await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" + sent)
+            await caller.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
             await caller.head()
             assert await caller.reader.readexactly(5) == b"hello"
-            await _idle()
+            connection = next(iter(here.assembly.listener.connections()))
+            while not connection.waits_for_call:
+                await asyncio.sleep(0)
+            await caller.send(sent)
+            while sent and not connection.head_begun:
+                await asyncio.sleep(0)
             _advance(seconds)
             assert await caller.rest() == b""
 
@@ -126,7 +131,8 @@
             await caller.send(
                 POST + b"Heatherhead-Deadline-Ms: 100000\r\nContent-Length: 9\r\n\r\na"
             )
-            await _idle()
+            while not here.assembly.state.in_progress:
+                await asyncio.sleep(0)
             _advance(31)
             head = await caller.head()
             assert head.split(" ")[1] == "408"
@@ -152,11 +158,5 @@
     run_shifted(main())
 
 
-async def _idle() -> None:
-    """Let the loop read what has been sent."""
-    for _ in range(50):
-        await asyncio.sleep(0)
-
-
 def _advance(seconds: float) -> None:
     asyncio.get_running_loop().advance(seconds)  # type: ignore[attr-defined]
--- a/heatherhead/tests/callers/fakes.py
+++ b/heatherhead/tests/callers/fakes.py
@@ -162,11 +162,12 @@
 
 def settings_for(ports: list[int], **overrides: Any) -> dict[str, Any]:
     """Build settings of one instance with the service `orders` on upstream ports."""
+    slots = overrides.pop("slots", 4)
     service = {
         "name": "orders",
         "path_prefixes": ["/"],
         "upstreams": [
-            {"id": f"u{index}", "host": "127.0.0.1", "port": port}
+            {"id": f"u{index}", "host": "127.0.0.1", "port": port, "slots": slots}
             for index, port in enumerate(ports)
         ],
         **overrides.pop("service", {}),
--- /dev/null
+++ b/heatherhead/tests/upstreams/attempts_tests.py
@@ -0,0 +1,304 @@
+"""Tests of `heatherhead.upstreams.attempts` through a whole instance."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from aiohttp import web
+from result import Err, Ok, Result
+
+from heatherhead.calls import AttemptResult, AttemptState, UpstreamSign
+from heatherhead.exceptions import NoUpstreamError
+from heatherhead.tests.callers.fakes import (
+    FakeUpstream,
+    Stand,
+    hold,
+    raw_upstream,
+    refuse,
+    run_shifted,
+    stand,
+)
+
+if TYPE_CHECKING:
+    from heatherhead.calls import Call
+    from heatherhead.configuration.model import Upstream
+    from heatherhead.exceptions import CallRefusedError
+
+NO_KEYS: dict[str, Any] = {"key_required": False}
+
+
+class _PlainRouter:
+    """Gives the first upstream that is not avoided, and notes what it is told."""
+
+    def __init__(self, here: Stand, hedge_delay_s: float | None = None) -> None:
+        self.results: list[AttemptResult] = []
+        self.open_slots = 0
+        self._replica = here.assembly.replica
+        self._hedge_delay_s = hedge_delay_s
+        here.assembly.runner.router = self  # type: ignore[assignment]
+
+    async def acquire(self, call: Call, avoid: frozenset[str]) -> Result[_Slot, CallRefusedError]:
+        slot = self.try_acquire(call, avoid)
+        return Ok(slot) if slot else Err(NoUpstreamError("none", remedy="wait"))
+
+    def try_acquire(self, call: Call, avoid: frozenset[str]) -> _Slot | None:
+        service = self._replica.service(call.service)
+        assert service is not None
+        for upstream in service.upstreams:
+            if upstream.id not in avoid:
+                self.open_slots += 1
+                return _Slot(self, upstream)
+        return None
+
+    def hedge_delay_s(self, call: Call) -> float | None:
+        return self._hedge_delay_s
+
+
+class _Slot:
+    """A slot whose result is noted; given back twice, it fails."""
+
+    def __init__(self, router: _PlainRouter, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.started_at = 0.0
+        self._router = router
+        self._open = True
+
+    def finish(self, result: AttemptResult) -> None:
+        assert self._open
+        self._open = False
+        self._router.open_slots -= 1
+        self._router.results.append(result)
+
+
+async def _read_and_close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Crash on the call after having read it."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_unreachable_upstream_is_passed_over(method: str) -> None:
+    async def main() -> None:
+        async with raw_upstream(_read_and_close) as port:
+            pass
+        async with stand(None, extra_ports=[port], service=NO_KEYS) as here:
+            router = _PlainRouter(here)
+            for _ in range(4):
+                async with here.session.request(method, here.url) as answer:
+                    assert answer.status == 200
+            assert [each.state for each in router.results[:2]] == [
+                AttemptState.NOT_SENT,
+                AttemptState.ANSWERED,
+            ]
+            assert len(here.upstreams[0].seen) == 4
+
+    run_shifted(main())
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_refused_call_is_sent_elsewhere(method: str) -> None:
+    async def main() -> None:
+        async with stand(refuse, refuse, service=NO_KEYS) as here:
+            here.upstreams[1].respond = None
+            router = _PlainRouter(here)
+            for _ in range(3):
+                async with here.session.request(method, here.url, data=b"abc") as answer:
+                    assert answer.status == 200
+            assert [each.state for each in router.results[:2]] == [
+                AttemptState.REFUSED,
+                AttemptState.ANSWERED,
+            ]
+            assert router.results[0].sign is UpstreamSign.SHEDDING
+            assert router.open_slots == 0
+            assert here.upstreams[1].bodies == [b"abc"] * 3
+
+    run_shifted(main())
+
+
+def test_refused_by_all_is_told_as_not_run() -> None:
+    async def main() -> None:
+        async with (stand(refuse, refuse, service=NO_KEYS) as here,):
+            _PlainRouter(here)
+            async with here.session.post(here.url) as answer:
+                assert answer.status == 503
+                assert (await answer.json())["outcome"] == "not-run"
+                assert answer.headers["Heatherhead-No-Retry"] == "true"
+            assert [len(each.seen) for each in here.upstreams] == [1, 1]
+
+    run_shifted(main())
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status", "outcome"),
+    [
+        ("POST", "/", 502, "unknown"),
+        ("GET", "/", 200, None),
+        ("POST", "/read/1", 200, None),
+        ("GET", "/once/1", 502, "unknown"),
+    ],
+)
+def test_only_idempotent_calls_are_repeated_when_the_outcome_is_unknown(
+    method: str, path: str, status: int, outcome: str | None
+) -> None:
+    rules = [
+        {"path_prefix": "/read", "idempotent": True},
+        {"path_prefix": "/once", "idempotent": False},
+    ]
+
+    async def main() -> None:
+        async with (
+            raw_upstream(_read_and_close) as port,
+            stand(None, extra_ports=[port], service={**NO_KEYS, "path_rules": rules}) as here,
+        ):
+            router = _PlainRouter(here)
+            told = set()
+            for _ in range(3):
+                async with here.session.request(method, here.url + path) as answer:
+                    if answer.status != 200:
+                        told.add((answer.status, (await answer.json())["outcome"]))
+            assert told == ({(status, outcome)} if outcome else set())
+            assert router.results[0].state is AttemptState.UNKNOWN
+            assert router.results[0].sign is UpstreamSign.DIED
+            assert router.open_slots == 0
+
+    run_shifted(main())
+
+
+def test_repeats_stay_within_the_budget() -> None:
+    async def main() -> None:
+        async with stand(
+            _fail, _fail, service={**NO_KEYS, "retry_share": 0.1}, admission={"retry_burst": 3}
+        ) as here:
+            _PlainRouter(here)
+            for _ in range(40):
+                async with here.session.get(here.url) as answer:
+                    assert answer.status == 503
+            seen = sum(len(each.seen) for each in here.upstreams)
+            assert seen == 40 + 3 + 3
+
+    run_shifted(main())
+
+
+async def _fail(_upstream: FakeUpstream, _request: web.BaseRequest) -> web.Response:
+    return web.Response(status=503)
+
+
+def test_marked_failure_is_not_repeated() -> None:
+    async def fail_marked(_upstream: FakeUpstream, _request: web.BaseRequest) -> web.Response:
+        return web.Response(status=503, headers={"Heatherhead-No-Retry": "true"})
+
+    async def main() -> None:
+        async with stand(fail_marked, fail_marked) as here:
+            _PlainRouter(here)
+            async with here.session.get(here.url) as answer:
+                assert answer.status == 503
+                assert answer.headers["Heatherhead-No-Retry"] == "true"
+            assert sum(len(each.seen) for each in here.upstreams) == 1
+
+    run_shifted(main())
+
+
+def test_hedge_wins_and_the_loser_is_cancelled() -> None:
+    async def main() -> None:
+        async with stand(hold, hold) as here:
+            router = _PlainRouter(here, 0.0)
+            call = asyncio.create_task(here.session.get(here.url + "/slow"))
+            for upstream in here.upstreams:
+                await upstream.arrived.wait()
+            winner = here.upstreams[1]
+            winner.go.set()
+            async with await call as answer:
+                assert await answer.text() == "late"
+            await here.upstreams[0].gone.wait()
+            assert here.upstreams[0].cancelled == 1
+            assert [each.cancelled for each in router.results] == [True, False]
+
+    run_shifted(main())
+
+
+@pytest.mark.parametrize(
+    ("method", "body", "share"), [("POST", None, 0.5), ("PUT", b"a", 0.5), ("GET", None, 0)]
+)
+def test_no_hedge_for_bodies_for_non_idempotent_calls_or_without_budget(
+    method: str, body: bytes | None, share: float
+) -> None:
+    async def main() -> None:
+        async with stand(hold, hold, service={**NO_KEYS, "hedge_share": share}) as here:
+            _PlainRouter(here, 0.0)
+            call = asyncio.create_task(here.session.request(method, here.url, data=body))
+            await _first_arrival(here)
+            for _ in range(100):
+                await asyncio.sleep(0)
+            assert sum(len(each.seen) for each in here.upstreams) == 1
+            for upstream in here.upstreams:
+                upstream.go.set()
+            async with await call as answer:
+                assert answer.status == 200
+
+    run_shifted(main())
+
+
+async def _first_arrival(here: Stand) -> None:
+    waits = [asyncio.create_task(each.arrived.wait()) for each in here.upstreams]
+    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+
+
+@pytest.mark.parametrize(
+    ("headers", "sign"),
+    [
+        ({"Connection": "close"}, UpstreamSign.DRAINING),
+        ({"Heatherhead-Draining": "true"}, UpstreamSign.DRAINING),
+        ({}, UpstreamSign.NONE),
+    ],
+)
+def test_signs_and_load_reach_routing(headers: dict[str, str], sign: UpstreamSign) -> None:
+    async def respond(_upstream: FakeUpstream, _request: web.BaseRequest) -> web.Response:
+        return web.Response(headers={**headers, "Heatherhead-Load": "7"})
+
+    async def main() -> None:
+        async with stand(respond) as here:
+            router = _PlainRouter(here)
+            async with here.session.get(here.url) as answer:
+                assert answer.status == 200
+            assert router.results[0].sign is sign
+            assert router.results[0].report is not None
+            assert router.results[0].report.in_flight == 7
+
+    run_shifted(main())
+
+
+def test_upstreams_removed_from_configuration_get_no_new_work_and_finish_theirs() -> None:
+    async def main() -> None:
+        async with stand(hold, None) as here:
+            first, second = here.upstreams
+            held = []
+            while not first.seen:
+                held.append(asyncio.create_task(here.session.get(here.url)))
+                await _first_arrival(here)
+                await asyncio.sleep(0)
+            replica = here.assembly.replica
+            service = replica.service("orders")
+            assert service is not None
+            kept = tuple(each for each in service.upstreams if each.port == second.port)
+            record = replace(
+                replica.by_name["orders"],
+                revision=replica.revision + 1,
+                service=replace(service, upstreams=kept),
+            )
+            assert replica.apply(record)
+            before = len(first.seen)
+            for _ in range(5):
+                async with here.session.get(here.url) as answer:
+                    assert await answer.text() == "hello"
+            assert len(first.seen) == before
+            first.go.set()
+            for call in held:
+                async with await call as answer:
+                    assert answer.status == 200
+
+    run_shifted(main())
--- a/heatherhead/upstreams/attempts.py
+++ b/heatherhead/upstreams/attempts.py
@@ -103,10 +103,9 @@
         return AttemptResult(
             attempt.state, 0, duration_s, attempt.sign, cancelled=attempt.cancelled
         )
+    sign = sign_of_answer(answer, attempt.connection_calls)
     report = load_report(answer, now)
-    return AttemptResult(
-        state_of(attempt), answer.status, duration_s, sign_of_answer(answer), report
-    )
+    return AttemptResult(state_of(attempt), answer.status, duration_s, sign, report)
 
 
 class AttemptRunner:
@@ -119,7 +118,7 @@
         settings: AdmissionSettings,
         telemetry: Telemetry,
     ) -> None:
-        self._router = router
+        self.router = router
         self._client = client
         self._settings = settings
         self._telemetry = telemetry
@@ -154,7 +153,7 @@
     async def _acquire(self, run: CallRun) -> Result[Slot, CallRefusedError]:
         loop = asyncio.get_running_loop()
         began = loop.time()
-        acquired = await self._router.acquire(run.call, frozenset(run.avoid))
+        acquired = await self.router.acquire(run.call, frozenset(run.avoid))
         waited_s = loop.time() - began
         run.queue_wait_s += waited_s
         call = run.call
@@ -171,13 +170,13 @@
     def _hedge_delay_s(self, run: CallRun) -> float | None:
         if not run.call.idempotent or not run.body.empty:
             return None
-        return self._router.hedge_delay_s(run.call)
+        return self.router.hedge_delay_s(run.call)
 
     async def _send_hedge(self, run: CallRun, first: Slot) -> OpenAnswer | None:
         budget = self._budget(self._hedges_by_service, run, run.service.hedge_share)
         if budget.tokens < 1.0:
             return None
-        slot = self._router.try_acquire(run.call, frozenset({*run.avoid, first.upstream.id}))
+        slot = self.router.try_acquire(run.call, frozenset({*run.avoid, first.upstream.id}))
         if slot is None:
             return None
         budget.spend()
@@ -240,6 +239,8 @@
         An attempt of which no byte was sent has cost no upstream anything and is not paid.
         """
         run.avoid.add(opened.slot.upstream.id)
+        if len(run.avoid) >= len(run.service.upstreams):
+            return False
         if run.call.attempts >= self._settings.max_attempts or not run.body.repeatable:
             return False
         if asyncio.get_running_loop().time() >= run.call.deadline:
