--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,454 @@
+"""Measures configuration and membership on many whole daemons on the loopback.
+
+Usage: python -m bench.control [--short]
+
+Store and instance list are fakes over HTTP. Every daemon is a process of its own with all its
+parts. The loopback has no latency between zones and regions. The last line is the result.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from bench.fleet import Fleet, cpu_seconds, free_ports, rss_mb, save_result
+from heatherhead.configuration.editor import create_editor
+from heatherhead.configuration.replica import create_replica
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.settings.store import StoreSettings
+from heatherhead.store import create_store
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+SERVICES = 510
+UPSTREAMS = 10_000
+REGIONS = 3
+ZONES = 2
+CHANGES_PER_S = 5.0
+IDLE_S = 20.0
+POLL_S = 0.1
+WAIT_S = 90.0
+
+
+@dataclass(frozen=True, slots=True)
+class Daemon:
+    """One daemon of the fleet under measurement."""
+
+    id: str
+    region: str
+    availability_zone: str
+    peers_port: int
+    admin_port: int
+
+
+class ControlFleet:
+    """Daemons with their fake store and list, and questions to all of them."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession, count: int) -> None:
+        ports = free_ports(2 * count)
+        self.daemons = [
+            Daemon(
+                f"i{number:03}",
+                f"r{number % REGIONS}",
+                f"r{number % REGIONS}z{number // REGIONS % ZONES}",
+                ports[2 * number],
+                ports[2 * number + 1],
+            )
+            for number in range(count)
+        ]
+        self.fleet = fleet
+        self.session = session
+        self.random = Random(count)
+        self.store_url = self.list_url = ""
+
+    async def start(self, services: int, upstreams: int) -> None:
+        """Start the fakes, load the configuration and start all daemons."""
+        for name in ("fake_store", "fake_instance_list"):
+            self.fleet.start(name, [f"heatherhead.tests.{name}"])
+            self.fleet.wait_for(lambda each=name: self.fleet.output(each).strip(), name)
+        self.store_url = self.fleet.output("fake_store").strip()
+        self.list_url = self.fleet.output("fake_instance_list").strip()
+        await self.load(services, upstreams)
+        await self.publish_list()
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        await self.wait_all(
+            lambda stats: stats["ready"] and stats["services"] >= services, self.daemons
+        )
+        count = len(self.daemons)
+        await self.wait_all(lambda stats: stats["live"] == count, self.daemons)
+
+    def start_daemon(self, daemon: Daemon) -> None:
+        """Start one daemon's process."""
+        settings = {
+            "instance": {
+                "id": daemon.id,
+                "region": daemon.region,
+                "availability_zone": daemon.availability_zone,
+            },
+            "callers": {"listen": {"port": 0}},
+            "operators": {"listen": {"port": 0}},
+            "membership": {
+                "listen": {"port": daemon.peers_port},
+                "instance_list_url": self.list_url,
+            },
+            "store": {"urls": [self.store_url]},
+        }
+        path = self.fleet.write_json(f"{daemon.id}.json", settings)
+        self.fleet.start(daemon.id, ["bench.control_daemon", str(path), str(daemon.admin_port)])
+
+    async def load(self, services: int, upstreams: int) -> None:
+        """Put the configuration into the store."""
+        store = create_store(
+            StoreSettings(urls=(self.store_url,), calls_per_s=1_000, calls_burst=10_000)
+        )
+        replica = create_replica()
+        editor = create_editor(store, "/heatherhead/", replica, replica.apply)
+        each = upstreams // services
+        for number in range(services):
+            (await editor.put(_service(number, each), 0, f"load-{number}")).unwrap()
+        await store.close()
+
+    async def publish_list(self) -> None:
+        """Hand the instance list to its fake."""
+        entries = []
+        for each in self.daemons:
+            address = {"host": "127.0.0.1", "port": each.peers_port}
+            place = {"region": each.region, "availability_zone": each.availability_zone}
+            addresses = {"callers": address, "peers": address, "operators": address}
+            entries.append({"id": each.id, **place, **addresses})
+        url = self.list_url.replace("/instances", "/admin/instances")
+        async with self.session.put(url, json={"instances": entries}):
+            pass
+
+    async def get(self, daemon: Daemon, path: str) -> Any:
+        """Ask one daemon."""
+        async with self.session.get(f"http://127.0.0.1:{daemon.admin_port}{path}") as reply:
+            return await reply.json()
+
+    async def get_all(self, path: str, daemons: list[Daemon]) -> list[Any]:
+        """Ask several daemons."""
+        return await asyncio.gather(*(self.get(each, path) for each in daemons))
+
+    async def post(self, daemon: Daemon, path: str, body: object) -> Any:
+        """Tell one daemon something."""
+        url = f"http://127.0.0.1:{daemon.admin_port}{path}"
+        async with self.session.post(url, json=body) as reply:
+            return await reply.json()
+
+    async def post_all(self, path: str, body: object, daemons: list[Daemon]) -> None:
+        """Tell several daemons something."""
+        await asyncio.gather(*(self.post(each, path, body) for each in daemons))
+
+    async def store_faults(self, **faults: object) -> None:
+        """Switch the store's faults."""
+        async with self.session.post(f"{self.store_url}/admin/faults", json=faults):
+            pass
+
+    async def store_calls(self) -> int:
+        """Count the calls to the store so far; a waiting watch is one."""
+        async with self.session.get(f"{self.store_url}/admin/calls") as reply:
+            return sum((await reply.json()).values())
+
+    async def wait_all(self, holds: Callable[[Any], bool], daemons: list[Daemon]) -> float:
+        """Wait until a condition holds of all daemons' stats; return how long that took."""
+        began_at = time.monotonic()
+        while time.monotonic() - began_at < WAIT_S:
+            try:
+                if all(map(holds, await self.get_all("/stats", daemons))):
+                    return time.monotonic() - began_at
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"no such state within {WAIT_S} s; logs are in {self.fleet.directory}")
+
+
+def _service(number: int, upstreams: int, version: int = 0) -> ServiceSchema:
+    return ServiceSchema.model_validate(
+        {
+            "name": f"service-{number:04}",
+            "hosts": [f"service-{number:04}.example"],
+            "queue_limit": 512 + version,
+            "upstreams": [
+                {
+                    "id": f"u{number:04}-{each:03}",
+                    "host": f"10.{number // 250}.{number % 250}.{each % 250 + 1}",
+                    "port": 8000 + each,
+                    "region": f"r{each % REGIONS}",
+                    "availability_zone": f"r{each % REGIONS}z{each // REGIONS % ZONES}",
+                }
+                for each in range(upstreams)
+            ],
+        }
+    )
+
+
+@asynccontextmanager
+async def _control_fleet(count: int, services: int, upstreams: int) -> AsyncIterator[ControlFleet]:
+    timeout = aiohttp.ClientTimeout(total=30)
+    connector = aiohttp.TCPConnector(limit=0)
+    with Fleet() as fleet:
+        async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+            control = ControlFleet(fleet, session, count)
+            await control.start(services, upstreams)
+            yield control
+
+
+async def _change_stream(control: ControlFleet, changes: int, version: int) -> dict[str, float]:
+    """Change services at random daemons and see when each change is in force on each daemon."""
+    await control.get_all("/seen", control.daemons)
+    asked_at: dict[tuple[str, int], float] = {}
+    calls = await control.store_calls()
+
+    async def change(number: int) -> None:
+        service = _service(number, UPSTREAMS // SERVICES, version).model_dump(mode="json")
+        body = {"service": service, "change_id": f"change-{version}-{number}"}
+        daemon = control.random.choice(control.daemons)
+        body["expected_revision"] = revision_by_name[service["name"]]
+        reply = await control.post(daemon, "/put", body)
+        asked_at[service["name"], reply["revision"]] = reply["asked_at"]
+        revision_by_name[service["name"]] = reply["revision"]
+
+    revision_by_name = _revisions.setdefault(id(control), {})
+    if not revision_by_name:
+        revision_by_name.update({f"service-{number:04}": number + 2 for number in range(SERVICES)})
+    running = []
+    for number in range(changes):
+        running.append(asyncio.create_task(change(number)))
+        await asyncio.sleep(1 / CHANGES_PER_S)
+    await asyncio.gather(*running)
+    last = max(revision for _, revision in asked_at)
+    await control.wait_all(lambda stats: stats["applied"] >= last, control.daemons)
+    used = await control.store_calls() - calls
+    times = []
+    for seen in await control.get_all("/seen", control.daemons):
+        in_force = {(name, revision): at for name, revision, at in seen["in_force"]}
+        times.extend(in_force[change_key] - at for change_key, at in asked_at.items())
+    return {"p99_s": _p99(times), "max_s": round(max(times), 4), "calls": used / changes}
+
+
+_revisions: dict[int, dict[str, int]] = {}
+
+
+def _p99(values: list[float]) -> float:
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))], 4)
+
+
+async def _idle(control: ControlFleet, seconds: float) -> dict[str, float]:
+    """Measure what the fleet spends while nothing happens."""
+    processes = [control.fleet.process_by_name[each.id].pid for each in control.daemons]
+    before = await control.get_all("/stats", control.daemons)
+    cpu = [cpu_seconds(each) for each in processes]
+    calls = await control.store_calls()
+    began_at = time.monotonic()
+    await asyncio.sleep(seconds)
+    elapsed_s = time.monotonic() - began_at
+    spent = [cpu_seconds(each) - was for each, was in zip(processes, cpu, strict=True)]
+    calls = await control.store_calls() - calls
+    after = await control.get_all("/stats", control.daemons)
+    sent = [
+        (now["control_bytes"] - was["control_bytes"]) / 1024 / elapsed_s
+        for now, was in zip(after, before, strict=True)
+    ]
+    return {
+        "store_calls_idle_per_s": round(calls / elapsed_s, 4),
+        "control_kb_per_s": round(max(sent), 3),
+        "control_core_share": round(max(spent) / elapsed_s, 4),
+        "control_core_share_mean": round(sum(spent) / len(spent) / elapsed_s, 4),
+        "rss_mb": round(max(map(rss_mb, processes)), 1),
+        "watchers": sum(each["is_watching"] for each in after),
+        "links_max": max(each["links"] for each in after),
+    }
+
+
+async def _lost_region(control: ControlFleet) -> dict[str, float]:
+    """Cut a region off from peers and store, change services, and bring it back."""
+    inside = [each for each in control.daemons if each.region == "r0"]
+    outside = [each for each in control.daemons if each.region != "r0"]
+    in_ids, out_ids = [each.id for each in inside], [each.id for each in outside]
+    await control.post_all("/faults", {"cut": out_ids, "is_store_cut": True}, inside)
+    await control.post_all("/faults", {"cut": in_ids, "is_store_cut": False}, outside)
+    revisions = _revisions[id(control)]
+    last = 0
+    for number in range(20):
+        service = _service(100 + number, UPSTREAMS // SERVICES, 77).model_dump(mode="json")
+        body = {
+            "service": service,
+            "change_id": f"cut-{number}",
+            "expected_revision": revisions[service["name"]],
+        }
+        reply = await control.post(control.random.choice(outside), "/put", body)
+        last = revisions[service["name"]] = reply["revision"]
+    outside_s = await control.wait_all(lambda stats: stats["applied"] >= last, outside)
+    await asyncio.sleep(12)
+    behind = [each["applied"] < last for each in await control.get_all("/stats", inside)]
+    await control.post_all("/faults", {"cut": [], "is_store_cut": False}, control.daemons)
+    in_force_s = await control.wait_all(lambda stats: stats["applied"] >= last, inside)
+    count = len(control.daemons)
+    rejoined_s = in_force_s + await control.wait_all(
+        lambda stats: stats["live"] == count, control.daemons
+    )
+    return {
+        "was_cut": all(behind),
+        "outside_s": round(outside_s, 3),
+        "in_force_s": round(in_force_s, 3),
+        "rejoined_s": round(rejoined_s, 3),
+    }
+
+
+async def _failures(control: ControlFleet, kills: int, pauses: int) -> dict[str, Any]:
+    """Kill and pause daemons under 5% loss of heartbeats."""
+    await control.post_all("/faults", {"heartbeat_loss": 0.05}, control.daemons)
+    await control.get_all("/seen", control.daemons)
+    victims = control.random.sample(control.daemons, kills + 2 * pauses)
+    killed, short, long = victims[:kills], victims[kills:-pauses], victims[-pauses:]
+    began_by_id: dict[str, float] = {}
+    for each in killed:
+        began_by_id[each.id] = time.monotonic()
+        control.fleet.kill(each.id)
+        await asyncio.sleep(1.5)
+    for each in short:
+        control.fleet.signal(each.id, signal.SIGSTOP)
+    await asyncio.sleep(2)
+    for each in short:
+        control.fleet.signal(each.id, signal.SIGCONT)
+    for each in long:
+        began_by_id[each.id] = time.monotonic()
+        control.fleet.signal(each.id, signal.SIGSTOP)
+    await asyncio.sleep(14)
+    for each in long:
+        control.fleet.signal(each.id, signal.SIGCONT)
+    alive = [each for each in control.daemons if each not in killed]
+    back_s = await control.wait_all(lambda stats: stats["live"] == len(alive), alive)
+    observers = [each for each in alive if each not in long]
+    seen_by_id: dict[str, list[float]] = {each.id: [] for each in killed + long}
+    false_suspicions = 0
+    for daemon, seen in zip(alive, await control.get_all("/seen", alive), strict=True):
+        first_by_id: dict[str, float] = {}
+        for instance_id, state, at in seen["states"]:
+            if state in ("suspected", "dead"):
+                first_by_id.setdefault(instance_id, at)
+        false_suspicions += sum(each not in began_by_id for each in first_by_id)
+        if daemon in observers:
+            for each, began_at in began_by_id.items():
+                if each in first_by_id:
+                    seen_by_id[each].append(first_by_id[each] - began_at)
+    await control.post_all("/faults", {"heartbeat_loss": 0.0}, alive)
+    kill_times = [at for each in killed for at in seen_by_id[each.id]]
+    pause_times = [at for each in long for at in seen_by_id[each.id]]
+    expected = len(observers) * len(began_by_id)
+    return {
+        "failure_seen_p99_s": _p99(kill_times + pause_times),
+        "killed_seen_p99_s": _p99(kill_times),
+        "paused_seen_p99_s": _p99(pause_times),
+        "failures_unseen": expected - len(kill_times) - len(pause_times),
+        "false_suspicions": false_suspicions,
+        "back_after_pause_s": round(back_s, 3),
+    }
+
+
+async def _measure(count: int, *, changes: int, idle_s: float, is_whole: bool) -> dict[str, Any]:
+    """Run all measurements on one fleet."""
+    result: dict[str, Any] = {"instances": count}
+    async with _control_fleet(count, SERVICES, UPSTREAMS) as control:
+        await asyncio.sleep(8)
+        result["idle"] = await _idle(control, idle_s)
+        _note("idle", result["idle"])
+        result["changes"] = await _change_stream(control, changes, 1)
+        _note("changes", result["changes"])
+        await control.store_faults(delay_s=0.5)
+        result["store_slow"] = await _change_stream(control, changes // 2, 2)
+        await control.store_faults(delay_s=0.0)
+        _note("store slow", result["store_slow"])
+        if is_whole:
+            result["lost_region"] = await _lost_region(control)
+            _note("lost region", result["lost_region"])
+            result["failures"] = await _failures(control, 4, 2)
+            _note("failures", result["failures"])
+        gone = set(control.fleet.process_by_name)
+        alive = [each for each in control.daemons if each.id in gone]
+        stats = await control.get_all("/stats", alive)
+        result["reverts"] = sum(each["reverts"] for each in stats)
+    _revisions.clear()
+    return result
+
+
+async def _slopes(count: int, idle_s: float) -> dict[str, float]:
+    """Measure memory and processor time of a small fleet with three configurations."""
+    rows = {}
+    for services, upstreams in ((51, 1_000), (510, 1_020), (510, 10_000)):
+        async with _control_fleet(count, services, upstreams) as control:
+            await asyncio.sleep(4)
+            rows[services, upstreams] = await _idle(control, idle_s)
+            _note(f"{services} services, {upstreams} upstreams", rows[services, upstreams])
+    small, middle, large = rows.values()
+    return {
+        "rss_mb_per_100_services": round((middle["rss_mb"] - small["rss_mb"]) / 4.59, 3),
+        "rss_mb_per_1000_upstreams": round((large["rss_mb"] - middle["rss_mb"]) / 8.98, 3),
+        "rss_mb_smallest": small["rss_mb"],
+    }
+
+
+def _note(title: str, values: object) -> None:
+    print(f"{title}: {values}", flush=True)
+
+
+def _summary(small: dict[str, Any], large: dict[str, Any], slopes: Any) -> dict[str, Any]:
+    idle, counts = large["idle"], (small["instances"], large["instances"])
+    span = max(1, counts[1] - counts[0])
+
+    def slope(field: str) -> float:
+        return round((idle[field] - small["idle"][field]) / span, 6)
+
+    return {
+        "instances": list(counts),
+        "services": SERVICES,
+        "upstreams": UPSTREAMS,
+        "in_force_p99_s": {
+            str(each["instances"]): each["changes"]["p99_s"] for each in (small, large)
+        },
+        "in_force_store_slow_p99_s": {
+            str(each["instances"]): each["store_slow"]["p99_s"] for each in (small, large)
+        },
+        "in_force_after_lost_region_s": large["lost_region"]["in_force_s"],
+        "rejoined_after_lost_region_s": large["lost_region"]["rejoined_s"],
+        "store_calls_idle_per_s": idle["store_calls_idle_per_s"],
+        "store_calls_idle_slope": slope("store_calls_idle_per_s"),
+        "store_watchers": idle["watchers"],
+        "store_calls_per_change": large["changes"]["calls"],
+        "reverts": small["reverts"] + large["reverts"],
+        "control_kb_per_s": idle["control_kb_per_s"],
+        "control_kb_per_s_slope": slope("control_kb_per_s"),
+        "control_core_share": idle["control_core_share"],
+        "control_core_share_slope": slope("control_core_share_mean"),
+        "rss_mb": max(idle["rss_mb"], small["idle"]["rss_mb"]),
+        "rss_mb_slope_by_instances": slope("rss_mb"),
+        "slopes": slopes,
+        **large["failures"],
+        "drain_known_p99_s": None,
+    }
+
+
+async def _main(*, is_short: bool) -> None:
+    if is_short:
+        only = await _measure(12, changes=20, idle_s=5, is_whole=True)
+        save_result("control-short", _summary(only, only, None))
+        return
+    small = await _measure(19, changes=60, idle_s=IDLE_S, is_whole=False)
+    large = await _measure(60, changes=60, idle_s=IDLE_S, is_whole=True)
+    slopes = await _slopes(3, 8.0)
+    save_result("control", _summary(small, large, slopes))
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(is_short="--short" in sys.argv))
--- /dev/null
+++ b/bench/control_daemon.py
@@ -0,0 +1,168 @@
+"""A whole daemon with a port through which a measurement looks at its control work.
+
+Usage: python -m bench.control_daemon SETTINGS ADMIN_PORT
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from result import Err
+
+from heatherhead.assembly import create_assembly
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.membership.interface import InstanceState, Traffic
+from heatherhead.membership.member_messages import Heartbeat, Ping, Pong
+from heatherhead.runtime import create_loop
+from heatherhead.settings import load_settings
+from heatherhead.telemetry.logs import configure_logs
+
+if TYPE_CHECKING:
+    from heatherhead.assembly import Assembly
+    from heatherhead.configuration.model import ServiceRecord
+
+NOWHERE = "http://127.0.0.1:9"
+
+
+@dataclass(slots=True)
+class Observations:
+    """What a daemon has seen, with times of the machine's monotonic clock."""
+
+    in_force: list[tuple[str, int, float]] = field(default_factory=list)
+    reverts: int = 0
+    states: list[tuple[str, str, float]] = field(default_factory=list)
+
+
+class Probe:
+    """Watches the parts of one daemon and puts faults on its peer streams."""
+
+    def __init__(self, assembly: Assembly) -> None:
+        self.seen = Observations()
+        self.cut: set[str] = set()
+        self.heartbeat_loss = 0.0
+        self._assembly = assembly
+        self._random = Random(assembly.settings.instance.id)
+        self._revision_by_name: dict[str, int] = {}
+        self._urls: list[str] = []
+        assembly.replica.subscribe(self._on_record)
+        assembly.membership.table.subscribe(self._on_member)
+        self._wrap(assembly.membership.network)
+
+    def _on_record(self, record: ServiceRecord) -> None:
+        held = self._revision_by_name.get(record.name, 0)
+        self.seen.reverts += record.revision <= held
+        self._revision_by_name[record.name] = record.revision
+        now = asyncio.get_running_loop().time()
+        self.seen.in_force.append((record.name, record.revision, now))
+
+    def _on_member(self, member: Any) -> None:
+        now = asyncio.get_running_loop().time()
+        self.seen.states.append((member.id, member.state.value, now))
+
+    def _wrap(self, network: Any) -> None:
+        """Swallow lost heartbeats, and all that goes to instances that are cut off."""
+        send, add = network.send, network._add
+
+        def faulty_send(instance_id: str, message: object, traffic: Traffic) -> bool:
+            is_beat = isinstance(message, Heartbeat | Ping | Pong)
+            is_lost = is_beat and self._random.random() < self.heartbeat_loss
+            if is_lost or instance_id in self.cut:
+                return True
+            return send(instance_id, message, traffic)
+
+        def faulty_add(connection: Any) -> None:
+            if connection.peer.id in self.cut:
+                connection.abort()
+            else:
+                add(connection)
+
+        network.send, network._add = faulty_send, faulty_add
+        network._dialer._connected = faulty_add
+
+    async def set_cut(self, ids: set[str], *, is_store_cut: bool) -> None:
+        """Part this instance from others, and from the store."""
+        self.cut = ids
+        gateway = self._assembly.store._gateway
+        self._urls = self._urls or list(gateway._urls)
+        gateway._urls = [NOWHERE] if is_store_cut else list(self._urls)
+        if is_store_cut:
+            await gateway.close()
+            gateway._session = None
+
+
+def _admin(assembly: Assembly, probe: Probe) -> web.Application:
+    configuration, membership = assembly.configuration, assembly.membership
+
+    async def stats(_: web.Request) -> web.Response:
+        budget = membership.network.budget
+        control = sum(size for link, size in budget.sent.items() if link[0] is Traffic.CONTROL)
+        document = {
+            "ready": configuration.ready.is_set(),
+            "applied": configuration.table.applied,
+            "is_watching": configuration.is_watching,
+            "services": len(assembly.replica.by_name),
+            "live": len(membership.view.live()),
+            "is_live": membership.view.own.state is InstanceState.LIVE,
+            "links": len(membership.network.links()),
+            "control_bytes": control,
+            "received_bytes": sum(budget.received.values()),
+            "refused_bytes": sum(budget.refused.values()),
+            "reverts": probe.seen.reverts,
+        }
+        return web.json_response(document)
+
+    async def seen(_: web.Request) -> web.Response:
+        document = {"in_force": probe.seen.in_force, "states": probe.seen.states}
+        probe.seen.in_force, probe.seen.states = [], []
+        return web.json_response(document)
+
+    async def put(request: web.Request) -> web.Response:
+        body = await request.json()
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        schema = ServiceSchema.model_validate(body["service"])
+        answer = await configuration.put(schema, body["expected_revision"], body["change_id"])
+        if isinstance(answer, Err):
+            return web.json_response({"error": str(answer.err_value)}, status=409)
+        document = {"revision": answer.ok_value.revision, "asked_at": asked_at}
+        return web.json_response({**document, "accepted_at": loop.time()})
+
+    async def missing(request: web.Request) -> web.Response:
+        return web.json_response(configuration.missing(int(request.query["revision"])))
+
+    async def faults(request: web.Request) -> web.Response:
+        body = await request.json()
+        probe.heartbeat_loss = body.get("heartbeat_loss", probe.heartbeat_loss)
+        if "cut" in body:
+            await probe.set_cut(set(body["cut"]), is_store_cut=body["is_store_cut"])
+        return web.json_response({})
+
+    app = web.Application(client_max_size=4 * 1024 * 1024)
+    app.router.add_get("/stats", stats)
+    app.router.add_get("/seen", seen)
+    app.router.add_get("/missing", missing)
+    app.router.add_post("/put", put)
+    app.router.add_post("/faults", faults)
+    return app
+
+
+async def _run(settings_path: str, admin_port: int) -> None:
+    assembly = create_assembly(load_settings(settings_path))
+    probe = Probe(assembly)
+    await assembly.start()
+    runner = web.AppRunner(_admin(assembly, probe), handle_signals=False)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", admin_port).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    configure_logs("INFO")
+    loop = create_loop()
+    asyncio.set_event_loop(loop)
+    loop.run_until_complete(_run(sys.argv[1], int(sys.argv[2])))
