--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format prove demo run generate docs capacity
+.PHONY: install test lint format prove demo run generate docs capacity bench-control
 
 install: $(STAMP)
 
@@ -39,3 +39,6 @@
 
 run: $(STAMP)
 	$(BIN)/python -m heatherhead.daemon examples/quickstart.json
+
+bench-control: $(STAMP)
+	$(BIN)/python -m bench.control
--- a/bench/control.py
+++ b/bench/control.py
@@ -357,11 +357,13 @@
     }
 
 
-async def _measure(count: int, *, changes: int, idle_s: float, is_whole: bool) -> dict[str, Any]:
+async def _measure(
+    count: int, *, changes: int, idle_s: float, settle_s: float, is_whole: bool
+) -> dict[str, Any]:
     """Run all measurements on one fleet."""
     result: dict[str, Any] = {"instances": count}
     async with _control_fleet(count, SERVICES, UPSTREAMS) as control:
-        await asyncio.sleep(8)
+        await asyncio.sleep(settle_s)
         result["idle"] = await _idle(control, idle_s)
         _note("idle", result["idle"])
         result["changes"] = await _change_stream(control, changes, 1)
@@ -441,11 +443,11 @@
 
 async def _main(*, is_short: bool) -> None:
     if is_short:
-        only = await _measure(12, changes=20, idle_s=5, is_whole=True)
+        only = await _measure(12, changes=20, idle_s=5, settle_s=4, is_whole=True)
         save_result("control-short", _summary(only, only, None))
         return
-    small = await _measure(19, changes=60, idle_s=IDLE_S, is_whole=False)
-    large = await _measure(60, changes=60, idle_s=IDLE_S, is_whole=True)
+    small = await _measure(19, changes=60, idle_s=IDLE_S, settle_s=10, is_whole=False)
+    large = await _measure(60, changes=60, idle_s=IDLE_S, settle_s=10, is_whole=True)
     slopes = await _slopes(3, 8.0)
     save_result("control", _summary(small, large, slopes))
 
--- a/heatherhead/configuration/dissemination.py
+++ b/heatherhead/configuration/dissemination.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import zlib
+from contextlib import nullcontext
 from typing import TYPE_CHECKING
 
 from heatherhead.configuration.documents import MAX_DOCUMENT_BYTES, decode_record
@@ -18,6 +19,7 @@
 from heatherhead.exceptions import ConfigurationError, PeerProtocolError
 from heatherhead.membership.interface import Traffic
 from heatherhead.membership.outbox import create_outbox
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from random import Random
@@ -35,6 +37,9 @@
 DIGEST_INTERVAL_S = 10.0
 RECHECK_S = 0.5  # after a push whose hash differs, as others may be under way
 MAX_NAMES_PER_MESSAGE = 10_000
+MAX_PUSHED_ON = 8  # records of one message; more are announced, and asked for where missing
+ANNOUNCE_S = 0.1
+REQUEST_TIMEOUT_S = 3.0
 BOARD_DIFFERENCES_BEFORE_REPAIR = 2  # digests in a row
 
 
@@ -51,9 +56,12 @@
         self._outbox = create_outbox(links, self._build, GATHER_S)
         self._source: str | None = None
         self._rechecks: set[str] = set()
+        self._announcement: asyncio.TimerHandle | None = None
+        self._requested_until_by_head: dict[tuple[str, int], float] = {}
         self._board_differences_by_peer: dict[str, int] = {}
         self.digest_by_peer: dict[str, Digest] = {}
         table.on_record(lambda record: self._outbox.add(record.name, but_not_to=self._source))
+        table.on_bulk(self._announce)
         links.on_greeting(self._on_greeting)
         links.on_lost(self._on_lost)
         links.subscribe(Records, self._on_records)
@@ -66,12 +74,24 @@
         """Compare with each neighbour now and then, until cancelled."""
         while True:
             await asyncio.sleep(DIGEST_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
-            for peer_id in self._links.neighbours():
-                self._send_digest(peer_id)
+            self._send_digests()
 
     def close(self) -> None:
         """Stop sending."""
         self._outbox.close()
+        if self._announcement is not None:
+            self._announcement.cancel()
+
+    def _announce(self) -> None:
+        """Tell the neighbours soon that there is much news, for them to ask for."""
+        if self._announcement is None:
+            loop = asyncio.get_running_loop()
+            self._announcement = loop.call_later(ANNOUNCE_S, self._send_digests)
+
+    def _send_digests(self) -> None:
+        self._announcement = None
+        for peer_id in self._links.neighbours():
+            self._send_digest(peer_id)
 
     def _on_greeting(self, peer: Member) -> None:
         if self._links.is_wanted(peer.id):
@@ -90,7 +110,8 @@
         self._compare_boards(peer_id, digest)
         if digest.total_hash != self._table.total_hash:
             self._links.send(peer_id, RecordHashes(list(self._table.hashes)), Traffic.CONTROL)
-        elif digest.applied > self._table.applied:
+        else:
+            self._outbox.drop(peer_id)
             self._table.advance(digest.applied)
         if is_first or digest.applied < self._table.applied:
             self._send_digest(peer_id)
@@ -117,26 +138,40 @@
         wanted = [
             name for name, revision in theirs.items() if revision > self._table.revision_of(name)
         ]
-        newer_here = [
-            name
+        has_newer = any(
+            revision > theirs.get(name, 0)
             for name, revision in self._table.heads(set(message.buckets))
-            if revision > theirs.get(name, 0)
-        ]
-        self._outbox.add_for(peer_id, newer_here)
+        )
         if wanted:
-            self._links.send(peer_id, RecordRequest(wanted), Traffic.CONTROL)
-        elif not newer_here:
+            self._request(peer_id, wanted, theirs)
+        if has_newer or not wanted:
             self._send_digest(peer_id)
 
+    def _request(self, peer_id: str, names: list[str], revision_by_name: dict[str, int]) -> None:
+        """Ask for records, but not for those that another peer was asked for just now."""
+        now = asyncio.get_running_loop().time()
+        pending = {
+            head: until for head, until in self._requested_until_by_head.items() if until > now
+        }
+        fresh = [each for each in names if (each, revision_by_name[each]) not in pending]
+        if fresh and self._links.send(peer_id, RecordRequest(fresh), Traffic.CONTROL):
+            until = now + REQUEST_TIMEOUT_S
+            pending.update(((each, revision_by_name[each]), until) for each in fresh)
+        self._requested_until_by_head = pending
+        if len(fresh) < len(names):
+            self._recheck(peer_id)
+
     def _on_request(self, peer_id: str, message: RecordRequest) -> None:
         known = [name for name in message.names if self._table.packed(name) is not None]
         self._outbox.add_for(peer_id, known[:MAX_NAMES_PER_MESSAGE])
 
     def _on_records(self, peer_id: str, message: Records) -> None:
+        is_bulk = len(message.records) > MAX_PUSHED_ON
         self._source = peer_id
         try:
-            for name, revision, data in message.records:
-                self._take_in(peer_id, PackedRecord(name, revision, data))
+            with self._table.bulk() if is_bulk else nullcontext():
+                for name, revision, data in message.records:
+                    self._take_in(peer_id, PackedRecord(name, revision, data))
         finally:
             self._source = None
         self._table.hear_of(message.applied)
@@ -150,8 +185,13 @@
         held = self._table.revision_of(packed.name)
         if held <= packed.revision:
             self._outbox.discard(peer_id, packed.name)
-        if held < packed.revision:
+        if held >= packed.revision:
+            return
+        try:
             self._table.take_in_packed(_unpack(packed), packed)
+        except PeerProtocolError as error:
+            # A newer release may have written it; the rest of the configuration goes on.
+            log_event("record_refused", level="ERROR", service=packed.name, reason=str(error))
 
     def _recheck(self, peer_id: str) -> None:
         """Compare with a peer soon, unless that is planned already."""
@@ -162,7 +202,7 @@
 
     def _check_again(self, peer_id: str) -> None:
         self._rechecks.discard(peer_id)
-        if self._table.applied < self._table.heard_of:
+        if not self._table.is_whole:
             self._send_digest(peer_id)
 
     def _send_digest(self, peer_id: str) -> None:
--- a/heatherhead/configuration/record_table.py
+++ b/heatherhead/configuration/record_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from contextlib import contextmanager
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import TYPE_CHECKING
@@ -10,7 +11,7 @@
 from heatherhead.configuration.documents import encode_record
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from heatherhead.configuration.model import ServiceRecord
     from heatherhead.configuration.replica import Replica
@@ -47,6 +48,8 @@
         self._packed_by_name: dict[str, PackedRecord] = {}
         self._record_listeners: list[Callable[[PackedRecord], None]] = []
         self._applied_listeners: list[Callable[[int], None]] = []
+        self._bulk_listeners: list[Callable[[], None]] = []
+        self._bulks = 0
 
     def take_in(self, record: ServiceRecord, document: bytes | None = None) -> bool:
         """Apply a record if it is newer than the one held; tell whether it was."""
@@ -66,10 +69,22 @@
             self.hashes[bucket] ^= _hash(held.name, held.revision)
         self.hashes[bucket] ^= _hash(packed.name, packed.revision)
         self._packed_by_name[record.name] = packed
-        for listener in self._record_listeners:
-            listener(packed)
+        if not self._bulks:
+            for listener in self._record_listeners:
+                listener(packed)
         return True
 
+    @contextmanager
+    def bulk(self) -> Iterator[None]:
+        """Take many records in, which are not told one by one but together at the end."""
+        self._bulks += 1
+        try:
+            yield
+        finally:
+            self._bulks -= 1
+        for listener in self._bulk_listeners:
+            listener()
+
     def advance(self, revision: int) -> None:
         """Note that all changes up to `revision` are in force here."""
         self.hear_of(revision)
@@ -126,9 +141,13 @@
         ]
 
     def on_record(self, listener: Callable[[PackedRecord], None]) -> None:
-        """Call `listener` with each record that is taken in from now on."""
+        """Call `listener` with each record that is taken in from now on, but not in bulk."""
         self._record_listeners.append(listener)
 
+    def on_bulk(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after records were taken in in bulk."""
+        self._bulk_listeners.append(listener)
+
     def on_applied(self, listener: Callable[[int], None]) -> None:
         """Call `listener` each time `applied` has risen."""
         self._applied_listeners.append(listener)
--- a/heatherhead/configuration/store_watcher.py
+++ b/heatherhead/configuration/store_watcher.py
@@ -58,10 +58,11 @@
             return False
         revision = answer.ok_value.revision
         by_key = answer.ok_value.by_key
-        for value in sorted(by_key.values(), key=lambda each: each.mod_revision):
-            self._take_in(value.key, value.value, value.mod_revision)
-        self._bury_absent(set(by_key), revision)
-        self._table.advance_to_records(revision)
+        with self._table.bulk():
+            for value in sorted(by_key.values(), key=lambda each: each.mod_revision):
+                self._take_in(value.key, value.value, value.mod_revision)
+            self._bury_absent(set(by_key), revision)
+            self._table.advance_to_records(revision)
         self._next_revision = revision + 1
         self._backoff.reset()
         return True
--- a/heatherhead/tests/configuration/dissemination_tests.py
+++ b/heatherhead/tests/configuration/dissemination_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from heatherhead.configuration.record_messages import Records
 from heatherhead.tests.base import run_paused
 from heatherhead.tests.configuration.fleet import (
     ConfigurationFleet,
@@ -80,6 +81,25 @@
     _run(scenario)
 
 
+def test_snapshot_reaches_a_new_instance_once_and_not_from_each_neighbour() -> None:
+    async def scenario(fleet: ConfigurationFleet) -> None:
+        await fleet.start_all(2, 2, 3)
+        editor = fleet.configuration_by_id["i0-0-0"]
+        for number in range(60):
+            last = (await editor.put(service(f"s{number}"), 0, f"n{number}")).ok_value
+        await wait_until(lambda: fleet.all_at("s59", last.revision))
+        fresh = await fleet.start("fresh", "r1", "r1z0")
+        network = fleet.members.by_id["fresh"].network
+        names: list[str] = []
+        network.subscribe(Records, lambda _, message: names.extend(r[0] for r in message.records))
+        await wait_until(fresh.ready.is_set)
+        await asyncio.sleep(30)
+        assert len(network.neighbours()) > 2
+        assert sorted(names) == sorted(f"s{number}" for number in range(60))
+
+    _run(scenario)
+
+
 def test_new_instance_waits_for_a_newer_state_that_it_has_heard_of() -> None:
     async def scenario(fleet: ConfigurationFleet) -> None:
         ids = await fleet.start_all(2, 2, 2)
