--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -50,6 +50,7 @@
 
     load: float = 0.5
     homes: int = 3
+    peers: bool = True
     duration_s: float = 20.0
     warm_up_s: float = 2.0
     deadline_s: float = 30.0
@@ -219,16 +220,21 @@
     service = Service(SERVICE, upstreams=upstreams, queue_limit=2000)
     switch = FakeSwitch(LINK_DELAY_S)
     routers = []
-    sets = create_home_sets(FakeMembership(instances[0], instances), lambda *_: plan.homes)
+    settings = settings.model_copy(
+        update={"homes_minimum": plan.homes, "homes_maximum": plan.homes}
+    )
+    sets = create_home_sets(FakeMembership(instances[0], instances), settings=settings)
     home_ids = sets.home_ids(SERVICE, "local")
     for index, each in enumerate(instances):
         membership = FakeMembership(each, instances)
+        network = FakeNetwork(each.id, switch)
+        network.refuse = not plan.peers
         router = create_router(
             settings,
             membership,
-            FakeNetwork(each.id, switch),
+            network,
             FakeTelemetry(),
-            Random(plan.seed * 100 + index),
+            rng=Random(plan.seed * 100 + index),
         )
         router.update_service(SERVICE, service)
         if each.id in home_ids:
--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -80,7 +80,7 @@
         self.service_time = create_service_time()
         self.evidence = create_evidence(settings, self.policy, self.service_time, self.state_by_id)
         self.queue = create_call_queue(service.queue_limit, _weights(service))
-        self.calls_started = 0
+        self.rate = 0.0
         self.calls_seen = 0
         self._own = own
         self._telemetry = telemetry
@@ -134,6 +134,17 @@
         self._take_upstreams(service, cold=True)
         self.dispatch()
 
+    def others_changed(self, states: list[UpstreamState], now: float) -> None:
+        """Take in what co-homes told of upstreams."""
+        for state in states:
+            if state.others_slow:
+                state.others_slow_at = state.others_slow_at or now
+            else:
+                state.others_slow_at = 0.0
+            self.policy.refresh(state)
+        if states and self.queue:
+            self.dispatch()
+
     def close(self) -> None:
         """Refuse all waiting calls of a service that is no more."""
         if self._timer is not None:
@@ -217,7 +228,6 @@
         slot = RoutedSlot(state.upstream, now, state, next(self._serial), call, self)
         state.started_by_serial[slot.serial] = now
         self._oldest.append(slot)
-        self.calls_started += 1
         self.policy.refresh(state)
         return slot
 
--- /dev/null
+++ b/heatherhead/routing/exchange.py
@@ -0,0 +1,224 @@
+"""Rounds in which the co-homes of services tell each other their calls in flight.
+
+One message a round goes to each co-home, with the changed vectors of all services that both serve.
+Rounds come less often when a round is large, and when the byte budget refuses one, so that the
+policy falls back on fewer vectors and then on its own evidence.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from heatherhead.membership.interface import Traffic
+from heatherhead.routing.messages import InFlightVectors
+from heatherhead.routing.shares import owner_by_upstream
+from heatherhead.routing.vectors import (
+    PeerVector,
+    pack_changes,
+    signature_of,
+    unpack_changes,
+    vector_of,
+)
+
+if TYPE_CHECKING:
+    from heatherhead.membership.interface import MembershipView, PeerNetwork
+    from heatherhead.routing.dispatcher import Dispatcher
+    from heatherhead.routing.homes import RendezvousHomes
+    from heatherhead.routing.upstream_state import UpstreamState
+    from heatherhead.settings.routing import RoutingSettings
+
+__all__ = ["VectorExchange", "create_vector_exchange"]
+
+WHOLE_EVERY_S = 1.0
+FORGET_AFTER_S = 2.5
+MAX_PEERS_PER_SERVICE = 64
+MAX_SLOWDOWN = 64.0
+ROW_OVERHEAD_BYTES = 10
+MESSAGE_OVERHEAD_BYTES = 12
+
+
+@dataclass(slots=True)
+class _SharedService:
+    """A service as this instance and its co-homes share it."""
+
+    dispatcher: Dispatcher
+    states: list[UpstreamState]
+    signature: int
+    co_homes: list[str] = field(default_factory=list)
+    home_ids: list[str] | None = None
+    vector_by_peer: dict[str, PeerVector] = field(default_factory=dict)
+    sent_by_peer: dict[str, tuple[bytes, float]] = field(default_factory=dict)
+
+
+class VectorExchange:
+    """Sends and takes in vectors, and sets which upstreams are this home's own share."""
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        membership: MembershipView,
+        network: PeerNetwork,
+        homes: RendezvousHomes,
+    ) -> None:
+        self.load = 0
+        self._settings = settings
+        self._membership = membership
+        self._network = network
+        self._homes = homes
+        self._shared_by_service: dict[str, _SharedService] = {}
+        self._with_co_homes: list[_SharedService] = []
+        self._seen_version = (-1, -1)
+        self._slowdown = 1.0
+        network.subscribe(InFlightVectors, self._on_vectors)
+
+    def follow(self, dispatcher: Dispatcher) -> None:
+        """Take in a service or its new list of upstreams."""
+        name = dispatcher.service.name
+        self.forget(name)
+        states = list(dispatcher.state_by_id.values())
+        shared = _SharedService(dispatcher, states, signature_of(dispatcher.state_by_id))
+        self._shared_by_service[name] = shared
+        self._take_homes(shared)
+        self._list_co_homes()
+
+    def forget(self, name: str) -> None:
+        """Drop a service."""
+        shared = self._shared_by_service.pop(name, None)
+        if shared is not None:
+            for vector in shared.vector_by_peer.values():
+                vector.withdraw(shared.states)
+            self._list_co_homes()
+
+    def co_homes(self, name: str) -> list[str]:
+        """List the other homes of a service in this region."""
+        shared = self._shared_by_service.get(name)
+        return shared.co_homes if shared else []
+
+    def run_round(self) -> float:
+        """Tell the co-homes what changed; return the seconds until the next round."""
+        self._follow_homes()
+        now = asyncio.get_running_loop().time()
+        rows_by_peer: dict[str, list[tuple[str, int, bytes, bool]]] = {}
+        for shared in self._with_co_homes:
+            self._expire(shared, now)
+            self._add_rows(shared, rows_by_peer, now)
+        size = self._send(rows_by_peer)
+        interval_s = self._settings.vector_interval_ms / 1000 * self._slowdown
+        return max(interval_s, size / self._settings.vector_bytes_per_second)
+
+    def _add_rows(
+        self,
+        shared: _SharedService,
+        rows_by_peer: dict[str, list[tuple[str, int, bytes, bool]]],
+        now: float,
+    ) -> None:
+        octets = vector_of(shared.states)
+        for peer_id in shared.co_homes:
+            before, whole_at = shared.sent_by_peer.get(peer_id, (b"", 0.0))
+            whole_due = now - whole_at >= WHOLE_EVERY_S and any(octets)
+            if octets == before and not whole_due:
+                continue
+            if whole_due or not before:
+                before, whole_at = b"", now
+            data, partial = pack_changes(before, octets)
+            name = shared.dispatcher.service.name
+            rows_by_peer.setdefault(peer_id, []).append((name, shared.signature, data, partial))
+            shared.sent_by_peer[peer_id] = (octets, whole_at)
+
+    def _send(self, rows_by_peer: dict[str, list[tuple[str, int, bytes, bool]]]) -> int:
+        size = 0
+        refused = False
+        for peer_id, rows in rows_by_peer.items():
+            message = InFlightVectors(self.load, rows)
+            if self._network.send(peer_id, message, Traffic.MEASURING):
+                size += MESSAGE_OVERHEAD_BYTES
+                size += sum(len(row[0]) + len(row[2]) + ROW_OVERHEAD_BYTES for row in rows)
+                continue
+            refused = True
+            for row in rows:
+                self._shared_by_service[row[0]].sent_by_peer.pop(peer_id, None)
+        if refused:
+            self._slowdown = min(self._slowdown * 2, MAX_SLOWDOWN)
+        elif rows_by_peer:
+            self._slowdown = max(self._slowdown / 2, 1.0)
+        return size
+
+    def _on_vectors(self, sender_id: str, message: InFlightVectors) -> None:
+        sender = self._membership.by_id.get(sender_id)
+        if sender is None or sender.region != self._membership.own.region:
+            return
+        self._homes.load_by_id[sender_id] = message.load
+        now = asyncio.get_running_loop().time()
+        for name, signature, data, partial in message.rows:
+            shared = self._shared_by_service.get(name)
+            if shared is not None and shared.signature == signature:
+                self._take_vector(shared, sender_id, data, partial, now)
+
+    def _take_vector(
+        self, shared: _SharedService, sender_id: str, data: bytes, partial: bool, now: float
+    ) -> None:
+        vector = shared.vector_by_peer.get(sender_id)
+        if vector is None:
+            if len(shared.vector_by_peer) >= MAX_PEERS_PER_SERVICE:
+                return
+            vector = PeerVector(len(shared.states), shared.signature, now)
+            shared.vector_by_peer[sender_id] = vector
+        vector.heard_at = now
+        shared.dispatcher.others_changed(
+            vector.apply(unpack_changes(data, partial), shared.states), now
+        )
+
+    def _expire(self, shared: _SharedService, now: float) -> None:
+        for peer_id, vector in list(shared.vector_by_peer.items()):
+            if now - vector.heard_at > FORGET_AFTER_S:
+                del shared.vector_by_peer[peer_id]
+                shared.dispatcher.others_changed(vector.withdraw(shared.states), now)
+
+    def _follow_homes(self) -> None:
+        version = (self._homes.version, self._homes.counts.version)
+        if version == self._seen_version:
+            return
+        self._seen_version = version
+        for shared in self._shared_by_service.values():
+            self._take_homes(shared)
+        self._list_co_homes()
+
+    def _list_co_homes(self) -> None:
+        self._with_co_homes = [each for each in self._shared_by_service.values() if each.co_homes]
+
+    def _take_homes(self, shared: _SharedService) -> None:
+        own = self._membership.own
+        name = shared.dispatcher.service.name
+        home_ids = self._homes.home_ids(name, own.region)
+        if home_ids == shared.home_ids:
+            return
+        shared.home_ids = home_ids
+        is_home = own.id in home_ids
+        shared.co_homes = [each for each in home_ids if each != own.id] if is_home else []
+        for peer_id in shared.sent_by_peer.keys() - set(shared.co_homes):
+            del shared.sent_by_peer[peer_id]
+        self._divide(shared, home_ids)
+
+    def _divide(self, shared: _SharedService, home_ids: list[str]) -> None:
+        own = self._membership.own
+        by_id = self._membership.by_id
+        zone_by_home = {each: by_id[each].availability_zone for each in home_ids if each in by_id}
+        local = [each.upstream for each in shared.states if each.local_region]
+        owners = owner_by_upstream(shared.dispatcher.service.name, local, zone_by_home)
+        for state in shared.states:
+            state.own_share = (
+                self._settings.share_upstreams or owners.get(state.upstream.id) == own.id
+            )
+            shared.dispatcher.policy.refresh(state)
+
+
+def create_vector_exchange(
+    settings: RoutingSettings,
+    membership: MembershipView,
+    network: PeerNetwork,
+    homes: RendezvousHomes,
+) -> VectorExchange:
+    """Create an exchange without services."""
+    return VectorExchange(settings, membership, network, homes)
--- /dev/null
+++ b/heatherhead/routing/home_counts.py
@@ -0,0 +1,188 @@
+"""How many homes each service of this region has, from the demand that instances see.
+
+Every instance that serves calls of a service tells its rate to one leader, the first of the
+service's ranking. The leader sums the rates and sizes the homes: it grows them at once and shrinks
+them only after the demand stayed low. A new size is passed on over the overlay, and repaired by
+telling a neighbour the whole table from time to time, so that instances which are no homes give
+the same answers. Tables that differ cost performance only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from math import ceil
+from typing import TYPE_CHECKING
+
+from heatherhead.membership.interface import Traffic
+from heatherhead.routing.messages import CallRates, HomeCounts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.membership.interface import MembershipView, PeerNetwork
+    from heatherhead.settings.routing import RoutingSettings
+
+__all__ = ["HomeCountTable", "create_home_counts"]
+
+RATE_LIFETIME_S = 10.0
+SHRINK_AFTER_S = 60.0
+SHRINK_MARGIN = 0.8  # share of the smaller set's capacity below which demand counts as low
+SPARE_HOMES = 1
+ROWS_PER_MESSAGE = 256
+MAX_SERVICES = 10_000
+
+
+@dataclass(slots=True)
+class _Size:
+    """An agreed number of homes; the highest version wins."""
+
+    count: int
+    version: int
+
+
+@dataclass(slots=True)
+class _Demand:
+    """What the leader of a service knows of its demand."""
+
+    rate_by_id: dict[str, tuple[float, float]]
+    low_since: float | None = None
+
+
+class HomeCountTable:
+    """The sizes of home sets in this region, and the demand of services led by this instance."""
+
+    def __init__(
+        self, membership: MembershipView, network: PeerNetwork | None, settings: RoutingSettings
+    ) -> None:
+        self.leader_of: Callable[[str], str | None] = lambda _service: None
+        self.version = 0
+        self._membership = membership
+        self._network = network
+        self._settings = settings
+        self._size_by_service: dict[str, _Size] = {}
+        self._demand_by_service: dict[str, _Demand] = {}
+        if network is not None:
+            network.subscribe(CallRates, self._on_rates)
+            network.subscribe(HomeCounts, self._on_counts)
+
+    def count(self, service: str, region: str) -> int:
+        """Say how many homes a service has in a region."""
+        size = self._size_by_service.get(service)
+        if size is None or region != self._membership.own.region:
+            return self._settings.homes_minimum
+        return max(size.count, self._settings.homes_minimum)
+
+    def report(self, rate_by_service: dict[str, float]) -> None:
+        """Tell the leaders the calls a second that this instance sees."""
+        own_id = self._membership.own.id
+        rows_by_leader: dict[str, list[tuple[str, float]]] = {}
+        for service, rate in rate_by_service.items():
+            leader = self.leader_of(service)
+            if leader is not None:
+                rows_by_leader.setdefault(leader, []).append((service, round(rate, 1)))
+        for leader, rows in rows_by_leader.items():
+            if leader == own_id:
+                self._on_rates(own_id, CallRates(rows))
+            elif self._network is not None:
+                self._network.send(leader, CallRates(rows), Traffic.MEASURING)
+
+    def size_led_services(self) -> None:
+        """Size the homes of the services that this instance leads."""
+        now = asyncio.get_running_loop().time()
+        changed = []
+        for service, demand in list(self._demand_by_service.items()):
+            if self.leader_of(service) != self._membership.own.id:
+                del self._demand_by_service[service]
+                continue
+            if self._resize(service, demand, now):
+                size = self._size_by_service[service]
+                changed.append((service, size.count, size.version))
+        self._pass_on(changed, sender_id="")
+
+    def repair(self, neighbour_id: str) -> None:
+        """Tell a neighbour of this region the whole table."""
+        rows = [(name, size.count, size.version) for name, size in self._size_by_service.items()]
+        self._send(neighbour_id, rows)
+
+    def _resize(self, service: str, demand: _Demand, now: float) -> bool:
+        """Adapt the size to the demand, with hysteresis; tell whether it changed."""
+        for instance_id, (_, heard_at) in list(demand.rate_by_id.items()):
+            if now - heard_at > RATE_LIFETIME_S:
+                del demand.rate_by_id[instance_id]
+        rate = sum(each[0] for each in demand.rate_by_id.values())
+        current = self.count(service, self._membership.own.region)
+        wanted = self._wanted(rate)
+        if wanted > current:
+            demand.low_since = None
+            self._set(service, wanted)
+            return True
+        shrunk = self._wanted(rate / SHRINK_MARGIN)
+        if shrunk >= current:
+            demand.low_since = None
+            return False
+        if demand.low_since is None:
+            demand.low_since = now
+        if now - demand.low_since < SHRINK_AFTER_S:
+            return False
+        demand.low_since = None
+        self._set(service, shrunk)
+        return True
+
+    def _wanted(self, rate: float) -> int:
+        wanted = ceil(rate / self._settings.calls_per_home) + SPARE_HOMES
+        return min(max(wanted, self._settings.homes_minimum), self._settings.homes_maximum)
+
+    def _set(self, service: str, count: int) -> None:
+        size = self._size_by_service.get(service)
+        self._size_by_service[service] = _Size(count, size.version + 1 if size else 1)
+        self.version += 1
+
+    def _on_rates(self, sender_id: str, message: CallRates) -> None:
+        now = asyncio.get_running_loop().time()
+        for service, rate in message.rows:
+            demand = self._demand_by_service.get(service)
+            if demand is None:
+                if len(self._demand_by_service) >= MAX_SERVICES:
+                    continue
+                demand = self._demand_by_service[service] = _Demand({})
+            demand.rate_by_id[sender_id] = (rate, now)
+
+    def _on_counts(self, sender_id: str, message: HomeCounts) -> None:
+        if not self._is_near(sender_id):
+            return
+        fresh = []
+        for service, count, version in message.rows:
+            size = self._size_by_service.get(service)
+            if size is None and len(self._size_by_service) >= MAX_SERVICES:
+                continue
+            if size is None or (version, count) > (size.version, size.count):
+                self._size_by_service[service] = _Size(count, version)
+                self.version += 1
+                fresh.append((service, count, version))
+        self._pass_on(fresh, sender_id)
+
+    def _pass_on(self, rows: list[tuple[str, int, int]], sender_id: str) -> None:
+        if not rows or self._network is None:
+            return
+        for neighbour_id in self._network.neighbours():
+            if neighbour_id != sender_id and self._is_near(neighbour_id):
+                self._send(neighbour_id, rows)
+
+    def _send(self, neighbour_id: str, rows: list[tuple[str, int, int]]) -> None:
+        if self._network is None:
+            return
+        for start in range(0, len(rows), ROWS_PER_MESSAGE):
+            message = HomeCounts(rows[start : start + ROWS_PER_MESSAGE])
+            self._network.send(neighbour_id, message, Traffic.CONTROL)
+
+    def _is_near(self, instance_id: str) -> bool:
+        instance = self._membership.by_id.get(instance_id)
+        return instance is not None and instance.region == self._membership.own.region
+
+
+def create_home_counts(
+    membership: MembershipView, network: PeerNetwork | None, settings: RoutingSettings
+) -> HomeCountTable:
+    """Create a table in which every service has the smallest number of homes."""
+    return HomeCountTable(membership, network, settings)
--- a/heatherhead/routing/homes.py
+++ b/heatherhead/routing/homes.py
@@ -1,102 +1,138 @@
-"""The home instances of each service in each region."""
+"""The home instances of each service in each region.
+
+Each service ranks the live instances of a region by rendezvous, taking the best of each
+availability zone in turn; its homes are the first of the ranking. An instance that comes or goes
+changes only the services that rank it among their homes. Rankings are cached, and those that a
+change of the view can't touch stay.
+"""
 
 from __future__ import annotations
 
 from collections import deque
 from typing import TYPE_CHECKING
 
+from heatherhead.routing.home_counts import create_home_counts
 from heatherhead.routing.interface import Home
 from heatherhead.routing.rendezvous import score
+from heatherhead.settings.routing import RoutingSettings
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from heatherhead.membership.interface import Instance, MembershipView
+    from heatherhead.membership.interface import MembershipView, PeerNetwork
+    from heatherhead.routing.home_counts import HomeCountTable
 
 __all__ = ["RendezvousHomes", "create_home_sets"]
 
+FEWEST_RANKED = 8
+LOWEST_WEIGHT = 0.5
+HIGHEST_WEIGHT = 2.0
 
-class RendezvousHomes:
-    """Homes by rendezvous over the live instances, taken from the zones in turn.
 
-    Rankings are cached until the view of the instances changes.
-    """
+class RendezvousHomes:
+    """Implements `HomeSets` over the view of this instance."""
 
-    def __init__(
-        self,
-        membership: MembershipView,
-        count: Callable[[str, str], int],
-        weight: Callable[[str, str], float],
-    ) -> None:
+    def __init__(self, membership: MembershipView, counts: HomeCountTable) -> None:
+        self.counts = counts
+        self.load_by_id: dict[str, float] = {}
+        self.version = 0
         self._membership = membership
-        self._count = count
-        self._weight = weight
-        self._ranking_by_key: dict[tuple[str, str], list[Instance]] = {}
-        self._live_by_region: dict[str, list[Instance]] | None = None
-        membership.subscribe(self._forget)
+        self._ranking_by_key: dict[tuple[str, str], list[str]] = {}
+        self._zone_by_id_by_region: dict[str, dict[str, str]] = {}
+        self._stale = True
+        membership.subscribe(self._on_view)
+        counts.leader_of = self.leader
 
     def homes(self, service: str, region: str) -> list[Home]:
         """List the homes of a service in a region, best first."""
-        ranking = self.ranking(service, region)
-        chosen = ranking[: self._count(service, region)]
-        return [Home(each, self._weight(service, each.id)) for each in chosen]
+        by_id = self._membership.by_id
+        ids = self.home_ids(service, region)
+        mean_load = sum(self.load_by_id.get(each, 0.0) for each in ids) / max(1, len(ids))
+        return [Home(by_id[each], self._weight(each, mean_load)) for each in ids if each in by_id]
 
     def home_ids(self, service: str, region: str) -> list[str]:
         """List the ids of the homes, best first."""
-        return [each.id for each in self.ranking(service, region)[: self._count(service, region)]]
-
-    def ranking(self, service: str, region: str) -> list[Instance]:
-        """Rank the live instances of a region for a service, zones in turn."""
+        count = self.counts.count(service, region)
+        return self._ranking(service, region, count)[:count]
+
+    def leader(self, service: str) -> str | None:
+        """Name the instance of this region that sizes the homes of a service."""
+        ranking = self._ranking(service, self._membership.own.region, 1)
+        return ranking[0] if ranking else None
+
+    def _weight(self, instance_id: str, mean_load: float) -> float:
+        load = self.load_by_id.get(instance_id, 0.0)
+        if load <= 0 or mean_load <= 0:
+            return 1.0
+        return min(max(mean_load / load, LOWEST_WEIGHT), HIGHEST_WEIGHT)
+
+    def _ranking(self, service: str, region: str, count: int) -> list[str]:
+        if self._stale:
+            self._take_view()
         key = (service, region)
+        zone_by_id = self._zone_by_id_by_region.get(region, {})
         ranking = self._ranking_by_key.get(key)
-        if ranking is None:
-            ranking = _spread(service, self._live(region))
+        if ranking is None or len(ranking) < min(count, len(zone_by_id)):
+            ranking = _rank(service, zone_by_id)[: max(count, FEWEST_RANKED)]
             self._ranking_by_key[key] = ranking
         return ranking
 
-    def _live(self, region: str) -> list[Instance]:
-        if self._live_by_region is None:
-            self._live_by_region = {}
-            for each in self._membership.live():
-                self._live_by_region.setdefault(each.region, []).append(each)
-        return self._live_by_region.get(region, [])
-
-    def _forget(self) -> None:
-        self._ranking_by_key.clear()
-        self._live_by_region = None
-
-
-def _spread(service: str, instances: list[Instance]) -> list[Instance]:
+    def _on_view(self) -> None:
+        self._stale = True
+        self.version += 1
+
+    def _take_view(self) -> None:
+        """Drop the rankings that the instances which came or went can touch."""
+        self._stale = False
+        before = self._zone_by_id_by_region
+        after: dict[str, dict[str, str]] = {}
+        for each in self._membership.live():
+            after.setdefault(each.region, {})[each.id] = each.availability_zone
+        self._zone_by_id_by_region = after
+        for region in before.keys() | after.keys():
+            changed = set(before.get(region, {}).items()) ^ set(after.get(region, {}).items())
+            if changed:
+                self._drop_touched(region, changed)
+        for instance_id in self.load_by_id.keys() - self._membership.by_id.keys():
+            del self.load_by_id[instance_id]
+
+    def _drop_touched(self, region: str, changed: set[tuple[str, str]]) -> None:
+        zone_by_id = self._zone_by_id_by_region.get(region, {})
+        for key in [each for each in self._ranking_by_key if each[1] == region]:
+            ranking = self._ranking_by_key[key]
+            if any(_touches(key[0], ranking, zone_by_id, *each) for each in changed):
+                del self._ranking_by_key[key]
+
+
+def _touches(
+    service: str, ranking: list[str], zone_by_id: dict[str, str], instance_id: str, zone: str
+) -> bool:
+    """Tell whether an instance that came or went may belong into a ranking."""
+    if instance_id in ranking:
+        return True
+    rivals = [each for each in ranking if zone_by_id.get(each) == zone]
+    if not rivals:
+        return True
+    return score(service, instance_id) > score(service, rivals[-1])
+
+
+def _rank(service: str, zone_by_id: dict[str, str]) -> list[str]:
     """Order instances by score, taking the best of each availability zone in turn."""
-    by_zone: dict[str, list[tuple[float, str, Instance]]] = {}
-    for each in instances:
-        zone = by_zone.setdefault(each.availability_zone, [])
-        zone.append((score(service, each.id), each.id, each))
-    queues = []
-    for zone, scored in by_zone.items():
-        scored.sort(key=lambda item: item[:2], reverse=True)
-        queues.append((score(service, zone), deque(item[2] for item in scored)))
-    queues.sort(key=lambda item: item[0], reverse=True)
-    ordered: list[Instance] = []
+    by_zone: dict[str, list[tuple[float, str]]] = {}
+    for instance_id, zone in zone_by_id.items():
+        by_zone.setdefault(zone, []).append((score(service, instance_id), instance_id))
+    zones = sorted(by_zone, key=lambda zone: score(service, zone), reverse=True)
+    queues = [deque(sorted(by_zone[zone], reverse=True)) for zone in zones]
+    ordered: list[str] = []
     while queues:
-        for _, queue in queues:
-            ordered.append(queue.popleft())
-        queues = [item for item in queues if item[1]]
+        ordered.extend(queue.popleft()[1] for queue in queues)
+        queues = [queue for queue in queues if queue]
     return ordered
 
 
-def _two_homes(_service: str, _region: str) -> int:
-    return 2
-
-
-def _equal_weight(_service: str, _instance_id: str) -> float:
-    return 1.0
-
-
 def create_home_sets(
     membership: MembershipView,
-    count: Callable[[str, str], int] = _two_homes,
-    weight: Callable[[str, str], float] = _equal_weight,
+    network: PeerNetwork | None = None,
+    settings: RoutingSettings | None = None,
 ) -> RendezvousHomes:
-    """Create home sets; `count` sizes them and `weight` weighs a home in the answers."""
-    return RendezvousHomes(membership, count, weight)
+    """Create home sets; without a network their sizes stay at the settings' minimum."""
+    counts = create_home_counts(membership, network, settings or RoutingSettings())
+    return RendezvousHomes(membership, counts)
--- a/heatherhead/routing/policies/late_binding.py
+++ b/heatherhead/routing/policies/late_binding.py
@@ -51,7 +51,7 @@
     tier = TIERS_IN_REGION
     if state.local_region:
         tier = (0 if state.own_share else 2) + (0 if state.local_zone else 1)
-        if state.on_trial:
+        if state.distrusted:
             tier = TRIAL_TIER
     if state.failures:
         return tier * LEVELS + LEVELS - 1
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -9,8 +9,12 @@
 from result import Err
 
 from heatherhead.exceptions import NoUpstreamError
+from heatherhead.membership.interface import Traffic
 from heatherhead.routing.dispatcher import create_dispatcher
+from heatherhead.routing.exchange import create_vector_exchange
+from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.interface import UpstreamEvidence
+from heatherhead.routing.messages import DrainSighting
 
 if TYPE_CHECKING:
     from result import Result
@@ -20,12 +24,17 @@
     from heatherhead.exceptions import CallRefusedError
     from heatherhead.membership.interface import MembershipView, PeerNetwork
     from heatherhead.routing.dispatcher import Dispatcher
+    from heatherhead.routing.homes import RendezvousHomes
     from heatherhead.routing.interface import QuarantineEntry, Slot
+    from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
     from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["RoutingRouter", "create_router"]
 
+DEMAND_INTERVAL_S = 2.0
+REPAIR_INTERVAL_S = 30.0
+LOAD_WEIGHT = 0.5  # of the latest interval in the smoothed load
 NO_AVOIDED: frozenset[str] = frozenset()
 
 
@@ -38,8 +47,10 @@
         membership: MembershipView,
         network: PeerNetwork,
         telemetry: Telemetry,
+        homes: RendezvousHomes,
         rng: Random,
     ) -> None:
+        self.homes = homes
         self.dispatcher_by_service: dict[str, Dispatcher] = {}
         self._settings = settings
         self._membership = membership
@@ -47,6 +58,11 @@
         self._telemetry = telemetry
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self._exchange = create_vector_exchange(settings, membership, network, homes)
+        self._rounds = self._loop.call_later(settings.vector_interval_ms / 1000, self._run_round)
+        self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
+        self._next_repair = self._loop.time() + REPAIR_INTERVAL_S * rng.random()
+        network.subscribe(DrainSighting, self._on_drain_sighting)
 
     async def acquire(
         self, call: Call, avoid: frozenset[str] = NO_AVOIDED
@@ -73,13 +89,18 @@
         if service is None:
             if dispatcher is not None:
                 del self.dispatcher_by_service[name]
+                self._exchange.forget(name)
                 dispatcher.close()
-        elif dispatcher is not None:
+            return
+        if dispatcher is not None:
             dispatcher.update(service)
         else:
-            self.dispatcher_by_service[name] = create_dispatcher(
+            dispatcher = create_dispatcher(
                 service, self._membership.own, self._settings, self._telemetry, self._rng
             )
+            dispatcher.evidence.on_draining = lambda state: self._tell_draining(name, state)
+            self.dispatcher_by_service[name] = dispatcher
+        self._exchange.follow(dispatcher)
 
     def evidence(self, service: str) -> list[UpstreamEvidence]:
         """List what is known of a service's upstreams."""
@@ -107,6 +128,54 @@
         """Release a fingerprint."""
         return False
 
+    def close(self) -> None:
+        """Stop the rounds and refuse all waiting calls."""
+        self._rounds.cancel()
+        self._demand.cancel()
+        for dispatcher in self.dispatcher_by_service.values():
+            dispatcher.close()
+
+    def _run_round(self) -> None:
+        delay_s = self._exchange.run_round()
+        self._rounds = self._loop.call_later(delay_s, self._run_round)
+
+    def _tell_demand(self) -> None:
+        self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
+        rate_by_service = {}
+        for name, dispatcher in self.dispatcher_by_service.items():
+            if dispatcher.calls_seen or dispatcher.rate:
+                dispatcher.rate += LOAD_WEIGHT * (
+                    dispatcher.calls_seen / DEMAND_INTERVAL_S - dispatcher.rate
+                )
+                dispatcher.calls_seen = 0
+                rate_by_service[name] = dispatcher.rate
+        load = sum(rate_by_service.values())
+        self._exchange.load = round(load)
+        self.homes.load_by_id[self._membership.own.id] = load
+        self.homes.counts.report(rate_by_service)
+        self.homes.counts.size_led_services()
+        if self._loop.time() >= self._next_repair:
+            self._next_repair = self._loop.time() + REPAIR_INTERVAL_S
+            self._repair_counts()
+
+    def _repair_counts(self) -> None:
+        neighbours = self._network.neighbours()
+        if neighbours:
+            self.homes.counts.repair(self._rng.choice(neighbours))
+
+    def _tell_draining(self, service: str, state: UpstreamState) -> None:
+        """Tell the other homes at once."""
+        message = DrainSighting(service, state.upstream.id)
+        for peer_id in self.homes.home_ids(service, self._membership.own.region):
+            if peer_id != self._membership.own.id:
+                self._network.send(peer_id, message, Traffic.CONTROL)
+
+    def _on_drain_sighting(self, _sender_id: str, message: DrainSighting) -> None:
+        dispatcher = self.dispatcher_by_service.get(message.service)
+        state = dispatcher.state_by_id.get(message.upstream_id) if dispatcher else None
+        if dispatcher is not None and state is not None:
+            dispatcher.evidence.drain(state, self._loop.time())
+
 
 def _unknown_service(name: str) -> NoUpstreamError:
     return NoUpstreamError(
@@ -119,7 +188,9 @@
     membership: MembershipView,
     network: PeerNetwork,
     telemetry: Telemetry,
+    homes: RendezvousHomes | None = None,
     rng: Random | None = None,
 ) -> RoutingRouter:
-    """Create a router without services on the running loop."""
-    return RoutingRouter(settings, membership, network, telemetry, rng or Random())
+    """Create a router without services on the running loop; it shares `homes` with the callers."""
+    homes = homes or create_home_sets(membership, network, settings)
+    return RoutingRouter(settings, membership, network, telemetry, homes, rng or Random())
--- a/heatherhead/routing/upstream_state.py
+++ b/heatherhead/routing/upstream_state.py
@@ -30,7 +30,10 @@
     own_share: bool = True
     started_by_serial: dict[int, float] = field(default_factory=dict)
     others_in_flight: int = 0
-    others_slow: bool = False
+    others_slow: int = 0
+    others_slow_at: float = 0.0
+    others_reserved: int = 0
+    quick_since: float = 0.0
     aged: int = 0
     slow: bool = False
     slow_since: float = 0.0
@@ -62,12 +65,17 @@
     @property
     def has_room(self) -> bool:
         """Whether one more call fits into the limit, the slots and the pause of a slow one."""
-        if not self.usable or self.others_slow or (self.slow and self.trial_at):
+        if not self.usable or self.others_reserved or (self.slow and self.trial_at):
             return False
         own = len(self.started_by_serial)
         others = self.others_in_flight
         return own - self.aged + others < self.limit.allowed and own + others < self.upstream.slots
 
+    @property
+    def distrusted(self) -> bool:
+        """Whether it is on trial, or slow to a co-home with no newer evidence of this instance."""
+        return self.on_trial or (self.others_slow > 0 and self.quick_since < self.others_slow_at)
+
     def oldest_age_s(self, now: float) -> float:
         """Age of the oldest own call in flight."""
         for started_at in self.started_by_serial.values():
@@ -82,7 +90,7 @@
             return "ejected"
         if self.reserved:
             return "reserved"
-        if self.slow or self.others_slow:
+        if self.slow or self.distrusted:
             return "slow"
         return "ramping" if self.limit.allowed < self.upstream.slots else "ready"
 
--- /dev/null
+++ b/heatherhead/routing/vectors.py
@@ -0,0 +1,93 @@
+"""In-flight vectors: what co-homes of a service tell each other of its upstreams."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from struct import Struct
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from heatherhead.routing.upstream_state import UpstreamState
+
+__all__ = ["PeerVector", "octet_of", "pack_changes", "signature_of", "unpack_changes", "vector_of"]
+
+COUNT_MASK = 0x3F
+SLOW_FLAG = 0x40
+RESERVED_FLAG = 0x80
+_CHANGE = Struct(">HB")
+
+
+def signature_of(upstream_ids: Iterable[str]) -> int:
+    """Hash a list of upstreams; vectors are understood only between equal lists."""
+    digest = blake2b("\0".join(upstream_ids).encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big")
+
+
+def octet_of(state: UpstreamState) -> int:
+    """Pack this instance's calls in flight and its evidence on one upstream."""
+    octet = min(len(state.started_by_serial), COUNT_MASK)
+    if state.slow:
+        octet |= SLOW_FLAG
+    if state.reserved:
+        octet |= RESERVED_FLAG
+    return octet
+
+
+def pack_changes(before: bytes, after: bytes) -> tuple[bytes, bool]:
+    """Pack a vector whole, or only its changes if that is shorter; the flag says which."""
+    if len(before) != len(after):
+        return after, False
+    changes = [index for index, octet in enumerate(after) if octet != before[index]]
+    if len(changes) * _CHANGE.size >= len(after):
+        return after, False
+    return b"".join(_CHANGE.pack(index, after[index]) for index in changes), True
+
+
+def unpack_changes(data: bytes, partial: bool) -> Iterator[tuple[int, int]]:
+    """Iterate over the indexes and octets of a packed vector; a torn one ends early."""
+    if not partial:
+        return enumerate(data)
+    whole = len(data) - len(data) % _CHANGE.size
+    return _CHANGE.iter_unpack(data[:whole])  # type: ignore[return-value]
+
+
+class PeerVector:
+    """The last vector of one co-home, and its part in the sums of the upstreams' states."""
+
+    __slots__ = ("heard_at", "octets", "signature")
+
+    def __init__(self, size: int, signature: int, now: float) -> None:
+        self.octets = bytearray(size)
+        self.signature = signature
+        self.heard_at = now
+
+    def apply(
+        self, changes: Iterable[tuple[int, int]], states: list[UpstreamState]
+    ) -> list[UpstreamState]:
+        """Take in new octets; give back the states whose sums changed."""
+        touched = []
+        for index, octet in changes:
+            if index >= len(self.octets) or self.octets[index] == octet:
+                continue
+            _add(states[index], self.octets[index], -1)
+            _add(states[index], octet, 1)
+            self.octets[index] = octet
+            touched.append(states[index])
+        return touched
+
+    def withdraw(self, states: list[UpstreamState]) -> list[UpstreamState]:
+        """Take the whole vector out of the sums."""
+        return self.apply([(index, 0) for index in range(len(self.octets))], states)
+
+
+def _add(state: UpstreamState, octet: int, sign: int) -> None:
+    state.others_in_flight += sign * (octet & COUNT_MASK)
+    state.others_slow += sign * bool(octet & SLOW_FLAG)
+    state.others_reserved += sign * bool(octet & RESERVED_FLAG)
+
+
+def vector_of(states: Iterable[UpstreamState]) -> bytes:
+    """Pack the vector of a list of upstreams."""
+    return bytes(octet_of(each) for each in states)
--- a/heatherhead/settings/routing.py
+++ b/heatherhead/settings/routing.py
@@ -34,6 +34,9 @@
     vector_interval_ms: int = Field(
         default=20, ge=1, le=10_000, description="Time between in-flight vectors to co-homes."
     )
+    vector_bytes_per_second: float = Field(
+        default=6_000, gt=0, description="Bytes of vectors that one instance sends a second."
+    )
     slow_factor: float = Field(
         default=2.0, gt=1, le=100, description="Age over the usual time that marks as slow."
     )
--- a/heatherhead/tests/routing/fakes.py
+++ b/heatherhead/tests/routing/fakes.py
@@ -152,7 +152,7 @@
         FakeMembership(own),
         FakeNetwork(own.id, FakeSwitch()),
         telemetry or FakeTelemetry(),
-        Random(seed),
+        rng=Random(seed),
     )
     router.update_service(service.name, service)
     return router
