Share all upstreams among homes and send vectors only where they are fresh enough

Change: counts go out ten times in a service time, never for one below ten rounds, and only limit; slow flags are gone; sharing is the default.

--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -32,16 +32,14 @@
 __all__ = ["TrialPlan", "main", "run_trial"]
 
 SERVICE = "orders"
-SERVICE_S = 0.010
 SLOTS = 4
 UPSTREAMS = 12
 INSTANCES = 16
-CAPACITY = UPSTREAMS * SLOTS / SERVICE_S
 LINK_DELAY_S = 0.0003
 JITTER_MEAN_S = 0.0003
 FAIL_FAST_S = 0.0005
 MAX_TOKENS = 10.0
-PATIENCE_S = 0.09
+PATIENCE_SERVICE_TIMES = 9
 
 
 @dataclass(slots=True)
@@ -60,9 +58,15 @@
     spell_factor: float = 10.0
     failing: int = 0
     told_speed: bool = False
+    service_s: float = 0.010
     exponential: bool = False
     seed: int = 7
 
+    @property
+    def capacity(self) -> float:
+        """Calls a second that the upstreams can answer when none is slow."""
+        return UPSTREAMS * SLOTS / self.service_s
+
 
 class _Upstream:
     """An upstream with slots, a queue and slow spells."""
@@ -76,6 +80,7 @@
         self.running = 0
         self._random = Random(index)
         self._exponential = plan.exponential
+        self._service_s = plan.service_s
 
     async def run(self, now: float) -> None:
         """Run one call; cancelling frees its slot."""
@@ -92,7 +97,9 @@
             self.running += 1
         loop = asyncio.get_running_loop()
         try:
-            service_s = self._random.expovariate(1 / SERVICE_S) if self._exponential else SERVICE_S
+            service_s = self._service_s
+            if self._exponential:
+                service_s = self._random.expovariate(1 / service_s)
             await asyncio.sleep(service_s * self.spells.factor(loop.time()))
         finally:
             self._next()
@@ -138,8 +145,8 @@
                 slow_choice = state
         if choice is not None:
             return choice
-        wait_s = len(self._dispatcher.queue) / max(1, quick_slots) * SERVICE_S
-        return slow_choice if wait_s > PATIENCE_S else None
+        wait_service_times = len(self._dispatcher.queue) / max(1, quick_slots)
+        return slow_choice if wait_service_times > PATIENCE_SERVICE_TIMES else None
 
 
 @dataclass(slots=True)
@@ -255,7 +262,7 @@
     start = loop.time()
     tasks: set[asyncio.Task[None]] = set()
     while loop.time() < start + plan.warm_up_s + plan.duration_s:
-        await asyncio.sleep(arrivals.expovariate(plan.load * CAPACITY))
+        await asyncio.sleep(arrivals.expovariate(plan.load * plan.capacity))
         measured = loop.time() >= start + plan.warm_up_s
         task = asyncio.create_task(trial.call(arrivals.choice(trial.routers), measured))
         tasks.add(task)
@@ -276,7 +283,7 @@
         **in_ms,
         "hedge_share": round(trial.counts["hedges"] / max(1, calls), 4),
         "failed_share": round(trial.counts["500"] / max(1, calls), 4),
-        "goodput": round(trial.counts["in_time"] / plan.duration_s / CAPACITY, 3),
+        "goodput": round(trial.counts["in_time"] / plan.duration_s / plan.capacity, 3),
         "refused_share": round(trial.counts["refused"] / max(1, total), 4),
         "peer_bytes_per_call": round(sum(switch.bytes_by_traffic.values()) / max(1, total), 2),
         "no_hedge_slot": trial.counts["no_hedge_slot"],
--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -134,13 +134,9 @@
         self._take_upstreams(service, cold=True)
         self.dispatch()
 
-    def others_changed(self, states: list[UpstreamState], now: float) -> None:
+    def others_changed(self, states: list[UpstreamState]) -> None:
         """Take in what co-homes told of upstreams."""
         for state in states:
-            if state.others_slow:
-                state.others_slow_at = state.others_slow_at or now
-            else:
-                state.others_slow_at = 0.0
             self.policy.refresh(state)
         if states and self.queue:
             self.dispatch()
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -139,7 +139,6 @@
             self._answered_late(slot, now)
             return
         state.limit.answered()
-        state.quick_since = max(state.quick_since, slot.started_at)
         if state.slow and slot.started_at >= state.slow_since:
             state.slow = False
             state.on_trial = False
--- a/heatherhead/routing/exchange.py
+++ b/heatherhead/routing/exchange.py
@@ -1,8 +1,10 @@
 """Rounds in which the co-homes of services tell each other their calls in flight.
 
 One message a round goes to each co-home, with the changed vectors of all services that both serve.
-Rounds come less often when a round is large, and when the byte budget refuses one, so that the
-policy falls back on fewer vectors and then on its own evidence.
+A count older than a small part of the service time only misleads, so the counts of a service go out
+ten times in its usual service time, and not at all where that is shorter than ten rounds. Rounds
+come less often when a round is large, and when the byte budget refuses one, so that the policy
+falls back on fewer vectors and then on its own evidence.
 """
 
 from __future__ import annotations
@@ -35,6 +37,7 @@
 FORGET_AFTER_S = 2.5
 MAX_PEERS_PER_SERVICE = 64
 MAX_SLOWDOWN = 64.0
+VECTORS_PER_SERVICE_TIME = 10
 ROW_OVERHEAD_BYTES = 10
 MESSAGE_OVERHEAD_BYTES = 12
 
@@ -50,6 +53,8 @@
     home_ids: list[str] | None = None
     vector_by_peer: dict[str, PeerVector] = field(default_factory=dict)
     sent_by_peer: dict[str, tuple[bytes, float]] = field(default_factory=dict)
+    next_counts_at: float = 0.0
+    octets: bytes = b""
 
 
 class VectorExchange:
@@ -114,12 +119,14 @@
         rows_by_peer: dict[str, list[tuple[str, int, bytes, bool]]],
         now: float,
     ) -> None:
-        octets = vector_of(shared.states)
+        octets = self._octets(shared, now)
         for peer_id in shared.co_homes:
             before, whole_at = shared.sent_by_peer.get(peer_id, (b"", 0.0))
             whole_due = now - whole_at >= WHOLE_EVERY_S and any(octets)
             if octets == before and not whole_due:
                 continue
+            if not before and not any(octets):
+                continue
             if whole_due or not before:
                 before, whole_at = b"", now
             data, partial = pack_changes(before, octets)
@@ -127,6 +134,17 @@
             rows_by_peer.setdefault(peer_id, []).append((name, shared.signature, data, partial))
             shared.sent_by_peer[peer_id] = (octets, whole_at)
 
+    def _octets(self, shared: _SharedService, now: float) -> bytes:
+        """Pack a service's vector when its counts are due, else repeat the last one."""
+        usual_s = shared.dispatcher.service_time.usual_s
+        counts = usual_s * 1000 >= VECTORS_PER_SERVICE_TIME * self._settings.vector_interval_ms
+        if not counts:
+            return vector_of(shared.states, counts=False)
+        if now >= shared.next_counts_at:
+            shared.next_counts_at = now + usual_s / VECTORS_PER_SERVICE_TIME
+            shared.octets = vector_of(shared.states, counts=True)
+        return shared.octets
+
     def _send(self, rows_by_peer: dict[str, list[tuple[str, int, bytes, bool]]]) -> int:
         size = 0
         refused = False
@@ -166,15 +184,14 @@
             vector = PeerVector(len(shared.states), shared.signature, now)
             shared.vector_by_peer[sender_id] = vector
         vector.heard_at = now
-        shared.dispatcher.others_changed(
-            vector.apply(unpack_changes(data, partial), shared.states), now
-        )
+        changed = vector.apply(unpack_changes(data, partial), shared.states)
+        shared.dispatcher.others_changed(changed)
 
     def _expire(self, shared: _SharedService, now: float) -> None:
         for peer_id, vector in list(shared.vector_by_peer.items()):
             if now - vector.heard_at > FORGET_AFTER_S:
                 del shared.vector_by_peer[peer_id]
-                shared.dispatcher.others_changed(vector.withdraw(shared.states), now)
+                shared.dispatcher.others_changed(vector.withdraw(shared.states))
 
     def _follow_homes(self) -> None:
         version = (self._homes.version, self._homes.counts.version)
@@ -208,9 +225,8 @@
         local = [each.upstream for each in shared.states if each.local_region]
         owners = owner_by_upstream(shared.dispatcher.service.name, local, zone_by_home)
         for state in shared.states:
-            state.own_share = (
-                self._settings.share_upstreams or owners.get(state.upstream.id) == own.id
-            )
+            state.owned = owners.get(state.upstream.id) == own.id
+            state.own_share = state.owned or self._settings.share_upstreams
             shared.dispatcher.policy.refresh(state)
 
 
--- a/heatherhead/routing/policies/late_binding.py
+++ b/heatherhead/routing/policies/late_binding.py
@@ -1,8 +1,8 @@
 """Dispatches only into free slots of upstreams that are not slow now.
 
 Order of preference: own share of the upstreams before those of other homes, the local availability
-zone before the others, then the least loaded. Load counts own calls in flight and what the other
-homes told of theirs.
+zone before the others, then the fewest own calls in flight. What other homes told of their calls
+limits how many fit, but does not order: homes that order by the same vectors crowd together.
 """
 
 from __future__ import annotations
@@ -51,12 +51,12 @@
     tier = TIERS_IN_REGION
     if state.local_region:
         tier = (0 if state.own_share else 2) + (0 if state.local_zone else 1)
-        if state.distrusted:
+        if state.on_trial:
             tier = TRIAL_TIER
     if state.failures:
         return tier * LEVELS + LEVELS - 1
-    load = state.in_flight + state.others_in_flight
-    return tier * LEVELS + min(LEVELS - 2, load * (LEVELS - 1) // state.limit.slots)
+    level = state.in_flight * (LEVELS - 1) // state.limit.slots
+    return tier * LEVELS + min(LEVELS - 2, level)
 
 
 def create_late_binding(rng: Random) -> LateBinding:
--- a/heatherhead/routing/upstream_state.py
+++ b/heatherhead/routing/upstream_state.py
@@ -28,12 +28,10 @@
     local_region: bool
     local_zone: bool
     own_share: bool = True
+    owned: bool = True
     started_by_serial: dict[int, float] = field(default_factory=dict)
     others_in_flight: int = 0
-    others_slow: int = 0
-    others_slow_at: float = 0.0
     others_reserved: int = 0
-    quick_since: float = 0.0
     aged: int = 0
     slow: bool = False
     slow_since: float = 0.0
@@ -71,11 +69,6 @@
         others = self.others_in_flight
         return own - self.aged + others < self.limit.allowed and own + others < self.upstream.slots
 
-    @property
-    def distrusted(self) -> bool:
-        """Whether it is on trial, or slow to a co-home with no newer evidence of this instance."""
-        return self.on_trial or (self.others_slow > 0 and self.quick_since < self.others_slow_at)
-
     def oldest_age_s(self, now: float) -> float:
         """Age of the oldest own call in flight."""
         for started_at in self.started_by_serial.values():
@@ -90,7 +83,7 @@
             return "ejected"
         if self.reserved:
             return "reserved"
-        if self.slow or self.distrusted:
+        if self.slow:
             return "slow"
         return "ramping" if self.limit.allowed < self.upstream.slots else "ready"
 
--- a/heatherhead/routing/vectors.py
+++ b/heatherhead/routing/vectors.py
@@ -11,10 +11,9 @@
 
     from heatherhead.routing.upstream_state import UpstreamState
 
-__all__ = ["PeerVector", "octet_of", "pack_changes", "signature_of", "unpack_changes", "vector_of"]
+__all__ = ["PeerVector", "pack_changes", "signature_of", "unpack_changes", "vector_of"]
 
-COUNT_MASK = 0x3F
-SLOW_FLAG = 0x40
+COUNT_MASK = 0x7F
 RESERVED_FLAG = 0x80
 _CHANGE = Struct(">HB")
 
@@ -25,16 +24,6 @@
     return int.from_bytes(digest, "big")
 
 
-def octet_of(state: UpstreamState) -> int:
-    """Pack this instance's calls in flight and its evidence on one upstream."""
-    octet = min(len(state.started_by_serial), COUNT_MASK)
-    if state.slow:
-        octet |= SLOW_FLAG
-    if state.reserved:
-        octet |= RESERVED_FLAG
-    return octet
-
-
 def pack_changes(before: bytes, after: bytes) -> tuple[bytes, bool]:
     """Pack a vector whole, or only its changes if that is shorter; the flag says which."""
     if len(before) != len(after):
@@ -84,10 +73,13 @@
 
 def _add(state: UpstreamState, octet: int, sign: int) -> None:
     state.others_in_flight += sign * (octet & COUNT_MASK)
-    state.others_slow += sign * bool(octet & SLOW_FLAG)
     state.others_reserved += sign * bool(octet & RESERVED_FLAG)
 
 
-def vector_of(states: Iterable[UpstreamState]) -> bytes:
-    """Pack the vector of a list of upstreams."""
-    return bytes(octet_of(each) for each in states)
+def vector_of(states: Iterable[UpstreamState], *, counts: bool) -> bytes:
+    """Pack the vector of a list of upstreams, with or without the calls in flight."""
+    return bytes(
+        (min(len(each.started_by_serial), COUNT_MASK) if counts else 0)
+        | (RESERVED_FLAG if each.reserved else 0)
+        for each in states
+    )
--- a/heatherhead/settings/routing.py
+++ b/heatherhead/settings/routing.py
@@ -29,7 +29,7 @@
         default=1_500.0, gt=0, description="Calls a second that one home is meant to carry."
     )
     share_upstreams: bool = Field(
-        default=False, description="Share all upstreams among homes instead of dividing them."
+        default=True, description="Share all upstreams among homes instead of dividing them."
     )
     vector_interval_ms: int = Field(
         default=20, ge=1, le=10_000, description="Time between in-flight vectors to co-homes."
