Quarantine calls that crash upstreams and run suspects alone

Cause: a call that crashes each upstream that runs it must be stopped at all homes, and the calls beside it must not be. Change: calls in flight at a death are suspects; a suspect runs alone on an upstream emptied for it; a second death alone quarantines it at all homes; an answer clears it. An upstream that can't be connected to is out for 2 s only. Pauses of slow upstreams scale with the service time.

--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from heatherhead.admission.queue import QueueEntry, create_call_queue
-from heatherhead.calls import AttemptResult, AttemptState
+from heatherhead.calls import AttemptResult, AttemptState, UpstreamSign
 from heatherhead.exceptions import (
     CallRefusedError,
     DeadlineUnreachableError,
@@ -19,10 +19,11 @@
     QueueFullError,
 )
 from heatherhead.routing.evidence import create_evidence
+from heatherhead.routing.isolation import create_isolation
 from heatherhead.routing.policies import create_policy
+from heatherhead.routing.quarantine import create_quarantine
 from heatherhead.routing.service_time import create_service_time
 from heatherhead.routing.upstream_state import create_upstream_state
-from heatherhead.telemetry.interface import HistogramKind
 
 if TYPE_CHECKING:
     from random import Random
@@ -34,11 +35,12 @@
     from heatherhead.membership.interface import Instance
     from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
-    from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["Dispatcher", "RoutedSlot", "create_dispatcher"]
 
 MAX_SET_ASIDE = 16
+GRACE_ROUNDS = 2
+GRACE_SERVICE_TIMES = 2
 NOT_SENT = AttemptResult(AttemptState.NOT_SENT, cancelled=True)
 
 
@@ -53,6 +55,7 @@
     call: Call
     dispatcher: Dispatcher
     aged: bool = False
+    isolated: bool = False
     finished: bool = False
 
     def finish(self, result: AttemptResult) -> None:
@@ -70,7 +73,6 @@
         service: Service,
         own: Instance,
         settings: RoutingSettings,
-        telemetry: Telemetry,
         rng: Random,
     ) -> None:
         self.service = service
@@ -80,10 +82,11 @@
         self.service_time = create_service_time()
         self.evidence = create_evidence(settings, self.policy, self.service_time, self.state_by_id)
         self.queue = create_call_queue(service.queue_limit, _weights(service))
+        self.quarantine = create_quarantine(service.name, settings)
+        self.isolation = create_isolation(self.policy.refresh)
         self.rate = 0.0
         self.calls_seen = 0
         self._own = own
-        self._telemetry = telemetry
         self._loop = asyncio.get_running_loop()
         self._serial = count(1)
         self._oldest: deque[RoutedSlot] = deque()
@@ -99,6 +102,8 @@
         refusal = self._refusal_on_arrival(call, now)
         if refusal is not None:
             return Err(refusal)
+        if self.quarantine and self.quarantine.is_suspect(call):
+            return await self._wait_alone(call, avoid, now)
         if not self.queue or self._local_is_too_late(call, now):
             state = self._choose(call, avoid, now)
             if state is not None:
@@ -110,6 +115,8 @@
         now = self._loop.time()
         if self.queue or self._too_late(call, now):
             return None
+        if self.quarantine and self.quarantine.is_suspect(call):
+            return None
         self._watch(now)
         state = self.policy.choose(avoid)
         return self._start(state, call, now) if state is not None else None
@@ -118,12 +125,13 @@
         """Take back a slot with what the attempt showed."""
         now = self._loop.time()
         state = slot.state
-        state.started_by_serial.pop(slot.serial, None)
+        state.slot_by_serial.pop(slot.serial, None)
         if slot.aged:
             state.aged -= 1
         self.evidence.finished(slot, result, now)
+        self._judge(slot, result)
         self.policy.refresh(state)
-        if self.queue:
+        if self.queue or self.isolation.reserved is not None:
             self.dispatch()
 
     def update(self, service: Service) -> None:
@@ -145,7 +153,7 @@
         """Refuse all waiting calls of a service that is no more."""
         if self._timer is not None:
             self._timer.cancel()
-        for entry in self.queue.drain():
+        for entry in (*self.queue.drain(), *self.isolation.drain()):
             _refuse(entry, self._no_upstream())
 
     def dispatch(self) -> None:
@@ -154,6 +162,7 @@
         self._watch(now)
         for entry in self.queue.take_expired(now):
             _refuse(entry, _unreachable())
+        self._run_suspects(now)
         set_aside: list[QueueEntry] = []
         while len(set_aside) < MAX_SET_ASIDE and (entry := self.queue.pop()) is not None:
             if entry.future.done():
@@ -172,8 +181,10 @@
             self.queue.put_back(entry)
         self._arm(now)
 
-    def hedge_delay_s(self) -> float | None:
+    def hedge_delay_s(self, call: Call) -> float | None:
         """Say how long an attempt runs before a hedge is worth sending."""
+        if self.quarantine and self.quarantine.is_suspect(call):
+            return None
         usual = self.service_time.usual_s
         if not usual or len(self.state_by_id) < 2:
             return None
@@ -222,7 +233,7 @@
 
     def _start(self, state: UpstreamState, call: Call, now: float) -> RoutedSlot:
         slot = RoutedSlot(state.upstream, now, state, next(self._serial), call, self)
-        state.started_by_serial[slot.serial] = now
+        state.slot_by_serial[slot.serial] = slot
         self._oldest.append(slot)
         self.policy.refresh(state)
         return slot
@@ -241,23 +252,65 @@
         except asyncio.CancelledError:
             self._abandon(entry)
             raise
-        return self._recheck(answer, call, now)
+        return self._recheck(answer, call)
+
+    async def _wait_alone(
+        self, call: Call, avoid: frozenset[str], now: float
+    ) -> Result[RoutedSlot, CallRefusedError]:
+        entry = QueueEntry(call, avoid, self._loop.create_future(), now)
+        if not self.isolation.add(entry):
+            return Err(_queue_full(self.service))
+        self.dispatch()
+        try:
+            answer = await entry.future
+        except asyncio.CancelledError:
+            self._abandon(entry)
+            raise
+        return self._recheck(answer, call)
+
+    def _run_suspects(self, now: float) -> None:
+        """Give the upstream that is reserved for suspects to the next of them."""
+        isolation = self.isolation
+        for entry in isolation.take_expired(now):
+            _refuse(entry, _unreachable())
+        isolation.reserve(self.state_by_id.values(), now, self._grace_s())
+        entry_or_none = isolation.next(now)
+        if entry_or_none is not None and isolation.reserved is not None:
+            slot = self._start(isolation.reserved, entry_or_none.call, now)
+            slot.isolated = True
+            if entry_or_none.future.done():
+                slot.finish(NOT_SENT)
+            else:
+                entry_or_none.future.set_result(Ok(slot))
+        isolation.release()
+
+    def _grace_s(self) -> float:
+        return max(
+            GRACE_ROUNDS * self.settings.vector_interval_ms / 1000,
+            GRACE_SERVICE_TIMES * self.service_time.usual_s,
+        )
+
+    def _judge(self, slot: RoutedSlot, result: AttemptResult) -> None:
+        """Take in what an attempt says of the call's own harm."""
+        if result.sign is UpstreamSign.DIED:
+            beside = [each.call for each in slot.state.slot_by_serial.values()]
+            calls = [each for each in (slot.call, *beside) if each.fingerprint]
+            self.quarantine.died(calls, alone=slot.isolated)
+        elif slot.isolated and result.state is AttemptState.ANSWERED:
+            self.quarantine.cleared(slot.call)
 
     def _recheck(
-        self, answer: Result[RoutedSlot, CallRefusedError], call: Call, queued_at: float
+        self, answer: Result[RoutedSlot, CallRefusedError], call: Call
     ) -> Result[RoutedSlot, CallRefusedError]:
         """Refuse a slot that came before the deadline but is taken up after it."""
-        now = self._loop.time()
-        self._telemetry.observe(
-            call.service, call.call_class, HistogramKind.QUEUE_WAIT, now - queued_at
-        )
-        if isinstance(answer, Ok) and now >= call.deadline:
+        if isinstance(answer, Ok) and self._loop.time() >= call.deadline:
             answer.ok_value.finish(NOT_SENT)
             return Err(_unreachable())
         return answer
 
     def _abandon(self, entry: QueueEntry) -> None:
         self.queue.discard(entry)
+        self.isolation.discard(entry)
         if entry.future.done() and not entry.future.cancelled():
             answer = entry.future.result()
             if isinstance(answer, Ok):
@@ -268,7 +321,7 @@
             return self._no_upstream()
         if self._too_late(call, now):
             return _unreachable()
-        return None
+        return self.quarantine.refusal(call) if self.quarantine else None
 
     def _too_late(self, call: Call, now: float) -> bool:
         return now + self.service_time.fast_s >= call.deadline
@@ -285,13 +338,11 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        wake_at = self.queue.next_deadline()
+        wake_at = _earliest(self.queue.next_deadline(), self.isolation.wake_at())
         if wake_at is None:
             return
-        for other in (self.evidence.next_pause_end(), self._next_overdue()):
-            if other is not None:
-                wake_at = min(wake_at, other)
-        self._timer = self._loop.call_at(max(wake_at, now), self.dispatch)
+        wake_at = _earliest(wake_at, self.evidence.next_pause_end(), self._next_overdue())
+        self._timer = self._loop.call_at(max(wake_at or now, now), self.dispatch)
 
     def _next_overdue(self) -> float | None:
         after_s = self.evidence.slow_after_s
@@ -304,6 +355,10 @@
         )
 
 
+def _earliest(*times: float | None) -> float | None:
+    return min((each for each in times if each is not None), default=None)
+
+
 def _weights(service: Service) -> dict[str, float]:
     return {each.name: float(each.weight) for each in service.classes}
 
@@ -335,8 +390,7 @@
     service: Service,
     own: Instance,
     settings: RoutingSettings,
-    telemetry: Telemetry,
     rng: Random,
 ) -> Dispatcher:
     """Create the dispatcher of a service on the running loop."""
-    return Dispatcher(service, own, settings, telemetry, rng)
+    return Dispatcher(service, own, settings, rng)
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -29,6 +29,9 @@
 AGE_SLACK_S = 0.002  # jitter of the network and of busy event loops
 HIGH_FACTOR = 1.2
 MAX_EJECTIONS = 5
+UNREACHABLE_S = 2.0
+TRIAL_SERVICE_TIMES = 2
+SLOW_PAUSE_SERVICE_TIMES = 10
 FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
 FAILING_SHARE_WEIGHT = 0.02
 FIRST_FAILING_STATUS = 500
@@ -65,9 +68,7 @@
         if result.report is not None:
             state.report = result.report
         if result.sign is UpstreamSign.DRAINING:
-            self.drain(state, now)
-            if self.on_draining is not None:
-                self.on_draining(state)
+            self._refused_by_draining(state, result, now)
         elif result.sign is UpstreamSign.SHEDDING:
             state.limit.shed(state.in_flight + 1)
         elif result.sign is UpstreamSign.DIED or _failed(result):
@@ -75,6 +76,16 @@
         elif result.state is AttemptState.ANSWERED:
             self._answered(slot, result.duration_s or now - slot.started_at, now)
 
+    def _refused_by_draining(self, state: UpstreamState, result: AttemptResult, now: float) -> None:
+        """Take an upstream out; one that can't even be connected to may be back soon."""
+        if result.state is AttemptState.NOT_SENT:
+            self._leave_out(state, now + UNREACHABLE_S, "it can't be connected to")
+            return
+        is_news = not state.draining_until
+        self.drain(state, now)
+        if is_news and self.on_draining is not None:
+            self.on_draining(state)
+
     def overdue(self, slot: RoutedSlot, now: float) -> None:
         """Mark an upstream as slow because a call in flight is too old."""
         state = slot.state
@@ -84,11 +95,8 @@
 
     def drain(self, state: UpstreamState, now: float) -> None:
         """Give an upstream no new work for a while because it was seen draining."""
-        if not state.draining_until:
-            log_event("upstream_draining", upstream=state.upstream.id)
-        state.draining_until = now + self._settings.draining_ms / 1000
-        state.reason = "it refuses calls because it drains"
-        self._pause(state, state.draining_until)
+        until = now + self._settings.draining_ms / 1000
+        self._leave_out(state, until, "it refuses calls because it drains")
 
     def end_pauses(self, now: float) -> None:
         """Let upstreams back, one trial call first, whose pause is over."""
@@ -106,8 +114,9 @@
             if state.trial_at and state.trial_at <= now:
                 state.trial_at = 0.0
                 state.on_trial = True
-                self._pause(state, state.slow_since + self._settings.slow_pause_ms / 1000)
-            elif state.on_trial and now - state.slow_since >= self._settings.slow_pause_ms / 1000:
+                state.competes_at = state.slow_since + self._slow_pause_s()
+                self._pause(state, state.competes_at)
+            elif state.on_trial and state.competes_at <= now:
                 state.on_trial = False
             self._policy.refresh(state)
 
@@ -157,9 +166,18 @@
         state.reason = "its calls take far longer than usual"
         state.limit.restart()
         state.on_trial = False
-        state.trial_at = now + self._settings.trial_delay_ms / 1000
+        state.trial_at = now + max(
+            self._settings.trial_delay_ms / 1000,
+            TRIAL_SERVICE_TIMES * self._service_time.usual_s,
+        )
         self._pause(state, state.trial_at)
 
+    def _slow_pause_s(self) -> float:
+        return max(
+            self._settings.slow_pause_ms / 1000,
+            SLOW_PAUSE_SERVICE_TIMES * self._service_time.usual_s,
+        )
+
     def _failed(self, state: UpstreamState, now: float, *, at_once: bool) -> None:
         self._failing_share += (1 - self._failing_share) * FAILING_SHARE_WEIGHT
         state.failures += 1
@@ -183,6 +201,13 @@
         log_event("upstream_ejected", upstream=state.upstream.id, seconds=pause_s)
         self._pause(state, state.ejected_until)
 
+    def _leave_out(self, state: UpstreamState, until: float, reason: str) -> None:
+        if not state.draining_until:
+            log_event("upstream_left_out", upstream=state.upstream.id, reason=reason)
+        state.draining_until = max(state.draining_until, until)
+        state.reason = reason
+        self._pause(state, state.draining_until)
+
     def _pause(self, state: UpstreamState, until: float) -> None:
         heappush(self._pauses, (until, next(self._serial), state))
         self._policy.refresh(state)
--- /dev/null
+++ b/heatherhead/routing/isolation.py
@@ -0,0 +1,99 @@
+"""Runs suspects one at a time, each alone on an upstream that is reserved for it."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from heatherhead.admission.queue import QueueEntry
+    from heatherhead.routing.upstream_state import UpstreamState
+
+__all__ = ["Isolation", "create_isolation"]
+
+MAX_WAITING = 64
+
+
+class Isolation:
+    """The waiting suspects of one service and the upstream that is emptied for them.
+
+    The upstream is taken from this home's own part of the division, so that two homes don't run
+    suspects on the same one; `grace_s` gives the other homes time to see that it is reserved.
+    """
+
+    def __init__(self, refresh: Callable[[UpstreamState], None]) -> None:
+        self.reserved: UpstreamState | None = None
+        self.ready_at = 0.0
+        self._waiting: deque[QueueEntry] = deque()
+        self._refresh = refresh
+
+    def __bool__(self) -> bool:
+        return bool(self._waiting)
+
+    def add(self, entry: QueueEntry) -> bool:
+        """Let a suspect wait; `False` when too many do."""
+        if len(self._waiting) >= MAX_WAITING:
+            return False
+        entry.waiting = True
+        self._waiting.append(entry)
+        return True
+
+    def discard(self, entry: QueueEntry) -> None:
+        """Remove a suspect that no longer waits."""
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+
+    def take_expired(self, now: float) -> list[QueueEntry]:
+        """Remove the suspects whose deadline has passed."""
+        expired = [each for each in self._waiting if each.call.deadline <= now]
+        for each in expired:
+            self._waiting.remove(each)
+        return expired
+
+    def wake_at(self) -> float | None:
+        """Say when something may have to be done next."""
+        if not self._waiting:
+            return None
+        deadline = min(each.call.deadline for each in self._waiting)
+        return min(deadline, self.ready_at) if self.reserved is not None else deadline
+
+    def reserve(self, states: Iterable[UpstreamState], now: float, grace_s: float) -> None:
+        """Reserve the least busy upstream if a suspect waits and none is reserved."""
+        if self.reserved is not None or not self._waiting:
+            return
+        usable = [each for each in states if each.usable and each.local_region]
+        own = [each for each in usable if each.owned]
+        chosen = min(own or usable, key=lambda each: (each.slow, each.in_flight), default=None)
+        if chosen is not None:
+            chosen.reserved = True
+            self.reserved = chosen
+            self.ready_at = now + grace_s
+            self._refresh(chosen)
+
+    def next(self, now: float) -> QueueEntry | None:
+        """Take the next suspect if the reserved upstream is empty and known as reserved."""
+        state = self.reserved
+        if state is None or state.in_flight or now < self.ready_at or not self._waiting:
+            return None
+        return self._waiting.popleft()
+
+    def release(self) -> None:
+        """Give the reserved upstream back when no suspect needs it."""
+        state = self.reserved
+        if state is not None and not state.in_flight and not self._waiting:
+            state.reserved = False
+            self.reserved = None
+            self._refresh(state)
+
+    def drain(self) -> list[QueueEntry]:
+        """Remove all suspects."""
+        entries = list(self._waiting)
+        self._waiting.clear()
+        return entries
+
+
+def create_isolation(refresh: Callable[[UpstreamState], None]) -> Isolation:
+    """Create an isolation without suspects; `refresh` tells the policy of a changed state."""
+    return Isolation(refresh)
--- /dev/null
+++ b/heatherhead/routing/quarantine.py
@@ -0,0 +1,151 @@
+"""Keeps calls that crash upstreams away from them, and spares the innocent ones beside them.
+
+When an upstream dies, every call that was in flight on it is a suspect. A suspect that comes again
+runs alone on an upstream: if that dies too, the fingerprint is quarantined, and if it is answered,
+the suspicion is gone. The other homes are told of suspects and of the quarantined.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from heatherhead.exceptions import QuarantinedError
+from heatherhead.routing.interface import QuarantineEntry
+from heatherhead.routing.messages import CrashRecords
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from heatherhead.calls import Call
+    from heatherhead.settings.routing import RoutingSettings
+
+__all__ = ["CrashRecord", "Quarantine", "create_quarantine"]
+
+DEATHS_TO_QUARANTINE = 2
+SUSPECT_LIFETIME_S = 60.0
+MAX_RECORDS = 1_024  # of one service
+MAX_EXAMPLE = 120
+MAX_SECONDS_TOLD = 86_400.0
+
+
+@dataclass(slots=True)
+class CrashRecord:
+    """What is held against one fingerprint, until `expires_at` on the loop's clock."""
+
+    deaths: int
+    expires_at: float
+    example: str
+
+
+class Quarantine:
+    """The suspects and the quarantined fingerprints of one service."""
+
+    def __init__(self, service: str, settings: RoutingSettings) -> None:
+        self.service = service
+        self.tell: Callable[[CrashRecords], None] = lambda _records: None
+        self._settings = settings
+        self._record_by_fingerprint: OrderedDict[int, CrashRecord] = OrderedDict()
+        self._loop = asyncio.get_running_loop()
+
+    def __bool__(self) -> bool:
+        return bool(self._record_by_fingerprint)
+
+    def refusal(self, call: Call) -> QuarantinedError | None:
+        """Refuse a call whose fingerprint is quarantined."""
+        record = self._record(call.fingerprint)
+        if record is None or record.deaths < DEATHS_TO_QUARANTINE:
+            return None
+        seconds = round(record.expires_at - self._loop.time())
+        return QuarantinedError(
+            f"calls like this one crashed {record.deaths} upstreams of service {self.service}",
+            remedy=f"change the call, wait {seconds} s, or have an operator release it",
+        )
+
+    def is_suspect(self, call: Call) -> bool:
+        """Tell whether a call must run alone."""
+        record = self._record(call.fingerprint)
+        return record is not None and record.deaths < DEATHS_TO_QUARANTINE
+
+    def died(self, calls: Iterable[Call], *, alone: bool) -> None:
+        """Take in that an upstream died with these calls in flight; `alone` says just one."""
+        rows = []
+        for call in calls:
+            record = self._record(call.fingerprint)
+            deaths = DEATHS_TO_QUARANTINE if record is not None and alone else 1
+            if record is not None and record.deaths >= deaths:
+                continue
+            example = f"{call.method} {call.target}"[:MAX_EXAMPLE]
+            rows.append(self._hold(call.fingerprint, deaths, self._lifetime_s(deaths), example))
+        if rows:
+            self.tell(CrashRecords(rows))
+
+    def cleared(self, call: Call) -> None:
+        """Take in that a suspect ran alone and was answered."""
+        record = self._record(call.fingerprint)
+        if record is not None and record.deaths < DEATHS_TO_QUARANTINE:
+            del self._record_by_fingerprint[call.fingerprint]
+            self.tell(CrashRecords([(self.service, call.fingerprint, 0, 0.0, "")]))
+
+    def told(self, fingerprint: int, deaths: int, seconds: float, example: str) -> None:
+        """Take in what another home holds; a newer verdict of more deaths wins."""
+        record = self._record(fingerprint)
+        if deaths == 0:
+            if record is not None and record.deaths < DEATHS_TO_QUARANTINE:
+                del self._record_by_fingerprint[fingerprint]
+        elif record is None or deaths > record.deaths:
+            self._hold(fingerprint, deaths, min(seconds, MAX_SECONDS_TOLD), example[:MAX_EXAMPLE])
+
+    def release(self, fingerprint: int) -> bool:
+        """Drop what is held against a fingerprint; tell whether there was anything."""
+        return self._record_by_fingerprint.pop(fingerprint, None) is not None
+
+    def entries(self) -> list[QuarantineEntry]:
+        """List the quarantined fingerprints."""
+        now = self._loop.time()
+        return [
+            QuarantineEntry(
+                self.service, fingerprint, record.deaths, record.expires_at - now, record.example
+            )
+            for fingerprint, record in self._record_by_fingerprint.items()
+            if record.deaths >= DEATHS_TO_QUARANTINE and record.expires_at > now
+        ]
+
+    def _record(self, fingerprint: int) -> CrashRecord | None:
+        record = self._record_by_fingerprint.get(fingerprint)
+        if record is not None and record.expires_at <= self._loop.time():
+            del self._record_by_fingerprint[fingerprint]
+            return None
+        return record
+
+    def _lifetime_s(self, deaths: int) -> float:
+        if deaths < DEATHS_TO_QUARANTINE:
+            return SUSPECT_LIFETIME_S
+        return self._settings.quarantine_ms / 1000
+
+    def _hold(
+        self, fingerprint: int, deaths: int, seconds: float, example: str
+    ) -> tuple[str, int, int, float, str]:
+        expires_at = self._loop.time() + seconds
+        self._record_by_fingerprint[fingerprint] = CrashRecord(deaths, expires_at, example)
+        self._record_by_fingerprint.move_to_end(fingerprint)
+        if len(self._record_by_fingerprint) > MAX_RECORDS:
+            self._record_by_fingerprint.popitem(last=False)
+        if deaths >= DEATHS_TO_QUARANTINE:
+            log_event(
+                "call_quarantined",
+                level="WARNING",
+                service=self.service,
+                fingerprint=fingerprint,
+                seconds=round(seconds),
+                example=example,
+            )
+        return (self.service, fingerprint, deaths, round(seconds, 1), example)
+
+
+def create_quarantine(service: str, settings: RoutingSettings) -> Quarantine:
+    """Create a quarantine that holds nothing, on the running loop."""
+    return Quarantine(service, settings)
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -14,7 +14,8 @@
 from heatherhead.routing.exchange import create_vector_exchange
 from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.interface import UpstreamEvidence
-from heatherhead.routing.messages import DrainSighting
+from heatherhead.routing.messages import CrashRecords, DrainSighting, QuarantineRelease
+from heatherhead.routing.quarantine import DEATHS_TO_QUARANTINE
 
 if TYPE_CHECKING:
     from result import Result
@@ -63,6 +64,8 @@
         self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
         self._next_repair = self._loop.time() + REPAIR_INTERVAL_S * rng.random()
         network.subscribe(DrainSighting, self._on_drain_sighting)
+        network.subscribe(CrashRecords, self._on_crash_records)
+        network.subscribe(QuarantineRelease, self._on_release)
 
     async def acquire(
         self, call: Call, avoid: frozenset[str] = NO_AVOIDED
@@ -81,7 +84,7 @@
     def hedge_delay_s(self, call: Call) -> float | None:
         """Say how long to wait before a hedge."""
         dispatcher = self.dispatcher_by_service.get(call.service)
-        return dispatcher.hedge_delay_s() if dispatcher else None
+        return dispatcher.hedge_delay_s(call) if dispatcher else None
 
     def update_service(self, name: str, service: Service | None) -> None:
         """Take a service's new configuration, or drop it."""
@@ -95,10 +98,9 @@
         if dispatcher is not None:
             dispatcher.update(service)
         else:
-            dispatcher = create_dispatcher(
-                service, self._membership.own, self._settings, self._telemetry, self._rng
-            )
+            dispatcher = create_dispatcher(service, self._membership.own, self._settings, self._rng)
             dispatcher.evidence.on_draining = lambda state: self._tell_draining(name, state)
+            dispatcher.quarantine.tell = lambda records: self._tell_crashes(name, records)
             self.dispatcher_by_service[name] = dispatcher
         self._exchange.follow(dispatcher)
 
@@ -122,11 +124,14 @@
 
     def quarantined(self) -> list[QuarantineEntry]:
         """List the quarantined fingerprints."""
-        return []
+        dispatchers = self.dispatcher_by_service.values()
+        return [entry for each in dispatchers for entry in each.quarantine.entries()]
 
     def release(self, service: str, fingerprint: int) -> bool:
-        """Release a fingerprint."""
-        return False
+        """Release a fingerprint here and at the other homes."""
+        for peer_id in self._homes_everywhere(service):
+            self._network.send(peer_id, QuarantineRelease(service, fingerprint), Traffic.CONTROL)
+        return self._release(service, fingerprint)
 
     def close(self) -> None:
         """Stop the rounds and refuse all waiting calls."""
@@ -166,9 +171,8 @@
     def _tell_draining(self, service: str, state: UpstreamState) -> None:
         """Tell the other homes at once."""
         message = DrainSighting(service, state.upstream.id)
-        for peer_id in self.homes.home_ids(service, self._membership.own.region):
-            if peer_id != self._membership.own.id:
-                self._network.send(peer_id, message, Traffic.CONTROL)
+        for peer_id in self._other_homes(service, self._membership.own.region):
+            self._network.send(peer_id, message, Traffic.CONTROL)
 
     def _on_drain_sighting(self, _sender_id: str, message: DrainSighting) -> None:
         dispatcher = self.dispatcher_by_service.get(message.service)
@@ -176,6 +180,35 @@
         if dispatcher is not None and state is not None:
             dispatcher.evidence.drain(state, self._loop.time())
 
+    def _tell_crashes(self, service: str, records: CrashRecords) -> None:
+        """Tell suspects to the homes of this region, and the quarantined to all homes."""
+        peer_ids = self._other_homes(service, self._membership.own.region)
+        if any(deaths >= DEATHS_TO_QUARANTINE for _, _, deaths, _, _ in records.rows):
+            peer_ids = self._homes_everywhere(service)
+        for peer_id in peer_ids:
+            self._network.send(peer_id, records, Traffic.CONTROL)
+
+    def _on_crash_records(self, _sender_id: str, message: CrashRecords) -> None:
+        for service, fingerprint, deaths, seconds, example in message.rows:
+            dispatcher = self.dispatcher_by_service.get(service)
+            if dispatcher is not None:
+                dispatcher.quarantine.told(fingerprint, deaths, seconds, example)
+
+    def _on_release(self, _sender_id: str, message: QuarantineRelease) -> None:
+        self._release(message.service, message.fingerprint)
+
+    def _release(self, service: str, fingerprint: int) -> bool:
+        dispatcher = self.dispatcher_by_service.get(service)
+        return dispatcher is not None and dispatcher.quarantine.release(fingerprint)
+
+    def _other_homes(self, service: str, region: str) -> list[str]:
+        own_id = self._membership.own.id
+        return [each for each in self.homes.home_ids(service, region) if each != own_id]
+
+    def _homes_everywhere(self, service: str) -> list[str]:
+        regions = sorted({each.region for each in self._membership.by_id.values()})
+        return [home for region in regions for home in self._other_homes(service, region)]
+
 
 def _unknown_service(name: str) -> NoUpstreamError:
     return NoUpstreamError(
--- a/heatherhead/routing/upstream_state.py
+++ b/heatherhead/routing/upstream_state.py
@@ -12,6 +12,7 @@
     from heatherhead.calls import LoadReport
     from heatherhead.configuration.model import Upstream
     from heatherhead.membership.interface import Instance
+    from heatherhead.routing.dispatcher import RoutedSlot
 
 __all__ = ["UpstreamState", "create_upstream_state"]
 
@@ -29,13 +30,14 @@
     local_zone: bool
     own_share: bool = True
     owned: bool = True
-    started_by_serial: dict[int, float] = field(default_factory=dict)
+    slot_by_serial: dict[int, RoutedSlot] = field(default_factory=dict)
     others_in_flight: int = 0
     others_reserved: int = 0
     aged: int = 0
     slow: bool = False
     slow_since: float = 0.0
     trial_at: float = 0.0
+    competes_at: float = 0.0
     on_trial: bool = False
     failures: int = 0
     ejections: int = 0
@@ -51,7 +53,7 @@
     @property
     def in_flight(self) -> int:
         """Own calls in flight."""
-        return len(self.started_by_serial)
+        return len(self.slot_by_serial)
 
     @property
     def usable(self) -> bool:
@@ -65,14 +67,14 @@
         """Whether one more call fits into the limit, the slots and the pause of a slow one."""
         if not self.usable or self.others_reserved or (self.slow and self.trial_at):
             return False
-        own = len(self.started_by_serial)
+        own = len(self.slot_by_serial)
         others = self.others_in_flight
         return own - self.aged + others < self.limit.allowed and own + others < self.upstream.slots
 
     def oldest_age_s(self, now: float) -> float:
         """Age of the oldest own call in flight."""
-        for started_at in self.started_by_serial.values():
-            return now - started_at
+        for slot in self.slot_by_serial.values():
+            return now - slot.started_at
         return 0.0
 
     def condition(self) -> str:
--- a/heatherhead/routing/vectors.py
+++ b/heatherhead/routing/vectors.py
@@ -79,7 +79,7 @@
 def vector_of(states: Iterable[UpstreamState], *, counts: bool) -> bytes:
     """Pack the vector of a list of upstreams, with or without the calls in flight."""
     return bytes(
-        (min(len(each.started_by_serial), COUNT_MASK) if counts else 0)
+        (min(len(each.slot_by_serial), COUNT_MASK) if counts else 0)
         | (RESERVED_FLAG if each.reserved else 0)
         for each in states
     )
