--- a/heatherhead/callers/protocol.py
+++ b/heatherhead/callers/protocol.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from heatherhead.callers.problems import problem_of, problem_response
 from heatherhead.exceptions import BadCallError, HeatherheadError
@@ -19,7 +19,7 @@
 
     from heatherhead.settings.callers import CallersSettings
 
-__all__ = ["CallersServer", "create_callers_server"]
+__all__ = ["CallersProtocol", "CallersServer", "create_callers_server"]
 
 LINGERING_S = 2.0
 READ_BUFFER_BYTES = 128 * 1024
@@ -45,13 +45,31 @@
     def data_received(self, data: bytes) -> None:
         """Feed the parser and watch over heads that have only begun."""
         super().data_received(data)
+        if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
+            self._break_body()
         if self._messages or self._current_request is not None:
             if self._head_timer is not None:
                 self._head_timer.cancel()
                 self._head_timer = None
-        elif self._head_timer is None and self._waiter is not None and not self._waiter.done():
+        elif self._head_timer is None and self.waits_for_call:
             self._head_timer = self._loop.call_later(self._head_timeout_s, self._on_head_timeout)
 
+    @property
+    def waits_for_call(self) -> bool:
+        """Tell whether the connection has no call at the moment."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def head_begun(self) -> bool:
+        """Tell whether a head has begun and not ended."""
+        return self._head_timer is not None
+
+    def _break_body(self) -> None:
+        """Tell the reader of a body that what follows is no body; the parser does not."""
+        request = self._current_request
+        if request is not None and not request.content.is_eof():
+            request.content.set_exception(web.RequestPayloadError("bad chunk"))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
         if self._head_timer is not None:
@@ -61,7 +79,7 @@
 
     def _on_head_timeout(self) -> None:
         self._head_timer = None
-        if self._waiter is not None and not self._waiter.done():
+        if self.waits_for_call:
             self.force_close()
 
     def handle_error(
@@ -125,6 +143,10 @@
             **self._kwargs,
         )
 
+    def callers_connections(self) -> list[CallersProtocol]:
+        """List the open connections."""
+        return [each for each in self._connections if isinstance(each, CallersProtocol)]
+
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         """Take a connection in, or close it at once if there are too many."""
         super().connection_made(handler, transport)
