Test keyed calls and leaving; wire the operators' server

Cause: closing connections the library's way while leaving dropped the rest of uploads in progress, so that a slow upload got 408 after 30 s. Change: leaving closes idle connections only; busy ones end with their answer. The operators' port listens, its real port is logged and advertised, SIGHUP reads all certificates again.

--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -19,10 +19,12 @@
 from heatherhead.callers.state import CallersState, Phase
 from heatherhead.configuration.replica import create_replica
 from heatherhead.configuration.service import create_configuration
+from heatherhead.membership.interface import Address
 from heatherhead.membership.service import create_membership
+from heatherhead.operators import Backend, create_operators_server
 from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.router import create_router
-from heatherhead.settings.tls import create_client_context
+from heatherhead.settings.tls import create_client_context, reload_certificate
 from heatherhead.store.factory import create_store
 from heatherhead.telemetry.logs import log_event
 from heatherhead.telemetry.recorder import create_telemetry
@@ -95,6 +97,15 @@
             self.telemetry,
             {"/v1/addresses": self.addresses.addresses, "/v1/ready": self.addresses.ready},
         )
+        backend = Backend(
+            self.replica,
+            self.configuration,
+            self.configuration,
+            view,
+            self.router,
+            self.telemetry,
+        )
+        self.operators = create_operators_server(settings.operators, backend)
         server = create_callers_server(handler.handle, callers)
         self.listener = create_callers_listener(server, callers, bound)
         self.replica.subscribe(self._on_record)
@@ -107,15 +118,28 @@
     async def start(self) -> None:
         """Start all parts; addresses are offered once there is a configuration."""
         self.telemetry.start()
+        await self.listener.start()
+        await self.operators.start()
+        self._advertise()
         await self.membership.start()
         await self.configuration.start()
-        await self.listener.start()
         self.state.phase = Phase.SERVING
         log_event("started", instance=self.settings.instance.id)
 
+    def _advertise(self) -> None:
+        """Tell membership the ports that the listeners got."""
+        operators = self.operators.address
+        log_event("listening", listener="operators", host=operators.host, port=operators.port)
+        own = self.membership.view.own
+        self.membership.advertise(own.callers, Address(own.operators.host, operators.port))
+
     def reload(self) -> None:
-        """Read the certificates again."""
+        """Read the certificates again; raises `SettingsError`."""
         self.listener.reload_tls()
+        tls = self.settings.operators.listen.tls
+        if tls is not None and self.operators.tls_context is not None:
+            reload_certificate(self.operators.tls_context, tls)
+        self.membership.reload_tls()
 
     async def leave(self) -> None:
         """Leave without cutting a call off: wait for given answers and calls in progress."""
@@ -144,6 +168,7 @@
         """Stop all parts."""
         self.listener.stop_accepting()
         await self.listener.close()
+        await self.operators.stop()
         await self.configuration.stop()
         await self.membership.stop()
         await self.client.close()
--- a/heatherhead/callers/listener.py
+++ b/heatherhead/callers/listener.py
@@ -71,7 +71,9 @@
         """Accept no more connections and close those without a call."""
         if self._accepting is not None:
             self._accepting.close()
-        self._server.pre_shutdown()
+        for connection in self.connections():
+            if connection.waits_for_call:
+                connection.force_close()
 
     async def close(self) -> None:
         """Close every connection."""
--- a/heatherhead/membership/service.py
+++ b/heatherhead/membership/service.py
@@ -17,7 +17,11 @@
 from heatherhead.membership.network import TlsContexts, create_network
 from heatherhead.membership.overlay import overlay_neighbours
 from heatherhead.membership.view import create_view
-from heatherhead.settings.tls import create_client_context, create_server_context
+from heatherhead.settings.tls import (
+    create_client_context,
+    create_server_context,
+    reload_certificate,
+)
 
 if TYPE_CHECKING:
     from heatherhead.membership.instance_list import InstanceList
@@ -42,7 +46,10 @@
         links: PeerLinks,
         instance_list: InstanceList | None,
         random: Random,
+        tls: TlsContexts | None = None,
     ) -> None:
+        self._settings = settings
+        self._tls = tls
         self.view = create_view(table.own.instance)
         self.network = links
         self.table = table
@@ -91,6 +98,13 @@
             await self.network.stop()
             await self._list.close()
 
+    def reload_tls(self) -> None:
+        """Read the certificate of the peers' port again; raises `SettingsError`."""
+        tls = self._settings.listen.tls
+        if tls is not None and self._tls is not None:
+            reload_certificate(self._tls.server, tls)
+            reload_certificate(self._tls.client, tls)
+
     async def announce_leaving(self) -> None:
         """Tell the others that this instance gets no new callers from now on."""
         if self._poller is not None:
@@ -132,11 +146,12 @@
 def create_membership(settings: Settings, incarnation: str) -> Membership:
     """Create the membership of this instance; without an instance list it is a lone one."""
     table = create_member_table(own_instance(settings, incarnation))
-    links = create_network(settings.membership, table, _tls_contexts(settings.membership))
+    tls = _tls_contexts(settings.membership)
+    links = create_network(settings.membership, table, tls)
     url = settings.membership.instance_list_url
     instance_list = create_http_instance_list(url) if url else None
     random = Random(incarnation)
-    return assemble_membership(settings.membership, table, links, instance_list, random)
+    return assemble_membership(settings.membership, table, links, instance_list, random, tls)
 
 
 def assemble_membership(
@@ -145,9 +160,10 @@
     links: PeerLinks,
     instance_list: InstanceList | None,
     random: Random,
+    tls: TlsContexts | None = None,
 ) -> Membership:
     """Put a membership together from given streams and list; without a list it is a lone one."""
-    return Membership(settings, table, links, instance_list, random)
+    return Membership(settings, table, links, instance_list, random, tls)
 
 
 def _tls_contexts(settings: MembershipSettings) -> TlsContexts | None:
--- a/heatherhead/tests/callers/fakes.py
+++ b/heatherhead/tests/callers/fakes.py
@@ -28,7 +28,7 @@
     "stand",
 ]
 
-Handler = "Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]"
+START_STEP_S = 0.1
 
 
 class ShiftedLoop(asyncio.SelectorEventLoop):
@@ -183,7 +183,10 @@
     assembly = create_assembly(Settings.model_validate(document))
     await assembly.start()
     try:
-        await assembly.configuration.ready.wait()
+        loop = asyncio.get_running_loop()
+        while not assembly.configuration.ready.is_set():
+            loop.advance(START_STEP_S)  # type: ignore[attr-defined]
+            await asyncio.sleep(0)
         yield assembly
     finally:
         await assembly.stop()
--- a/heatherhead/tests/upstreams/attempts_tests.py
+++ b/heatherhead/tests/upstreams/attempts_tests.py
@@ -277,10 +277,10 @@
         async with stand(hold, None) as here:
             first, second = here.upstreams
             held = []
-            while not first.seen:
+            arrived = asyncio.create_task(first.arrived.wait())
+            while not arrived.done():
                 held.append(asyncio.create_task(here.session.get(here.url)))
-                await _first_arrival(here)
-                await asyncio.sleep(0)
+                await asyncio.wait([held[-1], arrived], return_when=asyncio.FIRST_COMPLETED)
             replica = here.assembly.replica
             service = replica.service("orders")
             assert service is not None
