--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -9,8 +9,13 @@
 from result import Err
 
 from heatherhead.exceptions import NoUpstreamError
+from heatherhead.membership.interface import Traffic
 from heatherhead.routing.dispatcher import create_dispatcher
+from heatherhead.routing.exchange import create_vector_exchange
+from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.interface import UpstreamEvidence
+from heatherhead.routing.messages import CrashRecords, DrainSighting, QuarantineRelease
+from heatherhead.routing.quarantine import DEATHS_TO_QUARANTINE
 
 if TYPE_CHECKING:
     from result import Result
@@ -20,12 +25,17 @@
     from heatherhead.exceptions import CallRefusedError
     from heatherhead.membership.interface import MembershipView, PeerNetwork
     from heatherhead.routing.dispatcher import Dispatcher
+    from heatherhead.routing.homes import RendezvousHomes
     from heatherhead.routing.interface import QuarantineEntry, Slot
+    from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
     from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["RoutingRouter", "create_router"]
 
+DEMAND_INTERVAL_S = 2.0
+REPAIR_INTERVAL_S = 30.0
+LOAD_WEIGHT = 0.5  # of the latest interval in the smoothed load
 NO_AVOIDED: frozenset[str] = frozenset()
 
 
@@ -38,8 +48,10 @@
         membership: MembershipView,
         network: PeerNetwork,
         telemetry: Telemetry,
+        homes: RendezvousHomes,
         rng: Random,
     ) -> None:
+        self.homes = homes
         self.dispatcher_by_service: dict[str, Dispatcher] = {}
         self._settings = settings
         self._membership = membership
@@ -47,6 +59,13 @@
         self._telemetry = telemetry
         self._rng = rng
         self._loop = asyncio.get_running_loop()
+        self._exchange = create_vector_exchange(settings, membership, network, homes)
+        self._rounds = self._loop.call_later(settings.vector_interval_ms / 1000, self._run_round)
+        self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
+        self._next_repair = self._loop.time() + REPAIR_INTERVAL_S * rng.random()
+        network.subscribe(DrainSighting, self._on_drain_sighting)
+        network.subscribe(CrashRecords, self._on_crash_records)
+        network.subscribe(QuarantineRelease, self._on_release)
 
     async def acquire(
         self, call: Call, avoid: frozenset[str] = NO_AVOIDED
@@ -65,7 +84,7 @@
     def hedge_delay_s(self, call: Call) -> float | None:
         """Say how long to wait before a hedge."""
         dispatcher = self.dispatcher_by_service.get(call.service)
-        return dispatcher.hedge_delay_s() if dispatcher else None
+        return dispatcher.hedge_delay_s(call) if dispatcher else None
 
     def update_service(self, name: str, service: Service | None) -> None:
         """Take a service's new configuration, or drop it."""
@@ -73,13 +92,17 @@
         if service is None:
             if dispatcher is not None:
                 del self.dispatcher_by_service[name]
+                self._exchange.forget(name)
                 dispatcher.close()
-        elif dispatcher is not None:
+            return
+        if dispatcher is not None:
             dispatcher.update(service)
         else:
-            self.dispatcher_by_service[name] = create_dispatcher(
-                service, self._membership.own, self._settings, self._telemetry, self._rng
-            )
+            dispatcher = create_dispatcher(service, self._membership.own, self._settings, self._rng)
+            dispatcher.evidence.on_draining = lambda state: self._tell_draining(name, state)
+            dispatcher.quarantine.tell = lambda records: self._tell_crashes(name, records)
+            self.dispatcher_by_service[name] = dispatcher
+        self._exchange.follow(dispatcher)
 
     def evidence(self, service: str) -> list[UpstreamEvidence]:
         """List what is known of a service's upstreams."""
@@ -101,11 +124,90 @@
 
     def quarantined(self) -> list[QuarantineEntry]:
         """List the quarantined fingerprints."""
-        return []
+        dispatchers = self.dispatcher_by_service.values()
+        return [entry for each in dispatchers for entry in each.quarantine.entries()]
 
     def release(self, service: str, fingerprint: int) -> bool:
-        """Release a fingerprint."""
-        return False
+        """Release a fingerprint here and at the other homes."""
+        for peer_id in self._homes_everywhere(service):
+            self._network.send(peer_id, QuarantineRelease(service, fingerprint), Traffic.CONTROL)
+        return self._release(service, fingerprint)
+
+    def close(self) -> None:
+        """Stop the rounds and refuse all waiting calls."""
+        self._rounds.cancel()
+        self._demand.cancel()
+        for dispatcher in self.dispatcher_by_service.values():
+            dispatcher.close()
+
+    def _run_round(self) -> None:
+        delay_s = self._exchange.run_round()
+        self._rounds = self._loop.call_later(delay_s, self._run_round)
+
+    def _tell_demand(self) -> None:
+        self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
+        rate_by_service = {}
+        for name, dispatcher in self.dispatcher_by_service.items():
+            if dispatcher.calls_seen or dispatcher.rate:
+                dispatcher.rate += LOAD_WEIGHT * (
+                    dispatcher.calls_seen / DEMAND_INTERVAL_S - dispatcher.rate
+                )
+                dispatcher.calls_seen = 0
+                rate_by_service[name] = dispatcher.rate
+        load = sum(rate_by_service.values())
+        self._exchange.load = round(load)
+        self.homes.load_by_id[self._membership.own.id] = load
+        self.homes.counts.report(rate_by_service)
+        self.homes.counts.size_led_services()
+        if self._loop.time() >= self._next_repair:
+            self._next_repair = self._loop.time() + REPAIR_INTERVAL_S
+            self._repair_counts()
+
+    def _repair_counts(self) -> None:
+        neighbours = self._network.neighbours()
+        if neighbours:
+            self.homes.counts.repair(self._rng.choice(neighbours))
+
+    def _tell_draining(self, service: str, state: UpstreamState) -> None:
+        """Tell the other homes at once."""
+        message = DrainSighting(service, state.upstream.id)
+        for peer_id in self._other_homes(service, self._membership.own.region):
+            self._network.send(peer_id, message, Traffic.CONTROL)
+
+    def _on_drain_sighting(self, _sender_id: str, message: DrainSighting) -> None:
+        dispatcher = self.dispatcher_by_service.get(message.service)
+        state = dispatcher.state_by_id.get(message.upstream_id) if dispatcher else None
+        if dispatcher is not None and state is not None:
+            dispatcher.evidence.drain(state, self._loop.time())
+
+    def _tell_crashes(self, service: str, records: CrashRecords) -> None:
+        """Tell suspects to the homes of this region, and the quarantined to all homes."""
+        peer_ids = self._other_homes(service, self._membership.own.region)
+        if any(deaths >= DEATHS_TO_QUARANTINE for _, _, deaths, _, _ in records.rows):
+            peer_ids = self._homes_everywhere(service)
+        for peer_id in peer_ids:
+            self._network.send(peer_id, records, Traffic.CONTROL)
+
+    def _on_crash_records(self, _sender_id: str, message: CrashRecords) -> None:
+        for service, fingerprint, deaths, seconds, example in message.rows:
+            dispatcher = self.dispatcher_by_service.get(service)
+            if dispatcher is not None:
+                dispatcher.quarantine.told(fingerprint, deaths, seconds, example)
+
+    def _on_release(self, _sender_id: str, message: QuarantineRelease) -> None:
+        self._release(message.service, message.fingerprint)
+
+    def _release(self, service: str, fingerprint: int) -> bool:
+        dispatcher = self.dispatcher_by_service.get(service)
+        return dispatcher is not None and dispatcher.quarantine.release(fingerprint)
+
+    def _other_homes(self, service: str, region: str) -> list[str]:
+        own_id = self._membership.own.id
+        return [each for each in self.homes.home_ids(service, region) if each != own_id]
+
+    def _homes_everywhere(self, service: str) -> list[str]:
+        regions = sorted({each.region for each in self._membership.by_id.values()})
+        return [home for region in regions for home in self._other_homes(service, region)]
 
 
 def _unknown_service(name: str) -> NoUpstreamError:
@@ -119,7 +221,9 @@
     membership: MembershipView,
     network: PeerNetwork,
     telemetry: Telemetry,
+    homes: RendezvousHomes | None = None,
     rng: Random | None = None,
 ) -> RoutingRouter:
-    """Create a router without services on the running loop."""
-    return RoutingRouter(settings, membership, network, telemetry, rng or Random())
+    """Create a router without services on the running loop; it shares `homes` with the callers."""
+    homes = homes or create_home_sets(membership, network, settings)
+    return RoutingRouter(settings, membership, network, telemetry, homes, rng or Random())
