--- a/heatherhead/tests/callers/fakes.py
+++ b/heatherhead/tests/callers/fakes.py
@@ -183,10 +183,7 @@
     assembly = create_assembly(Settings.model_validate(document))
     await assembly.start()
     try:
-        loop = asyncio.get_running_loop()
-        while not assembly.configuration.ready.is_set():
-            loop.advance(START_STEP_S)  # type: ignore[attr-defined]
-            await asyncio.sleep(0)
+        await _configured(assembly)
         yield assembly
     finally:
         await assembly.stop()
@@ -215,6 +212,15 @@
             await server.cleanup()
 
 
+async def _configured(assembly: Assembly) -> None:
+    """Wait for the configuration; a shifted clock makes that short."""
+    loop = asyncio.get_running_loop()
+    while isinstance(loop, ShiftedLoop) and not assembly.configuration.ready.is_set():
+        loop.advance(START_STEP_S)
+        await asyncio.sleep(0)
+    await assembly.configuration.ready.wait()
+
+
 async def _serve(upstream: FakeUpstream) -> web.ServerRunner:
     runner = web.ServerRunner(
         web.Server(upstream.handle, handler_cancellation=True), shutdown_timeout=0.0
