Ask all instances for upstreams and quarantine, and show instances not heard of yet

Cause: a status with an instance that had not reported (revision -1) can't be packed into an unsigned field and would have failed the whole request; and one instance knows only its services.

--- a/heatherhead/commands/config_status.py
+++ b/heatherhead/commands/config_status.py
@@ -66,8 +66,8 @@
         [
             (
                 each.instance_id,
-                each.revision,
-                f"{each.age_s:.1f} s ago",
+                each.revision if each.HasField("revision") else "-",
+                f"{each.age_s:.1f} s ago" if each.HasField("revision") else "-",
                 "no" if each.instance_id in missing else "yes",
             )
             for each in reply.applied
--- a/heatherhead/commands/upstreams_list.py
+++ b/heatherhead/commands/upstreams_list.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from heatherhead.commands.exit_codes import ExitCode
+from heatherhead.commands.fleet import ask_instances
 from heatherhead.commands.output import document_of
 from heatherhead.commands.paging import read_pages
 from heatherhead.operators import heatherhead_pb2 as pb
@@ -19,38 +20,63 @@
 
 USAGE = """List upstreams with what the answering instance knows of them.
 
-An instance knows most of the services whose home it is.
+An instance knows most of the services whose home it is; --all asks every live instance.
 
 Usage:
   heatherhead upstreams list [SERVICE] [--state=STATE]... [--address=ADDRESS]... [options]
 
 Options:
   --state=STATE      Only upstreams in this state, as draining or ejected. May be repeated.
+  --all              As all live instances see them.
 """
 
 
 async def run(session: Session, arguments: Mapping[str, Any]) -> ExitCode:
-    """Print a row for each upstream."""
-    request = pb.ListUpstreamsRequest(service=arguments["SERVICE"] or "")
+    """Print a row for each upstream, and for each instance with --all."""
+    service = arguments["SERVICE"] or ""
+    if arguments["--all"]:
+        replies = await ask_instances(session, lambda there: _read(there, service))
+    else:
+        replies = [await _read(session, service)]
     states = arguments["--state"]
-    upstreams: list[pb.UpstreamStatus] = []
-    instance_id = ""
-    async for page in read_pages(session, request, lambda channel: UpstreamsStub(channel).List):
-        upstreams.extend(each for each in page.upstreams if not states or each.state in states)
-        instance_id = page.instance_id
+    rows = [
+        (reply.instance_id, status)
+        for reply in replies
+        for status in reply.upstreams
+        if not states or status.state in states
+    ]
     if session.output.as_json:
-        documents = [document_of(each) for each in upstreams]
-        session.output.document({"instance_id": instance_id, "upstreams": documents})
+        documents = [{"instance_id": seen_by, **document_of(each)} for seen_by, each in rows]
+        session.output.document(documents)
         return ExitCode.DONE
-    session.output.note(f"as seen by {instance_id}")
     session.output.table(
-        ("service", "upstream", "address", "zone", "state", "in flight", "limit", "oldest", "why"),
-        [_row(each) for each in upstreams],
+        (
+            "seen by",
+            "service",
+            "upstream",
+            "address",
+            "zone",
+            "state",
+            "in flight",
+            "limit",
+            "oldest",
+            "why",
+        ),
+        [(seen_by, *_cells(status)) for seen_by, status in rows],
     )
     return ExitCode.DONE
 
 
-def _row(status: pb.UpstreamStatus) -> tuple[object, ...]:
+async def _read(session: Session, service: str) -> pb.ListUpstreamsReply:
+    whole = pb.ListUpstreamsReply()
+    request = pb.ListUpstreamsRequest(service=service)
+    async for page in read_pages(session, request, lambda channel: UpstreamsStub(channel).List):
+        whole.instance_id = page.instance_id
+        whole.upstreams.extend(page.upstreams)
+    return whole
+
+
+def _cells(status: pb.UpstreamStatus) -> tuple[object, ...]:
     upstream = status.upstream
     host = f"[{upstream.host}]" if ":" in upstream.host else upstream.host
     return (
--- a/heatherhead/configuration/interface.py
+++ b/heatherhead/configuration/interface.py
@@ -17,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedRevision:
-    """The newest revision an instance has in force, and how old that knowledge is."""
+    """The newest revision an instance has in force, and how old that knowledge is.
+
+    An instance that has not been heard of yet has revision -1.
+    """
 
     instance_id: str
     revision: int
--- a/heatherhead/operators/handlers/instances.py
+++ b/heatherhead/operators/handlers/instances.py
@@ -66,7 +66,7 @@
         operators_address=str(instance.operators),
         state=str(instance.state),
     )
-    if applied is not None:
+    if applied is not None and applied.revision >= 0:
         status.applied_revision = applied.revision
         status.applied_age_s = applied.age_s
     return status
--- a/heatherhead/operators/handlers/quarantine.py
+++ b/heatherhead/operators/handlers/quarantine.py
@@ -48,8 +48,8 @@
         if not self._router.release(request.service, self._held_fingerprint(request)):
             raise UnknownNameError(
                 f"fingerprint {request.fingerprint:016x} of service {request.service}"
-                " is not quarantined here",
-                remedy="see the entries with: heatherhead quarantine list",
+                f" is not held on {self._membership.own.id}; its homes were told to release it",
+                remedy="see what is left with: heatherhead quarantine list --all",
             )
         log_event(
             "quarantine_released_by_operator",
--- a/heatherhead/operators/messages.py
+++ b/heatherhead/operators/messages.py
@@ -143,9 +143,11 @@
 
 @to_message.register
 def _(value: AppliedRevision) -> pb.AppliedRevision:
-    return pb.AppliedRevision(
-        instance_id=value.instance_id, revision=value.revision, age_s=value.age_s
-    )
+    message = pb.AppliedRevision(instance_id=value.instance_id)
+    if value.revision >= 0:
+        message.revision = value.revision
+        message.age_s = value.age_s
+    return message
 
 
 @to_message.register
--- a/heatherhead/tests/commands/main_tests.py
+++ b/heatherhead/tests/commands/main_tests.py
@@ -212,7 +212,7 @@
     assert "~ upstreams.u1.draining: false -> true" in drained.err
     assert "warning: upstreams: all are draining" in drained.err
     listed = tool.run("upstreams", "list", "--state=draining")
-    assert [line.split()[1] for line in listed.out.splitlines()[1:]] == ["u1", "u2"]
+    assert [line.split()[2] for line in listed.out.splitlines()[1:]] == ["u1", "u2"]
     assert tool.run("upstreams", "undrain", "orders", "u2", "--yes").code == ExitCode.DONE
     states = [each.draining for each in thread.site.replica.service("orders").upstreams]  # type: ignore[union-attr]
     assert states == [True, False]
@@ -238,20 +238,38 @@
     instances = tool.run("instances")
     assert [line.split()[0] for line in instances.out.splitlines()] == ["ID", "a1", "a2", "a3"]
     quarantine = tool.run("quarantine", "list")
-    fingerprint = quarantine.out.splitlines()[1].split()[1]
+    fingerprint = quarantine.out.splitlines()[1].split()[2]
     assert tool.run("quarantine", "release", "orders", fingerprint, "--yes").code == ExitCode.DONE
     assert thread.site.router.entries == []
     assert "a1" in tool.run("version").out
 
 
+def name_operators_addresses(thread: SiteThread) -> None:
+    """Let a1 and a2 be the two servers; a3 can't be connected to."""
+    site = thread.site
+    for instance_id, address in zip(("a1", "a2"), site.addresses, strict=True):
+        instance = site.membership.by_id[instance_id]
+        site.membership.by_id[instance_id] = replace(instance, operators=address)
+
+
+def test_all_instances_are_asked(thread: SiteThread, tool: Tool, document: str) -> None:
+    tool.run("services", "put", document, "--yes")
+    name_operators_addresses(thread)
+    run = tool.run("upstreams", "list", "orders", "--all", "--json")
+    assert run.code == ExitCode.DONE
+    assert "a3 is left out" in run.err
+    upstream_ids = [each["upstream"]["id"] for each in json.loads(run.out)]
+    assert upstream_ids == ["u1", "u2", "u1", "u2"]
+    run = tool.run("quarantine", "list", "--all", "--json")
+    assert [each["fingerprint"] for each in json.loads(run.out)] == ["fffffffffffffffe"] * 2
+
+
 def test_histograms_of_all_instances_are_merged(thread: SiteThread, tool: Tool) -> None:
     site = thread.site
+    name_operators_addresses(thread)
     for value in (0.001, 0.002, 0.1):
         site.telemetry.observe("orders", "default", HistogramKind.UPSTREAM, value)
     site.telemetry.count_outcome("orders", "default", CallOutcome.ANSWERED)
-    for instance_id, address in zip(("a1", "a2"), site.addresses, strict=True):
-        instance = site.membership.by_id[instance_id]
-        site.membership.by_id[instance_id] = replace(instance, operators=address)
     run = tool.run("histograms", "--all", "--json")
     assert run.code == ExitCode.DONE
     assert "a3 is left out" in run.err
--- a/heatherhead/tests/operators/server_tests.py
+++ b/heatherhead/tests/operators/server_tests.py
@@ -329,6 +329,15 @@
                 lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
             )
             assert (status.revision, list(status.missing)) == (revision, ["a3"])
+            site.status.revision_by_id = {"a2": revision, "a3": -1}  # not heard of yet
+            status = await client.read(
+                lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
+            )
+            assert [each.HasField("revision") for each in status.applied] == [True, True, False]
+            instances = await client.read(
+                lambda channel, _: InstancesStub(channel).List(pb.ListInstancesRequest())
+            )
+            assert not instances.instances[2].HasField("applied_revision")
             progress = []
             async for each in client.stream(
                 lambda channel: ConfigurationStub(channel).Follow,
