Compare with one peer at a time and forget what waits for former neighbours

Change: one comparison at a time; an outbox of records keeps nothing for instances outside the overlay. Listening ports of measurements come from below those given to clients, as daemons lost theirs to connections of others.

--- a/bench/control.py
+++ b/bench/control.py
@@ -162,14 +162,21 @@
     async def wait_all(self, holds: Callable[[Any], bool], daemons: list[Daemon]) -> float:
         """Wait until a condition holds of all daemons' stats; return how long that took."""
         began_at = time.monotonic()
+        behind: list[Any] = []
         while time.monotonic() - began_at < WAIT_S:
             try:
-                if all(map(holds, await self.get_all("/stats", daemons))):
-                    return time.monotonic() - began_at
+                stats = await self.get_all("/stats", daemons)
             except aiohttp.ClientError:
-                pass
+                await asyncio.sleep(POLL_S)
+                continue
+            pairs = zip(daemons, stats, strict=True)
+            behind = [(each.id, stat) for each, stat in pairs if not holds(stat)]
+            if not behind:
+                return time.monotonic() - began_at
             await asyncio.sleep(POLL_S)
-        raise TimeoutError(f"no such state within {WAIT_S} s; logs are in {self.fleet.directory}")
+        raise TimeoutError(
+            f"no such state within {WAIT_S} s; logs are in {self.fleet.directory}; {behind[:3]}"
+        )
 
 
 def _service(number: int, upstreams: int, version: int = 0) -> ServiceSchema:
--- a/bench/control_daemon.py
+++ b/bench/control_daemon.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import sys
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -18,6 +19,7 @@
 from heatherhead.configuration.schema import ServiceSchema
 from heatherhead.membership.interface import InstanceState, Traffic
 from heatherhead.membership.member_messages import Heartbeat, Ping, Pong
+from heatherhead.membership.messages import encode
 from heatherhead.runtime import create_loop
 from heatherhead.settings import load_settings
 from heatherhead.telemetry.logs import configure_logs
@@ -45,6 +47,7 @@
         self.seen = Observations()
         self.cut: set[str] = set()
         self.heartbeat_loss = 0.0
+        self.bytes_by_type: Counter[str] = Counter()
         self._assembly = assembly
         self._random = Random(assembly.settings.instance.id)
         self._revision_by_name: dict[str, int] = {}
@@ -73,7 +76,10 @@
             is_lost = is_beat and self._random.random() < self.heartbeat_loss
             if is_lost or instance_id in self.cut:
                 return True
-            return send(instance_id, message, traffic)
+            is_sent = send(instance_id, message, traffic)
+            if is_sent:
+                self.bytes_by_type[type(message).__name__] += len(encode(message))
+            return is_sent
 
         def faulty_add(connection: Any) -> None:
             if connection.peer.id in self.cut:
@@ -104,6 +110,9 @@
         document = {
             "ready": configuration.ready.is_set(),
             "applied": configuration.table.applied,
+            "heard_of": configuration.table.heard_of,
+            "neighbours": membership.network.neighbours(),
+            "compared_with": sorted(configuration._dissemination.digest_by_peer),
             "is_watching": configuration.is_watching,
             "services": len(assembly.replica.by_name),
             "live": len(membership.view.live()),
@@ -112,6 +121,7 @@
             "control_bytes": control,
             "received_bytes": sum(budget.received.values()),
             "refused_bytes": sum(budget.refused.values()),
+            "bytes_by_type": probe.bytes_by_type,
             "reverts": probe.seen.reverts,
         }
         return web.json_response(document)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,6 +15,7 @@
 from contextlib import suppress
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
+from random import SystemRandom
 from typing import TYPE_CHECKING, Any, Self
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+LISTENING_PORTS = range(12_000, 32_000)  # a client's port could take a daemon's before its start
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 OUT_DIRECTORY = Path("bench/out")
 
@@ -136,11 +138,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find loopback ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Find loopback ports that are free now, below those that the system gives to clients."""
+    sockets: list[socket.socket] = []
+    candidates = SystemRandom().sample(LISTENING_PORTS, len(LISTENING_PORTS))
     try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
+        for port in candidates:
+            if len(sockets) == count:
+                break
+            bound = socket.socket()
+            try:
+                bound.bind(("127.0.0.1", port))
+            except OSError:
+                bound.close()
+            else:
+                sockets.append(bound)
         return [each.getsockname()[1] for each in sockets]
     finally:
         for each in sockets:
--- a/heatherhead/configuration/dissemination.py
+++ b/heatherhead/configuration/dissemination.py
@@ -40,6 +40,7 @@
 MAX_PUSHED_ON = 8  # records of one message; more are announced, and asked for where missing
 ANNOUNCE_S = 0.1
 REQUEST_TIMEOUT_S = 3.0
+COMPARE_TIMEOUT_S = 1.0
 BOARD_DIFFERENCES_BEFORE_REPAIR = 2  # digests in a row
 
 
@@ -58,6 +59,7 @@
         self._rechecks: set[str] = set()
         self._announcement: asyncio.TimerHandle | None = None
         self._requested_until_by_head: dict[tuple[str, int], float] = {}
+        self._comparing_until = 0.0
         self._board_differences_by_peer: dict[str, int] = {}
         self.digest_by_peer: dict[str, Digest] = {}
         table.on_record(lambda record: self._outbox.add(record.name, but_not_to=self._source))
@@ -109,13 +111,22 @@
         self._table.hear_of(max(digest.applied, digest.heard_of))
         self._compare_boards(peer_id, digest)
         if digest.total_hash != self._table.total_hash:
-            self._links.send(peer_id, RecordHashes(list(self._table.hashes)), Traffic.CONTROL)
+            self._compare(peer_id)
         else:
             self._outbox.drop(peer_id)
             self._table.advance(digest.applied)
         if is_first or digest.applied < self._table.applied:
             self._send_digest(peer_id)
 
+    def _compare(self, peer_id: str) -> None:
+        """Ask for the heads of what differs, of one peer at a time."""
+        now = asyncio.get_running_loop().time()
+        if now < self._comparing_until:
+            self._recheck(peer_id)
+            return
+        self._comparing_until = now + COMPARE_TIMEOUT_S
+        self._links.send(peer_id, RecordHashes(list(self._table.hashes)), Traffic.CONTROL)
+
     def _compare_boards(self, peer_id: str, digest: Digest) -> None:
         if digest.board_hash == self._board.board_hash:
             self._board_differences_by_peer.pop(peer_id, None)
@@ -134,6 +145,7 @@
         self._links.send(peer_id, RecordHeads(sorted(differing), heads), Traffic.CONTROL)
 
     def _on_heads(self, peer_id: str, message: RecordHeads) -> None:
+        self._comparing_until = 0.0
         theirs = {name: revision for name, revision in message.heads[:MAX_NAMES_PER_MESSAGE]}
         wanted = [
             name for name, revision in theirs.items() if revision > self._table.revision_of(name)
@@ -155,6 +167,7 @@
         }
         fresh = [each for each in names if (each, revision_by_name[each]) not in pending]
         if fresh and self._links.send(peer_id, RecordRequest(fresh), Traffic.CONTROL):
+            self._comparing_until = now + COMPARE_TIMEOUT_S
             until = now + REQUEST_TIMEOUT_S
             pending.update(((each, revision_by_name[each]), until) for each in fresh)
         self._requested_until_by_head = pending
@@ -167,6 +180,8 @@
 
     def _on_records(self, peer_id: str, message: Records) -> None:
         is_bulk = len(message.records) > MAX_PUSHED_ON
+        if is_bulk:
+            self._comparing_until = 0.0
         self._source = peer_id
         try:
             with self._table.bulk() if is_bulk else nullcontext():
--- a/heatherhead/membership/gossip.py
+++ b/heatherhead/membership/gossip.py
@@ -34,7 +34,7 @@
     def __init__(self, table: MemberTable, links: PeerLinks) -> None:
         self._table = table
         self._links = links
-        self._outbox = create_outbox(links, self._build, GATHER_S)
+        self._outbox = create_outbox(links, self._build, GATHER_S, only_neighbours=False)
         self._differences_by_peer: dict[str, int] = {}
         self._source: str | None = None
         # Bounds the exchange between two instances that were given the same id.
--- a/heatherhead/membership/outbox.py
+++ b/heatherhead/membership/outbox.py
@@ -29,10 +29,13 @@
         network: PeerNetwork,
         build: Callable[[list[str]], tuple[object, int]],
         gather_s: float,
+        *,
+        only_neighbours: bool,
     ) -> None:
         self._network = network
         self._build = build
         self._gather_s = gather_s
+        self._only_neighbours = only_neighbours
         self._keys_by_peer: dict[str, dict[str, None]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -59,7 +62,10 @@
     def flush(self) -> None:
         """Send what the network takes and try again later with the rest."""
         self._timer = None
+        neighbours = set(self._network.neighbours())
         for peer_id, keys in list(self._keys_by_peer.items()):
+            if self._only_neighbours and peer_id not in neighbours:
+                keys.clear()
             self._flush_to(peer_id, keys)
             if not keys:
                 self._keys_by_peer.pop(peer_id, None)
@@ -86,7 +92,14 @@
 
 
 def create_outbox(
-    network: PeerNetwork, build: Callable[[list[str]], tuple[object, int]], gather_s: float
+    network: PeerNetwork,
+    build: Callable[[list[str]], tuple[object, int]],
+    gather_s: float,
+    *,
+    only_neighbours: bool = True,
 ) -> Outbox:
-    """Create an empty outbox that gathers keys for `gather_s` seconds before it sends."""
-    return Outbox(network, build, gather_s)
+    """Create an empty outbox that gathers keys for `gather_s` seconds before it sends.
+
+    With `only_neighbours` it forgets what waits for instances that have left the overlay.
+    """
+    return Outbox(network, build, gather_s, only_neighbours=only_neighbours)
