--- a/heatherhead/configuration/dissemination.py
+++ b/heatherhead/configuration/dissemination.py
@@ -27,6 +27,7 @@
     from heatherhead.configuration.applied_board import AppliedBoard
     from heatherhead.configuration.model import ServiceRecord
     from heatherhead.configuration.record_table import RecordTable
+    from heatherhead.membership.interface import MembershipView
     from heatherhead.membership.links import PeerLinks
     from heatherhead.membership.member_table import Member
 
@@ -39,7 +40,7 @@
 MAX_NAMES_PER_MESSAGE = 10_000
 MAX_PUSHED_ON = 8  # records of one message; more are announced, and asked for where missing
 ANNOUNCE_S = 0.1
-REQUEST_TIMEOUT_S = 3.0
+REQUEST_TIMEOUT_S = 3.0  # without any of the records that were asked for
 COMPARE_TIMEOUT_S = 1.0
 BOARD_DIFFERENCES_BEFORE_REPAIR = 2  # digests in a row
 
@@ -48,17 +49,23 @@
     """Keeps the record tables of neighbours equal, and tells how far the own one is whole."""
 
     def __init__(
-        self, table: RecordTable, board: AppliedBoard, links: PeerLinks, random: Random
+        self,
+        table: RecordTable,
+        board: AppliedBoard,
+        view: MembershipView,
+        links: PeerLinks,
+        random: Random,
     ) -> None:
         self._table = table
         self._board = board
+        self._view = view
         self._links = links
         self._random = random
         self._outbox = create_outbox(links, self._build, GATHER_S)
         self._source: str | None = None
         self._rechecks: set[str] = set()
         self._announcement: asyncio.TimerHandle | None = None
-        self._requested_until_by_head: dict[tuple[str, int], float] = {}
+        self._requested: dict[str, int] = {}
         self._comparing_until = 0.0
         self._board_differences_by_peer: dict[str, int] = {}
         self.digest_by_peer: dict[str, Digest] = {}
@@ -119,14 +126,27 @@
             self._send_digest(peer_id)
 
     def _compare(self, peer_id: str) -> None:
-        """Ask for the heads of what differs, of one peer at a time."""
+        """Ask for the heads of what differs: of one peer at a time, and of near ones first."""
         now = asyncio.get_running_loop().time()
-        if now < self._comparing_until:
+        if now < self._comparing_until or self._has_nearer(peer_id):
             self._recheck(peer_id)
             return
+        self._requested.clear()
         self._comparing_until = now + COMPARE_TIMEOUT_S
         self._links.send(peer_id, RecordHashes(list(self._table.hashes)), Traffic.CONTROL)
 
+    def _has_nearer(self, peer_id: str) -> bool:
+        """Tell whether a peer of the own region knows as much as one of another region."""
+        if self._is_near(peer_id):
+            return False
+        known = self.digest_by_peer[peer_id].applied
+        digests = self.digest_by_peer.items()
+        return any(self._is_near(each) and digest.applied >= known for each, digest in digests)
+
+    def _is_near(self, peer_id: str) -> bool:
+        peer = self._view.by_id.get(peer_id)
+        return peer is not None and peer.region == self._view.own.region
+
     def _compare_boards(self, peer_id: str, digest: Digest) -> None:
         if digest.board_hash == self._board.board_hash:
             self._board_differences_by_peer.pop(peer_id, None)
@@ -160,19 +180,18 @@
             self._send_digest(peer_id)
 
     def _request(self, peer_id: str, names: list[str], revision_by_name: dict[str, int]) -> None:
-        """Ask for records, but not for those that another peer was asked for just now."""
+        """Ask for records, and compare with no other peer while they come."""
+        if self._links.send(peer_id, RecordRequest(names), Traffic.CONTROL):
+            self._requested = {name: revision_by_name[name] for name in names}
+            self._comparing_until = asyncio.get_running_loop().time() + REQUEST_TIMEOUT_S
+
+    def _note_arrival(self, packed: PackedRecord) -> None:
+        """Go on waiting for the other records that were asked for, while some still come."""
+        if self._requested.get(packed.name, packed.revision + 1) > packed.revision:
+            return
+        del self._requested[packed.name]
         now = asyncio.get_running_loop().time()
-        pending = {
-            head: until for head, until in self._requested_until_by_head.items() if until > now
-        }
-        fresh = [each for each in names if (each, revision_by_name[each]) not in pending]
-        if fresh and self._links.send(peer_id, RecordRequest(fresh), Traffic.CONTROL):
-            self._comparing_until = now + COMPARE_TIMEOUT_S
-            until = now + REQUEST_TIMEOUT_S
-            pending.update(((each, revision_by_name[each]), until) for each in fresh)
-        self._requested_until_by_head = pending
-        if len(fresh) < len(names):
-            self._recheck(peer_id)
+        self._comparing_until = now + REQUEST_TIMEOUT_S if self._requested else 0.0
 
     def _on_request(self, peer_id: str, message: RecordRequest) -> None:
         known = [name for name in message.names if self._table.packed(name) is not None]
@@ -180,8 +199,6 @@
 
     def _on_records(self, peer_id: str, message: Records) -> None:
         is_bulk = len(message.records) > MAX_PUSHED_ON
-        if is_bulk:
-            self._comparing_until = 0.0
         self._source = peer_id
         try:
             with self._table.bulk() if is_bulk else nullcontext():
@@ -197,6 +214,7 @@
             self._recheck(peer_id)
 
     def _take_in(self, peer_id: str, packed: PackedRecord) -> None:
+        self._note_arrival(packed)
         held = self._table.revision_of(packed.name)
         if held <= packed.revision:
             self._outbox.discard(peer_id, packed.name)
@@ -260,7 +278,11 @@
 
 
 def create_dissemination(
-    table: RecordTable, board: AppliedBoard, links: PeerLinks, random: Random
+    table: RecordTable,
+    board: AppliedBoard,
+    view: MembershipView,
+    links: PeerLinks,
+    random: Random,
 ) -> Dissemination:
     """Create the dissemination of a record table over the peer streams."""
-    return Dissemination(table, board, links, random)
+    return Dissemination(table, board, view, links, random)
--- a/heatherhead/configuration/service.py
+++ b/heatherhead/configuration/service.py
@@ -36,6 +36,7 @@
 VIEW_WAIT_S = 1.5  # a new instance knows only itself, and would take every role
 ROLE_KEPT_S = 5.0  # a watcher goes on for a while after another seems the better one
 PEER_WAIT_S = 3.0  # for a first snapshot from peers, before the store is read
+SLOW_PEERS_WAIT_S = 8.0  # for the rest of a peer's snapshot, as when a whole fleet starts
 SETTLE_S = 0.5  # for digests of further neighbours after the first
 
 
@@ -59,7 +60,9 @@
         self._editor = create_editor(store, settings.store.prefix, replica, self.table.take_in)
         self._watcher = create_store_watcher(store, settings.store.prefix, self.table)
         self._board = create_applied_board(self.table, membership.view, links)
-        self._dissemination = create_dissemination(self.table, self._board, links, random)
+        self._dissemination = create_dissemination(
+            self.table, self._board, membership.view, links, random
+        )
         self._watching: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -131,11 +134,14 @@
     async def _get_ready(self) -> None:
         """Wait for a snapshot of the peers, and read the store if none has one."""
         loop = asyncio.get_running_loop()
+        started_at = loop.time()
         backoff = create_backoff(PEER_WAIT_S, 30.0, self._random)
-        read_at = loop.time() + PEER_WAIT_S
+        slow_s = SLOW_PEERS_WAIT_S * (1 + self._random.random())
+        read_at = started_at + PEER_WAIT_S
         while not self._may_be_ready():
             await asyncio.sleep(SETTLE_S / 2)
-            if loop.time() >= read_at and not self._has_peer_with_snapshot():
+            are_peers_slow = loop.time() >= started_at + slow_s
+            if loop.time() >= read_at and (are_peers_slow or not self._has_peer_with_snapshot()):
                 await self._watcher.read_all()
                 read_at = loop.time() + backoff.next_s()
         log_event("configuration_ready", applied=self.table.applied)
--- a/heatherhead/settings/membership.py
+++ b/heatherhead/settings/membership.py
@@ -66,5 +66,5 @@
         description="Bytes a second of load and upstream states.",
     )
     budget_burst_s: float = Field(
-        default=60, gt=0, le=3_600, description="Seconds of budget that may be used at once."
+        default=240, gt=0, le=3_600, description="Seconds of budget that may be used at once."
     )
