--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,9 @@
 
 bench-control: $(STAMP)
 	$(BIN)/python -m bench.control
+
+bench-path: $(STAMP)
+	$(BIN)/python -m bench.path
+
+bench-kill: $(STAMP)
+	$(BIN)/python -m bench.kill
