Send attempts without the client session of aiohttp

Cause: the session's own work (cookies, default headers, redirects) came on top of ours, and its repeats had to be switched off by a private field. Change: connector, request and response are used directly; a hedge that wins interrupts the call's task without a timeout scope.

--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -1,14 +1,18 @@
-"""Sends one attempt of a call to one upstream over HTTP/1.1."""
+"""Sends one attempt of a call to one upstream over HTTP/1.1.
+
+The connector, request and response of aiohttp are used without its client session. The session
+repeats calls of some methods by itself, does not tell whether a request was written, and spends
+time on cookies, redirects and default headers that a forwarded call has no use for.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
-from weakref import WeakKeyDictionary
 
 import aiohttp
+from multidict import CIMultiDict
 from yarl import URL
 
 from heatherhead.calls import AttemptState, UpstreamSign
@@ -18,15 +22,16 @@
 
     from aiohttp import ClientResponse
     from aiohttp.connector import Connection
-    from multidict import CIMultiDict
 
     from heatherhead.settings.admission import AdmissionSettings
 
 __all__ = ["Attempt", "OutboundRequest", "UpstreamClient", "create_upstream_client"]
 
-_UNSET_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
-_attempt: ContextVar[Attempt] = ContextVar("attempt")
-_calls_by_connection: WeakKeyDictionary[object, int] = WeakKeyDictionary()
+METHODS_WITHOUT_ANSWER_BODY = frozenset({"HEAD"})
+READ_BUFFER_BYTES = 64 * 1024
+MAX_STATUS_LINE_BYTES = 8190
+MAX_ANSWER_HEADERS = 256
+TIMEOUT_CEILING_S = 5.0  # aiohttp rounds longer timeouts up to whole seconds
 
 
 class DispatchTooLateError(Exception):
@@ -35,7 +40,7 @@
 
 @dataclass(slots=True)
 class OutboundRequest:
-    """What is sent to an upstream, the same for each attempt."""
+    """What is sent to an upstream, the same for each attempt; `headers` holds a Host."""
 
     method: str
     target: str
@@ -65,50 +70,44 @@
         return isinstance(self.error, DispatchTooLateError)
 
 
-class _TrackedRequest(aiohttp.ClientRequest):
-    """Notes the moment from which an upstream may have seen the request.
+class _ForwardedRequest(aiohttp.ClientRequest):
+    """A request whose headers are sent as they are."""
 
-    The deadline is looked at again right before the first byte, because the process may have been
-    paused, or a connection long in coming, since the slot was given.
-    """
+    _skip_auto_headers = CIMultiDict({"Content-Type": None})
 
-    async def send(self, conn: Connection) -> ClientResponse:
-        """Write the request."""
-        attempt = _attempt.get()
-        if asyncio.get_running_loop().time() >= attempt.deadline:
-            raise DispatchTooLateError
-        protocol = conn.protocol
-        if protocol is not None:
-            attempt.connection_calls = _calls_by_connection.get(protocol, 0) + 1
-            _calls_by_connection[protocol] = attempt.connection_calls
-        attempt.sent = True
-        attempt.state = AttemptState.UNKNOWN
-        return await super().send(conn)
+    def update_headers(self, headers: Any) -> None:
+        """Take a copy of the headers."""
+        self.headers = CIMultiDict(headers)
+
+    def update_auto_headers(self, skip_auto_headers: Any) -> None:
+        """Add no headers."""
+
+    def update_cookies(self, cookies: Any) -> None:
+        """Add no cookies."""
+
+    def update_auth(self, auth: Any, trust_env: bool = False) -> None:
+        """Add no credentials."""
 
 
 class UpstreamClient:
     """Owns the connections to all upstreams."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    def __init__(self, connector: aiohttp.TCPConnector, settings: AdmissionSettings) -> None:
+        self._connector = connector
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._connect_timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=settings.connect_timeout_s
+        )
 
     async def send(self, host: str, port: int, request: OutboundRequest, attempt: Attempt) -> None:
         """Send the request and wait for the head of the answer; fills `attempt` in.
 
         On cancellation the connection is closed and `attempt.sent` tells how far it got.
         """
-        attempt.started_at = asyncio.get_running_loop().time()
-        _attempt.set(attempt)
-        url = _url(request.scheme, host, port, request.target)
+        attempt.started_at = self._loop.time()
         try:
-            attempt.answer = await self._session.request(
-                request.method,
-                url,
-                headers=request.headers,
-                data=request.body,
-                allow_redirects=False,
-                ssl=request.ssl,
-            )
+            attempt.answer = await self._exchange(host, port, request, attempt)
             attempt.state = AttemptState.ANSWERED
         except asyncio.CancelledError:
             attempt.cancelled = True
@@ -117,9 +116,67 @@
             attempt.error = error
             attempt.sign = _sign_of(attempt)
 
+    async def _exchange(
+        self, host: str, port: int, request: OutboundRequest, attempt: Attempt
+    ) -> ClientResponse:
+        forwarded = _ForwardedRequest(
+            request.method,
+            _url(request.scheme, host, port, request.target),
+            headers=request.headers,
+            data=request.body,
+            loop=self._loop,
+            ssl=request.ssl,
+        )
+        connection = await self._connector.connect(
+            forwarded, traces=[], timeout=self._connect_timeout
+        )
+        try:
+            self._prepare(connection, request, attempt)
+            answer = await forwarded.send(connection)
+            try:
+                return await answer.start(connection)
+            except BaseException:
+                answer.close()
+                raise
+        except BaseException:
+            connection.close()
+            raise
+
+    def _prepare(self, connection: Connection, request: OutboundRequest, attempt: Attempt) -> None:
+        """Set the bounds of the answer and note the last moment before the first byte.
+
+        The deadline is looked at here, because the process may have been paused, or a connection
+        long in coming, since the slot was given. From here on the upstream may see the request.
+        """
+        protocol = connection.protocol
+        assert protocol is not None
+        protocol.set_response_params(
+            skip_payload=request.method in METHODS_WITHOUT_ANSWER_BODY,
+            read_until_eof=True,
+            auto_decompress=False,
+            read_timeout=self._settings.answer_idle_timeout_s,
+            read_bufsize=READ_BUFFER_BYTES,
+            timeout_ceil_threshold=TIMEOUT_CEILING_S,
+            max_line_size=MAX_STATUS_LINE_BYTES,
+            max_field_size=self._settings.max_answer_header_bytes,
+            max_headers=MAX_ANSWER_HEADERS,
+        )
+        if self._loop.time() >= attempt.deadline:
+            raise DispatchTooLateError
+        attempt.connection_calls = _count_call(protocol)
+        attempt.sent = True
+        attempt.state = AttemptState.UNKNOWN
+
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        await self._connector.close()
+
+
+def _count_call(protocol: Any) -> int:
+    """Count the calls that a connection has carried, this one included."""
+    calls: int = getattr(protocol, "calls", 0) + 1
+    protocol.calls = calls
+    return calls
 
 
 def _url(scheme: str, host: str, port: int, target: str) -> URL:
@@ -146,19 +203,4 @@
         resolver=aiohttp.ThreadedResolver(),
         happy_eyeballs_delay=None,
     )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        request_class=_TrackedRequest,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=_UNSET_HEADERS,
-        max_field_size=settings.max_answer_header_bytes,
-        timeout=aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=settings.connect_timeout_s,
-            sock_read=settings.answer_idle_timeout_s,
-        ),
-    )
-    # The session repeats calls of some methods by itself; only the retry budget may do so.
-    session._retry_connection = False
-    return UpstreamClient(session)
+    return UpstreamClient(connector, settings)
--- a/heatherhead/upstreams/hedging.py
+++ b/heatherhead/upstreams/hedging.py
@@ -18,7 +18,8 @@
     """Sends a second attempt when the first has no answer after a delay.
 
     The first attempt runs in the task of the call, so that a call without a hedge costs one timer
-    and no further task.
+    and no further task. When the second one wins, that task is cancelled for as long as it waits
+    for the first, as `asyncio.timeout` does it.
     """
 
     def __init__(
@@ -26,58 +27,60 @@
     ) -> None:
         self._delay_s = delay_s
         self._send = send
-        self._scope: asyncio.Timeout | None = None
-        self._task: asyncio.Task[OpenAnswer | None] | None = None
-        self._racing = True
+        self._waiting: asyncio.Task[Any] | None = None
+        self._second: asyncio.Task[OpenAnswer | None] | None = None
+        self._interrupted = False
 
     async def race(self, first: Coroutine[Any, Any, OpenAnswer]) -> OpenAnswer:
         """Return the attempt that has an answer first, or the first one if neither has."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(self._delay_s, self._start)
+        timer = asyncio.get_running_loop().call_later(self._delay_s, self._start)
+        self._waiting = asyncio.current_task()
         try:
-            async with asyncio.timeout(None) as self._scope:
-                opened = await first
-        except TimeoutError:
-            if not self._won:
-                raise
-            assert self._task is not None
-            winner = self._task.result()
-            assert winner is not None
-            return winner
+            opened = await first
+        except asyncio.CancelledError:
+            self._waiting = None
+            if self._interrupted and _uncancel() == 0:
+                return self._winner()
+            await self._cancel()
+            raise
         except BaseException:
+            self._waiting = None
             await self._cancel()
             raise
         finally:
-            self._racing = False
             timer.cancel()
+        self._waiting = None
+        if self._interrupted:
+            _uncancel()
         return await self._settle(opened)
 
-    @property
-    def _won(self) -> bool:
-        task = self._task
-        if task is None or not task.done() or task.cancelled() or task.exception() is not None:
-            return False
-        second = task.result()
-        return second is not None and second.attempt.answer is not None
+    def _winner(self) -> OpenAnswer:
+        assert self._second is not None
+        winner = self._second.result()
+        assert winner is not None
+        return winner
 
     def _start(self) -> None:
-        self._task = asyncio.get_running_loop().create_task(self._send())
-        self._task.add_done_callback(self._on_second)
+        self._second = asyncio.get_running_loop().create_task(self._send())
+        self._second.add_done_callback(self._on_second)
 
-    def _on_second(self, _task: asyncio.Task[OpenAnswer | None]) -> None:
-        if self._racing and self._won:
-            assert self._scope is not None
-            self._scope.reschedule(asyncio.get_running_loop().time())
+    def _on_second(self, second: asyncio.Task[OpenAnswer | None]) -> None:
+        if self._waiting is None or second.cancelled() or second.exception() is not None:
+            return
+        opened = second.result()
+        if opened is not None and opened.attempt.answer is not None:
+            self._interrupted = True
+            self._waiting.cancel()
 
     async def _settle(self, opened: OpenAnswer) -> OpenAnswer:
         """Keep the first attempt if it is answered; else wait for the second."""
-        if self._task is None:
+        if self._second is None:
             return opened
         if opened.attempt.answer is not None:
             await self._cancel()
             return opened
         try:
-            second = await self._task
+            second = await self._second
         except BaseException:
             await self._cancel()
             opened.close(complete=False)
@@ -88,7 +91,7 @@
         return second
 
     async def _cancel(self) -> None:
-        task = self._task
+        task = self._second
         if task is None:
             return
         task.cancel()
@@ -98,3 +101,10 @@
         second = task.result()
         if second is not None:
             second.close(complete=False)
+
+
+def _uncancel() -> int:
+    """Take one cancellation of the current task back; gives how many are left."""
+    task = asyncio.current_task()
+    assert task is not None
+    return task.uncancel()
