--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format prove demo run generate docs capacity bench-control
+.PHONY: install test lint format prove demo run generate docs capacity bench-operators bench-control
 
 install: $(STAMP)
 
@@ -48,3 +48,6 @@
 
 bench-kill: $(STAMP)
 	$(BIN)/python -m bench.kill
+
+bench-operators: $(STAMP)
+	$(BIN)/python -m bench.operators
--- a/heatherhead/operators/messages.py
+++ b/heatherhead/operators/messages.py
@@ -15,7 +15,12 @@
 from heatherhead.field_problems import problems_of
 from heatherhead.operators import heatherhead_pb2 as pb
 from heatherhead.routing.interface import QuarantineEntry
-from heatherhead.telemetry.interface import Distribution, HistogramKind, HistogramReading
+from heatherhead.telemetry.interface import (
+    Distribution,
+    HistogramKind,
+    HistogramReading,
+    OutcomeReading,
+)
 
 if TYPE_CHECKING:
     from google.protobuf.message import Message
@@ -138,9 +143,11 @@
 
 @to_message.register
 def _(value: AppliedRevision) -> pb.AppliedRevision:
-    return pb.AppliedRevision(
-        instance_id=value.instance_id, revision=value.revision, age_s=value.age_s
-    )
+    message = pb.AppliedRevision(instance_id=value.instance_id)
+    if value.revision >= 0:
+        message.revision = value.revision
+        message.age_s = value.age_s
+    return message
 
 
 @to_message.register
@@ -166,3 +173,14 @@
         total=to_message(value.total),
         encoded=value.encoded,
     )
+
+
+@to_message.register
+def _(value: OutcomeReading) -> pb.OutcomeCount:
+    return pb.OutcomeCount(
+        service=value.service,
+        call_class=value.call_class,
+        outcome=value.outcome,
+        recent=value.recent,
+        total=value.total,
+    )
--- a/heatherhead/tests/operators/server_tests.py
+++ b/heatherhead/tests/operators/server_tests.py
@@ -266,7 +266,7 @@
                 seen += [(each.service, each.upstream.id) for each in reply.upstreams]
                 token, pages = reply.next_page_token, pages + 1
             client.close()
-            assert pages == 2
+            assert pages == 3
             assert len(set(seen)) == len(seen) == 1200
             assert reply.upstreams[0].state == "ready"
             assert reply.upstreams[0].oldest_age_s == 0.25
@@ -329,6 +329,15 @@
                 lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
             )
             assert (status.revision, list(status.missing)) == (revision, ["a3"])
+            site.status.revision_by_id = {"a2": revision, "a3": -1}  # not heard of yet
+            status = await client.read(
+                lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
+            )
+            assert [each.HasField("revision") for each in status.applied] == [True, True, False]
+            instances = await client.read(
+                lambda channel, _: InstancesStub(channel).List(pb.ListInstancesRequest())
+            )
+            assert not instances.instances[2].HasField("applied_revision")
             progress = []
             async for each in client.stream(
                 lambda channel: ConfigurationStub(channel).Follow,
