--- a/bench/fake_upstream.py
+++ b/bench/fake_upstream.py
@@ -55,7 +55,8 @@
 
     Spells of `slow_s` seconds, `slow_factor` times slower, begin at random about every
     `slow_every_s` seconds from a generator seeded with `seed`; 0 for none. See `SlowSpells` for
-    `epoch`.
+    `epoch`. The id of each run is appended to the file `run_log` before the run begins, where a
+    kill of the process leaves it.
     """
 
     port: int
@@ -68,6 +69,7 @@
     slow_factor: float = 10.0
     seed: int = 1
     epoch: float = 0.0
+    run_log: str = ""
     fault: Fault = field(default_factory=Fault)
 
 
@@ -112,6 +114,11 @@
         self.in_flight_max = 0
         self.runs_by_id: Counter[str] = Counter()
         self.answered_by_id: Counter[str] = Counter()
+        self._run_log = (
+            os.open(script.run_log, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+            if script.run_log
+            else None
+        )
         self._slots = asyncio.Semaphore(script.slots)
         self._spells = SlowSpells(
             script.slow_every_s, script.slow_s, script.slow_factor, script.seed, script.epoch
@@ -166,6 +173,8 @@
         run_id = request.headers.get(RUN_ID_HEADER)
         if run_id and len(self.runs_by_id) < MAX_RUN_IDS:
             self.runs_by_id[run_id] += 1
+            if self._run_log is not None:
+                os.write(self._run_log, f"{run_id}\n".encode())
         if CRASH_HEADER in request.headers:
             os._exit(1)
         received = await _read_body(request)
--- /dev/null
+++ b/bench/kill.py
@@ -0,0 +1,328 @@
+"""Keyed orders from callers that resend, while daemons and upstreams fail and leave.
+
+Run as `make bench-kill`, or `python -m bench.kill SEED`. The first part has only daemons and
+upstreams that leave in order, and no order may notice; the second kills and pauses them as well.
+The last line is JSON. Runs are counted from files that the upstreams write before they run a call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections import Counter
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import uvloop
+
+from bench.fake_upstream import UpstreamScript
+from bench.fleet import DaemonPorts, Fleet, free_ports, save_result
+from bench.orders import TIMEOUT_S, Ledger, Order, OrderingCaller, OrderState
+from heatherhead.configuration.editor import create_editor
+from heatherhead.configuration.replica import create_replica
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.settings.store import StoreSettings
+from heatherhead.store import create_store
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+DAEMONS = 4
+UPSTREAMS = 8
+CALLERS = 60
+CALLER_PAUSE_S = 0.25
+ANSWER_BYTES = 1024
+SERVICE_S = 0.010
+KEEP_S = 2.0
+LEAVING_PART_S = 16.0
+FAILING_PART_S = 26.0
+DRAIN_S = 2.0
+DEFAULT_SEED = 20_261
+READY_POLL_S = 0.05
+EXIT_BROKEN = 1
+
+
+@dataclass(slots=True)
+class KillRun:
+    """The processes under test and what was done to them."""
+
+    fleet: Fleet
+    session: aiohttp.ClientSession
+    rng: Random
+    daemons: list[DaemonPorts]
+    upstreams: list[UpstreamScript]
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    faults: Counter[str] = field(default_factory=Counter)
+    down: list[tuple[float, float]] = field(default_factory=list)
+    busy: set[str] = field(default_factory=set)
+
+    @contextmanager
+    def one_daemon(self) -> Iterator[DaemonPorts]:
+        """Choose a daemon to which nothing else is done meanwhile."""
+        daemon = self.rng.choice([each for each in self.daemons if each.id not in self.busy])
+        self.busy.add(daemon.id)
+        try:
+            yield daemon
+        finally:
+            self.busy.discard(daemon.id)
+
+    @contextmanager
+    def one_upstream(self) -> Iterator[tuple[str, UpstreamScript]]:
+        """Choose an upstream to which nothing else is done meanwhile; gives its name too."""
+        names = [f"u{index}" for index in range(UPSTREAMS)]
+        name = self.rng.choice([each for each in names if each not in self.busy])
+        self.busy.add(name)
+        try:
+            yield name, self.upstreams[names.index(name)]
+        finally:
+            self.busy.discard(name)
+
+
+async def _start(fleet: Fleet, session: aiohttp.ClientSession, seed: int) -> KillRun:
+    ports = free_ports(3 * DAEMONS + UPSTREAMS)
+    daemons = [DaemonPorts(f"d{n}", *ports[3 * n : 3 * n + 3]) for n in range(DAEMONS)]
+    upstreams = [
+        UpstreamScript(
+            port=port,
+            service_s=SERVICE_S,
+            answer_bytes=ANSWER_BYTES,
+            run_log=str(fleet.directory / f"u{index}.runs"),
+        )
+        for index, port in enumerate(ports[3 * DAEMONS :])
+    ]
+    run = KillRun(fleet, session, Random(seed), daemons, upstreams)
+    for name in ("fake_store", "fake_instance_list"):
+        fleet.start(name, [f"heatherhead.tests.{name}"])
+        fleet.wait_for(lambda each=name: fleet.output(each).strip(), name)
+    store_url, list_url = (
+        fleet.output(name).strip() for name in ("fake_store", "fake_instance_list")
+    )
+    for index, script in enumerate(upstreams):
+        fleet.start_upstreams(f"u{index}", [script])
+    await _configure(run, store_url)
+    await _publish(run, list_url)
+    for daemon in daemons:
+        run.settings[daemon.id] = _settings(daemon, store_url, list_url)
+        fleet.start_daemon(daemon, run.settings[daemon.id])
+    for daemon in daemons:
+        await _ready(run, daemon)
+    return run
+
+
+def _settings(daemon: DaemonPorts, store_url: str, list_url: str) -> dict[str, Any]:
+    return {
+        "instance": {"id": daemon.id},
+        "callers": {"listen": {"port": daemon.callers}, "addresses_keep_s": KEEP_S},
+        "operators": {"listen": {"port": daemon.operators}},
+        "membership": {"listen": {"port": daemon.peers}, "instance_list_url": list_url},
+        "store": {"urls": [store_url]},
+    }
+
+
+async def _configure(run: KillRun, store_url: str) -> None:
+    store = create_store(StoreSettings(urls=(store_url,)))
+    replica = create_replica()
+    upstreams = [
+        {"id": f"u{index}", "host": each.host, "port": each.port}
+        for index, each in enumerate(run.upstreams)
+    ]
+    service = ServiceSchema.model_validate(
+        {"name": "orders", "path_prefixes": ["/"], "upstreams": upstreams}
+    )
+    editor = create_editor(store, "/heatherhead/", replica, replica.apply)
+    (await editor.put(service, 0, "bench")).unwrap()
+    await store.close()
+
+
+async def _publish(run: KillRun, list_url: str) -> None:
+    entries = [
+        {
+            "id": each.id,
+            "region": "local",
+            "availability_zone": "local",
+            "callers": {"host": "127.0.0.1", "port": each.callers},
+            "peers": {"host": "127.0.0.1", "port": each.peers},
+            "operators": {"host": "127.0.0.1", "port": each.operators},
+        }
+        for each in run.daemons
+    ]
+    url = list_url.replace("/instances", "/admin/instances")
+    async with run.session.put(url, json={"instances": entries}) as answer:
+        answer.raise_for_status()
+
+
+async def _ready(run: KillRun, daemon: DaemonPorts) -> None:
+    while True:
+        try:
+            async with run.session.get(f"http://127.0.0.1:{daemon.callers}/v1/ready") as answer:
+                if answer.status == 200:
+                    return
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            pass
+        await asyncio.sleep(READY_POLL_S)
+
+
+async def _leave_daemon(run: KillRun) -> None:
+    with run.one_daemon() as daemon:
+        code = await asyncio.to_thread(run.fleet.stop, daemon.id)
+        if code != 0:
+            raise RuntimeError(f"{daemon.id} left with exit code {code}")
+        run.fleet.start_daemon(daemon, run.settings[daemon.id])
+        await _ready(run, daemon)
+
+
+async def _kill_daemon(run: KillRun) -> None:
+    loop = asyncio.get_running_loop()
+    with run.one_daemon() as daemon:
+        began = loop.time()
+        run.fleet.kill(daemon.id)
+        await asyncio.sleep(run.rng.uniform(0.2, 2.0))
+        run.fleet.start_daemon(daemon, run.settings[daemon.id])
+        await _ready(run, daemon)
+        run.down.append((began, loop.time()))
+
+
+async def _pause_daemon(run: KillRun) -> None:
+    with run.one_daemon() as daemon:
+        run.fleet.signal(daemon.id, signal.SIGSTOP)
+        await asyncio.sleep(run.rng.uniform(0.3, 4.0))
+        run.fleet.signal(daemon.id, signal.SIGCONT)
+
+
+async def _drain_upstream(run: KillRun) -> None:
+    with run.one_upstream() as (name, script):
+        url = f"http://{script.host}:{script.port}/__fault"
+        async with run.session.post(url, json={"draining": True}) as answer:
+            answer.raise_for_status()
+        await asyncio.sleep(DRAIN_S)
+        await asyncio.to_thread(run.fleet.stop, name)
+        run.fleet.start_upstreams(name, [script])
+
+
+async def _kill_upstream(run: KillRun) -> None:
+    with run.one_upstream() as (name, script):
+        run.fleet.kill(name)
+        await asyncio.sleep(run.rng.uniform(0.1, 1.0))
+        await asyncio.to_thread(run.fleet.start_upstreams, name, [script])
+
+
+async def _pause_upstream(run: KillRun) -> None:
+    with run.one_upstream() as (name, _script):
+        run.fleet.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(run.rng.uniform(0.1, 2.5))
+        run.fleet.signal(name, signal.SIGCONT)
+
+
+async def _faults(run: KillRun, until: float, kinds: list[Callable[..., Any]]) -> None:
+    """Bring about faults one after the other; several of these run side by side."""
+    loop = asyncio.get_running_loop()
+    while loop.time() < until:
+        fault = run.rng.choice(kinds)
+        await fault(run)
+        run.faults[fault.__name__.strip("_")] += 1
+        await asyncio.sleep(run.rng.uniform(0.2, 0.8))
+
+
+async def _part(
+    run: KillRun, name: str, duration_s: float, faults: list[list[Callable[..., Awaitable[None]]]]
+) -> Ledger:
+    """Send orders while faults happen, those of each list one after the other."""
+    ledger = Ledger()
+    until = asyncio.get_running_loop().time() + duration_s
+    urls = [f"http://127.0.0.1:{each.callers}" for each in run.daemons]
+    callers = [
+        OrderingCaller(
+            f"{name}{index}", run.session, urls, Random(run.rng.random()), ledger, ANSWER_BYTES
+        )
+        for index in range(CALLERS)
+    ]
+    async with asyncio.TaskGroup() as tasks:
+        for kinds in faults:
+            tasks.create_task(_faults(run, until - KEEP_S, kinds))
+        for caller in callers:
+            tasks.create_task(caller.run(until, CALLER_PAUSE_S))
+    return ledger
+
+
+def _runs_by_id(run: KillRun) -> Counter[str]:
+    counts: Counter[str] = Counter()
+    for path in run.fleet.directory.glob("u*.runs"):
+        counts.update(path.read_text(encoding="utf-8").split())
+    return counts
+
+
+def _share_done_while_down(run: KillRun, orders: list[Order]) -> float:
+    during = [order for order in orders if any(a <= order.started_at <= b for a, b in run.down)]
+    return sum(each.state is OrderState.DONE for each in during) / max(1, len(during))
+
+
+def _result(run: KillRun, seed: int, leaving: Ledger, failing: Ledger) -> dict[str, Any]:
+    runs = _runs_by_id(run)
+    orders = [*leaving.orders, *failing.orders]
+    runs_by_order = [sum(runs[each] for each in order.run_ids) for order in orders]
+    states = Counter(order.state.value for order in orders)
+    done = [order for order in orders if order.state is OrderState.DONE]
+    return {
+        "seed": seed,
+        "orders": len(orders),
+        "reads": leaving.reads + failing.reads,
+        "faults": dict(sorted(run.faults.items())),
+        "ran_twice": sum(count > 1 for count in runs_by_order),
+        "told_not_run_but_ran": sum(
+            runs[each] > 0 for order in orders for each in order.told_not_run
+        ),
+        "told_done_but_not_ran": sum(
+            not any(runs[each] for each in order.run_ids) for order in done
+        ),
+        "cut_by_leaving": sum(
+            bool(order.cut) or order.state is not OrderState.DONE for order in leaving.orders
+        )
+        + leaving.reads
+        - leaving.reads_done,
+        "wrong_or_partial_answers": leaving.wrong_answers + failing.wrong_answers,
+        "unknown_share": round(states["unknown"] / len(orders), 5),
+        "done_share": round(states["done"] / len(orders), 5),
+        "done_share_one_daemon_down": round(_share_done_while_down(run, failing.orders), 5),
+        "reads_done_share": round(
+            (leaving.reads_done + failing.reads_done) / (leaving.reads + failing.reads), 5
+        ),
+    }
+
+
+async def _run(fleet: Fleet, seed: int) -> dict[str, Any]:
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+        run = await _start(fleet, session, seed)
+        leaving = await _part(run, "leaving", LEAVING_PART_S, [[_leave_daemon], [_drain_upstream]])
+        failing = await _part(
+            run,
+            "failing",
+            FAILING_PART_S,
+            [
+                [_kill_daemon],
+                [_pause_daemon, _leave_daemon],
+                [_drain_upstream, _kill_upstream, _pause_upstream],
+                [_kill_upstream, _pause_upstream],
+            ],
+        )
+        return _result(run, seed, leaving, failing)
+
+
+def main() -> None:
+    """Run with the seed of the command line, or the usual one."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_SEED
+    print(f"seed {seed}", flush=True)
+    with Fleet() as fleet:
+        result = uvloop.run(_run(fleet, seed))
+    save_result("kill", result)
+    broken = ("ran_twice", "told_not_run_but_ran", "cut_by_leaving", "wrong_or_partial_answers")
+    sys.exit(EXIT_BROKEN if any(result[each] for each in broken) else 0)
+
+
+if __name__ == "__main__":
+    main()
