--- /dev/null
+++ b/heatherhead/tests/certificates/__init__.py
@@ -0,0 +1,18 @@
+"""Certificates for tests: an authority's, an instance's and an operator's, and a stranger's.
+
+The stranger's is signed by another authority. The keys protect nothing; those of the authorities
+are not kept. All are elliptic-curve certificates that end after a hundred years.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+__all__ = ["AUTHORITY", "INSTANCE", "OPERATOR", "STRANGER"]
+
+_DIRECTORY = Path(__file__).parent
+
+AUTHORITY = str(_DIRECTORY / "authority.pem")
+INSTANCE = (str(_DIRECTORY / "instance.pem"), str(_DIRECTORY / "instance.key"))
+OPERATOR = (str(_DIRECTORY / "operator.pem"), str(_DIRECTORY / "operator.key"))
+STRANGER = (str(_DIRECTORY / "stranger.pem"), str(_DIRECTORY / "stranger.key"))
--- a/heatherhead/tests/commands/fakes.py
+++ b/heatherhead/tests/commands/fakes.py
@@ -17,6 +17,7 @@
 
     import pytest
 
+    from heatherhead.settings.instance import TlsSettings
     from heatherhead.tests.operators.fakes import Site
 
 __all__ = ["CuttingProxy", "Run", "SiteThread", "Tool", "site_thread"]
@@ -98,12 +99,12 @@
 
 
 @contextmanager
-def site_thread(servers: int = 1) -> Iterator[SiteThread]:
+def site_thread(servers: int = 1, tls: TlsSettings | None = None) -> Iterator[SiteThread]:
     """Run a site in a thread until the end of the block."""
     loop = asyncio.new_event_loop()
     thread = threading.Thread(target=loop.run_forever)
     thread.start()
-    context = running_site(servers)
+    context = running_site(servers, tls)
 
     def call(coroutine: Coroutine[Any, Any, ResultT]) -> ResultT:
         return asyncio.run_coroutine_threadsafe(coroutine, loop).result()
--- a/heatherhead/tests/commands/main_tests.py
+++ b/heatherhead/tests/commands/main_tests.py
@@ -13,7 +13,9 @@
 from heatherhead.commands.exit_codes import ExitCode
 from heatherhead.configuration.schema import ServiceSchema
 from heatherhead.operators.event_hub import EventHub, Watcher
+from heatherhead.settings.instance import TlsSettings
 from heatherhead.telemetry import CallOutcome, HistogramKind
+from heatherhead.tests.certificates import AUTHORITY, INSTANCE, OPERATOR, STRANGER
 from heatherhead.tests.commands.fakes import CuttingProxy, SiteThread, Tool, site_thread
 from heatherhead.tests.operators.fakes import dead_address
 
@@ -185,6 +187,47 @@
     thread.call(proxy.stop())
 
 
+def test_refusal_after_a_lost_reply_settles_nothing(
+    thread: SiteThread, tool: Tool, document: str
+) -> None:
+    proxy = CuttingProxy(tool.addresses[0])
+    tool.addresses[0] = thread.call(proxy.start())
+
+    def lose() -> None:
+        thread.site.replica.by_name.clear()  # as on an instance that has not heard of the change
+        thread.site.store.is_down = True
+
+    async def cut_and_lose_the_store() -> None:
+        proxy.is_cutting = True
+        asyncio.get_running_loop().call_soon(lose)
+
+    thread.site.store.before_write = cut_and_lose_the_store
+    run = tool.run("services", "put", document, "--yes", "--timeout=0.5")
+    assert run.code == ExitCode.OUTCOME_UNKNOWN
+    thread.call(proxy.stop())
+
+
+def test_strangers_are_refused(document: str, capsys: pytest.CaptureFixture[str]) -> None:
+    certificate, key = INSTANCE
+    tls = TlsSettings(certificate=certificate, key=key, client_ca=AUTHORITY)
+    with site_thread(tls=tls) as thread:
+        tool = Tool(list(thread.site.addresses), capsys)
+
+        def put(*options: str) -> int:
+            return tool.run("services", "put", document, "--yes", *options).code
+
+        assert put() == ExitCode.UNREACHABLE
+        assert put(f"--ca={AUTHORITY}") == ExitCode.UNREACHABLE
+        stranger, stranger_key = STRANGER
+        shown = (f"--certificate={stranger}", f"--key={stranger_key}")
+        assert put(f"--ca={AUTHORITY}", *shown) == ExitCode.UNREACHABLE
+        assert thread.site.store.writes == 0
+        operator, operator_key = OPERATOR
+        shown = (f"--certificate={operator}", f"--key={operator_key}")
+        assert put(f"--ca={stranger}", *shown) == ExitCode.UNREACHABLE
+        assert put(f"--ca={AUTHORITY}", *shown) == ExitCode.DONE
+
+
 def test_store_outage_is_told(thread: SiteThread, tool: Tool, document: str) -> None:
     thread.site.store.is_down = True
     run = tool.run("services", "put", document, "--yes")
--- a/heatherhead/tests/operators/fakes.py
+++ b/heatherhead/tests/operators/fakes.py
@@ -31,6 +31,7 @@
     from heatherhead.configuration.replica import Replica
     from heatherhead.exceptions import HeatherheadError
     from heatherhead.operators.client import OperatorsClient
+    from heatherhead.settings.instance import TlsSettings
     from heatherhead.store.interface import WriteAnswer
 
 __all__ = ["Site", "dead_address", "running_site"]
@@ -171,10 +172,10 @@
 
 
 @asynccontextmanager
-async def running_site(servers: int = 1) -> AsyncIterator[Site]:
+async def running_site(servers: int = 1, tls: TlsSettings | None = None) -> AsyncIterator[Site]:
     """Run operators' servers on free ports of the loopback."""
     site = Site()
-    settings = OperatorsSettings(listen=ListenSettings(port=0))
+    settings = OperatorsSettings(listen=ListenSettings(port=0, tls=tls))
     running = [create_operators_server(settings, site.backend) for _ in range(servers)]
     try:
         for server in running:
--- a/heatherhead/tests/operators/server_tests.py
+++ b/heatherhead/tests/operators/server_tests.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 
 import pytest
 
 from heatherhead.configuration.schema import ServiceSchema
 from heatherhead.membership.interface import InstanceState
 from heatherhead.operators import heatherhead_pb2 as pb
-from heatherhead.operators.client import RefusedError
+from heatherhead.operators.client import (
+    RefusedError,
+    UnreachableError,
+    create_operators_client,
+)
 from heatherhead.operators.event_hub import MAX_BUFFERED_EVENTS, MAX_WATCHERS
-from heatherhead.operators.guard import MAX_REQUEST_BYTES
+from heatherhead.operators.guard import MAX_REQUEST_BYTES, MAX_REQUESTS
 from heatherhead.operators.heatherhead_grpc import (
     ConfigurationStub,
     EventsStub,
@@ -22,7 +27,9 @@
     UpstreamsStub,
 )
 from heatherhead.operators.messages import message_of_schema, schema_of_message
+from heatherhead.settings.instance import TlsSettings
 from heatherhead.telemetry import HistogramKind
+from heatherhead.tests.certificates import AUTHORITY, INSTANCE
 from heatherhead.tests.operators.fakes import Site, running_site
 
 
@@ -172,6 +179,20 @@
     asyncio.run(scenario())
 
 
+def test_known_change_is_not_refused_for_what_came_later() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            made = await put(site, service(), change_id="c1")
+            without_host = service(hosts=["new.test"])
+            await put(site, without_host, made.record.revision, "c2")
+            await put(site, service("stock", hosts=["orders.test"]), change_id="c3")
+            again = await put(site, service(), change_id="c1")
+            assert again.record.revision == made.record.revision
+            assert site.store.writes == 3
+
+    asyncio.run(scenario())
+
+
 def test_store_outage_is_told_as_no_effect() -> None:
     async def scenario() -> None:
         async with running_site() as site:
@@ -410,6 +431,47 @@
     asyncio.run(scenario())
 
 
+def test_requests_at_once_are_bounded() -> None:
+    async def scenario() -> None:
+        async with running_site() as site:
+            client = site.client()
+            request = pb.FollowRequest(revision=10**6)
+            follows = []
+            for _ in range(MAX_REQUESTS):
+                follows.append(
+                    client.stream(lambda channel: ConfigurationStub(channel).Follow, request)
+                )
+                await anext(follows[-1])
+            with pytest.raises(RefusedError) as caught:
+                await client.read(
+                    lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
+                )
+            assert caught.value.detail.kind == pb.ERROR_KIND_TOO_BUSY
+            for follow in follows:
+                await follow.aclose()
+            await client.read(
+                lambda channel, _: ConfigurationStub(channel).Status(pb.StatusRequest())
+            )
+            client.close()
+
+    asyncio.run(scenario())
+
+
+def test_change_over_refused_tls_was_surely_not_made() -> None:
+    async def scenario() -> None:
+        certificate, key = INSTANCE
+        tls = TlsSettings(certificate=certificate, key=key, client_ca=AUTHORITY)
+        async with running_site(tls=tls) as site:
+            context = ssl.create_default_context(cafile=AUTHORITY)
+            context.set_alpn_protocols(["h2"])
+            client = create_operators_client(site.addresses, context, timeout_s=1.0)
+            request = pb.DeleteServiceRequest(name="orders", change_id="c1")
+            with pytest.raises(UnreachableError):
+                await client.change("c1", lambda channel, _: ServicesStub(channel).Delete(request))
+
+    asyncio.run(scenario())
+
+
 def test_watches_and_message_sizes_are_bounded() -> None:
     async def scenario() -> None:
         async with running_site() as site:
