--- a/bench/fake_upstream.py
+++ b/bench/fake_upstream.py
@@ -1,7 +1,8 @@
 """Fake upstreams: HTTP servers with a few slots and faults that are scripted or switched.
 
 Run as `python -m bench.fake_upstream SCRIPT.json`; one process serves the upstreams of the script.
-The answer to `GET /__state` is what each upstream saw; `POST /__fault` switches its fault.
+The answer to `GET /__state` is what each upstream saw; `POST /__fault` switches its fault,
+and `POST /__spells` begins its slow spells anew.
 """
 
 from __future__ import annotations
@@ -113,9 +114,7 @@
         self.runs_by_id: Counter[str] = Counter()
         self.answered_by_id: Counter[str] = Counter()
         self._slots = asyncio.Semaphore(script.slots)
-        self._spells = SlowSpells(
-            script.slow_every_s, script.slow_s, script.slow_factor, script.seed, script.epoch
-        )
+        self._spells = self._create_spells()
         self._body = b"x" * script.answer_bytes
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -124,6 +123,8 @@
             return web.json_response(self.state())
         if request.path == "/__fault":
             return await self._switch_fault(request)
+        if request.path == "/__spells":
+            return await self._restart_spells(request)
         if self.fault.draining or self.fault.shedding:
             return self._refusal()
         if self.fault.fail_fast:
@@ -190,6 +191,21 @@
             headers["Connection"] = "close"
         return web.Response(status=503, headers=headers, text="not run")
 
+    def _create_spells(self) -> SlowSpells:
+        script = self.script
+        return SlowSpells(
+            script.slow_every_s, script.slow_s, script.slow_factor, script.seed, script.epoch
+        )
+
+    async def _restart_spells(self, request: web.BaseRequest) -> web.Response:
+        changes: Mapping[str, float] = json.loads(await request.read())
+        self.script.epoch = changes["epoch"]
+        self.script.slow_every_s = changes["slow_every_s"]
+        self._spells = self._create_spells()
+        self.calls = 0
+        self.cancelled = 0
+        return web.json_response({})
+
     async def _switch_fault(self, request: web.BaseRequest) -> web.Response:
         changes: Mapping[str, bool] = json.loads(await request.read())
         for name, value in changes.items():
--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,426 @@
+"""Compares routing policies by whole daemons, fake upstreams and callers over loopback.
+
+Usage: python -m bench.policy [--short] [--with-more-baselines]
+
+Every policy meets the same arrivals and the same slow spells, from the same seeds. Baselines spread
+calls over all instances, as callers without home sets would; `least_homes` is the best of them
+behind home sets. `best_possible` is one dispatcher without a hop that is told every upstream's
+speed. Times of a shared machine mean little; the ratios within one run count. The last line is
+JSON.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from bench.fake_upstream import UpstreamScript
+from bench.fleet import Fleet, free_ports, save_result
+from bench.load import LoadPlan
+from bench.told_speed import ToldPlan
+from heatherhead.configuration.editor import create_editor
+from heatherhead.configuration.replica import create_replica
+from heatherhead.configuration.schema import ServiceSchema
+from heatherhead.settings.store import StoreSettings
+from heatherhead.store import create_store
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+INSTANCES = 16
+UPSTREAMS = 12
+SLOTS = 4
+SERVICE_S = 0.010
+CAPACITY = UPSTREAMS * SLOTS / SERVICE_S
+SLOW_EVERY_S = 2.0
+LOADS = (0.5, 0.7)
+OVERLOAD = 1.5
+OVERLOAD_DEADLINE_MS = 300
+UPSTREAM_PROCESSES = 3
+LOAD_PROCESSES = 4
+RUN_S = 7.0
+SHORT_RUN_S = 3.0
+WARM_UP_S = 2.0
+LEAD_S = 0.5
+SERVICE = "stock"
+HEDGE_SHARE = 0.05
+ALL_INSTANCES = {"homes_minimum": INSTANCES, "homes_maximum": INSTANCES}
+POLICIES: dict[str, dict[str, Any]] = {
+    "late_binding": {"policy": "late_binding"},
+    "least": {"policy": "least_in_flight", **ALL_INSTANCES},
+    "random": {"policy": "random", **ALL_INSTANCES},
+}
+MORE_BASELINES: dict[str, dict[str, Any]] = {
+    "least_homes": {"policy": "least_in_flight"},
+    "round_robin": {"policy": "round_robin", **ALL_INSTANCES},
+    "two_choices": {"policy": "two_choices", **ALL_INSTANCES},
+}
+FAULTS = ("fail_fast", "draining", "lying", "cold")
+
+
+@dataclass(slots=True)
+class RunResult:
+    """What callers and daemons saw in one run; times are in seconds, sorted."""
+
+    times: list[float]
+    counts: dict[str, int]
+    skipped: int
+    daemon: dict[str, float] = field(default_factory=dict)
+    upstream_calls: int = 0
+
+    def percentile_ms(self, share: float) -> float:
+        """Give a percentile of the answered calls' times in milliseconds."""
+        if not self.times:
+            return 0.0
+        return self.times[min(len(self.times) - 1, int(len(self.times) * share))] * 1000
+
+    @property
+    def answered(self) -> int:
+        """Calls answered with 200."""
+        return self.counts.get("200", 0)
+
+    @property
+    def calls(self) -> int:
+        """All calls, whatever became of them."""
+        return sum(self.counts.values()) + self.skipped
+
+
+class PolicyBench:
+    """The upstreams and one fleet of daemons at a time."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession, run_s: float) -> None:
+        self.fleet = fleet
+        self.session = session
+        self.run_s = run_s
+        self.scripts = [
+            UpstreamScript(port=port, slots=SLOTS, service_s=SERVICE_S, seed=index + 1)
+            for index, port in enumerate(free_ports(UPSTREAMS))
+        ]
+        self.list_url = self.store_url = ""
+        self.callers_ports: list[int] = []
+        self.admin_ports: list[int] = []
+        self._runs = 0
+
+    async def start(self) -> None:
+        """Start the upstreams and the instance list."""
+        for index in range(UPSTREAM_PROCESSES):
+            scripts = self.scripts[index::UPSTREAM_PROCESSES]
+            self.fleet.start_upstreams(f"upstreams-{index}", scripts)
+        for name in ("fake_store", "fake_instance_list"):
+            self.fleet.start(name, [f"heatherhead.tests.{name}"])
+            self.fleet.wait_for(lambda each=name: self.fleet.output(each).strip(), name)
+        self.store_url = self.fleet.output("fake_store").strip()
+        self.list_url = self.fleet.output("fake_instance_list").strip()
+        await self._put_service()
+
+    async def start_daemons(self, routing: dict[str, Any]) -> None:
+        """Start a fleet with these routing settings and wait until all know each other."""
+        ports = free_ports(3 * INSTANCES)
+        self.callers_ports = ports[:INSTANCES]
+        self.admin_ports = ports[INSTANCES : 2 * INSTANCES]
+        peers_ports = ports[2 * INSTANCES :]
+        await self._publish_list(peers_ports)
+        for index in range(INSTANCES):
+            settings = self._settings(index, peers_ports[index], routing)
+            path = self.fleet.write_json(f"i{index}.json", settings)
+            arguments = ["bench.policy_daemon", str(path), str(self.admin_ports[index])]
+            self.fleet.start(f"i{index}", arguments)
+        await self._wait_live()
+
+    def stop_daemons(self) -> None:
+        """End the fleet."""
+        for index in range(INSTANCES):
+            self.fleet.kill(f"i{index}")
+
+    async def run(self, load: float, *, deadline_ms: int = 0, slow: bool = True) -> RunResult:
+        """Send one open-loop load and gather what came of it."""
+        epoch = await self._restart_spells(slow)
+        before = await self._stats()
+        urls = [f"http://127.0.0.1:{port}" for port in self.callers_ports]
+        plans = []
+        for index in range(LOAD_PROCESSES):
+            plan = LoadPlan(
+                entry_urls=urls,
+                service=SERVICE,
+                rate=load * CAPACITY / LOAD_PROCESSES,
+                duration_s=self.run_s,
+                warm_up_s=WARM_UP_S,
+                seed=index + 1,
+                deadline_ms=deadline_ms,
+                max_in_flight=4_000,
+            )
+            plans.append(("bench.load", asdict(plan)))
+        result = await self._run_plans(plans)
+        elapsed_s = time.monotonic() - epoch
+        result.daemon = _difference(before, await self._stats())
+        result.daemon["elapsed_s"] = elapsed_s
+        result.upstream_calls = sum(each["calls"] for each in await self._upstream_states())
+        return result
+
+    async def run_told(self, load: float) -> RunResult:
+        """Send the load through the dispatcher that is told every speed."""
+        epoch = await self._restart_spells(slow=True)
+        for script in self.scripts:
+            script.epoch = epoch
+            script.slow_every_s = SLOW_EVERY_S
+        scripts = [asdict(each) for each in self.scripts]
+        plan = ToldPlan(scripts, load * CAPACITY, self.run_s, WARM_UP_S)
+        return await self._run_plans([("bench.told_speed", asdict(plan))])
+
+    async def switch_faults(self, on: bool) -> None:
+        """Give the first upstreams a fault each, or none."""
+        for script, fault in zip(self.scripts, FAULTS, strict=False):
+            await self._post(script, "/__fault", {fault: on})
+
+    async def _run_plans(self, plans: list[tuple[str, dict[str, Any]]]) -> RunResult:
+        self._runs += 1
+        names = []
+        for index, (module, plan) in enumerate(plans):
+            name = f"load-{self._runs}-{index}"
+            path = self.fleet.write_json(f"{name}.json", plan)
+            self.fleet.start(name, [module, str(path)])
+            names.append(name)
+        merged = RunResult([], {}, 0)
+        for name in names:
+            process = self.fleet.process_by_name.pop(name)
+            await asyncio.to_thread(process.wait)
+            document = json.loads(self.fleet.output(name).strip().splitlines()[-1])
+            merged.times += document["times"]
+            merged.skipped += document["skipped"]
+            for outcome, count in document["counts"].items():
+                merged.counts[outcome] = merged.counts.get(outcome, 0) + count
+        merged.times.sort()
+        return merged
+
+    async def _restart_spells(self, slow: bool) -> float:
+        epoch = time.monotonic() + LEAD_S
+        changes = {"epoch": epoch, "slow_every_s": SLOW_EVERY_S if slow else 0.0}
+        for script in self.scripts:
+            await self._post(script, "/__spells", changes)
+        return epoch
+
+    async def _post(self, script: UpstreamScript, path: str, changes: dict[str, Any]) -> None:
+        url = f"http://{script.host}:{script.port}{path}"
+        async with self.session.post(url, json=changes) as answer:
+            await answer.read()
+
+    async def _upstream_states(self) -> list[dict[str, Any]]:
+        states = []
+        for script in self.scripts:
+            url = f"http://{script.host}:{script.port}/__state"
+            async with self.session.get(url) as answer:
+                states.append(await answer.json())
+        return states
+
+    async def _publish_list(self, peers_ports: list[int]) -> None:
+        entries = []
+        for index, port in enumerate(peers_ports):
+            peers = {"host": "127.0.0.1", "port": port}
+            callers = {"host": "127.0.0.1", "port": self.callers_ports[index]}
+            addresses = {"callers": callers, "peers": peers, "operators": peers}
+            place = {"region": "local", "availability_zone": "local"}
+            entries.append({"id": f"i{index}", **place, **addresses})
+        url = self.list_url.replace("/instances", "/admin/instances")
+        async with self.session.put(url, json={"instances": entries}) as answer:
+            await answer.read()
+
+    async def _put_service(self) -> None:
+        upstreams = [
+            {"id": f"u{number}", "host": each.host, "port": each.port, "slots": SLOTS}
+            for number, each in enumerate(self.scripts)
+        ]
+        document = {
+            "name": SERVICE,
+            "path_prefixes": ["/"],
+            "upstreams": upstreams,
+            "hedge_share": HEDGE_SHARE,
+        }
+        store = create_store(StoreSettings(urls=(self.store_url,)))
+        replica = create_replica()
+        editor = create_editor(store, "/heatherhead/", replica, replica.apply)
+        (await editor.put(ServiceSchema.model_validate(document), 0, "bench")).unwrap()
+        await store.close()
+
+    def _settings(self, index: int, peers_port: int, routing: dict[str, Any]) -> dict[str, Any]:
+        return {
+            "instance": {"id": f"i{index}"},
+            "callers": {
+                "listen": {"port": self.callers_ports[index]},
+                "addresses_count": INSTANCES,
+                "addresses_keep_s": 2,
+            },
+            "operators": {"listen": {"port": 0}},
+            "membership": {
+                "listen": {"port": peers_port},
+                "instance_list_url": self.list_url,
+            },
+            "telemetry": {"log_level": "WARNING"},
+            "routing": routing,
+            "store": {"urls": [self.store_url]},
+        }
+
+    async def _wait_live(self) -> None:
+        deadline = time.monotonic() + 40
+        while time.monotonic() < deadline:
+            stats = await self._all_stats()
+            if all(each.get("live") == INSTANCES and each["ready"] for each in stats):
+                return
+            await asyncio.sleep(0.2)
+        raise TimeoutError(
+            f"daemons don't know each other; read the logs in {self.fleet.directory}"
+        )
+
+    async def _all_stats(self) -> list[dict[str, Any]]:
+        return await asyncio.gather(*(self._stats_of(port) for port in self.admin_ports))
+
+    async def _stats_of(self, port: int) -> dict[str, Any]:
+        try:
+            async with self.session.get(f"http://127.0.0.1:{port}/stats") as answer:
+                return await answer.json()
+        except aiohttp.ClientError:
+            return {"ready": False}
+
+    async def _stats(self) -> dict[str, float]:
+        total: dict[str, float] = {}
+        for each in await self._all_stats():
+            values = {
+                name: value for name, value in each.items() if name.endswith(("bytes", "regions"))
+            }
+            for name, value in {**values, **each["counts"]}.items():
+                total[name] = total.get(name, 0) + value
+        return total
+
+
+def _difference(before: dict[str, float], after: dict[str, float]) -> dict[str, float]:
+    return {name: value - before.get(name, 0) for name, value in after.items()}
+
+
+async def measure(bench: PolicyBench, policies: dict[str, dict[str, Any]]) -> dict[str, Any]:
+    """Run all policies and work out the figures."""
+    results: dict[tuple[str, float], RunResult] = {}
+    faulty: dict[str, RunResult] = {}
+    overload = RunResult([], {}, 0)
+    for load in LOADS:
+        results["best_possible", load] = await bench.run_told(load)
+        _show("best_possible", f"{load:.0%}", results["best_possible", load])
+    for name, routing in policies.items():
+        await bench.start_daemons(routing)
+        for load in LOADS:
+            results[name, load] = await bench.run(load)
+            _show(name, f"{load:.0%}", results[name, load])
+        await bench.switch_faults(True)
+        faulty[name] = await bench.run(LOADS[0])
+        await bench.switch_faults(False)
+        _show(name, "faults", faulty[name])
+        if name == "late_binding":
+            overload = await bench.run(OVERLOAD, deadline_ms=OVERLOAD_DEADLINE_MS, slow=False)
+            _show(name, "overload", overload)
+        bench.stop_daemons()
+    return _figures(bench, results, faulty, overload)
+
+
+def _show(name: str, what: str, result: RunResult) -> None:
+    print(
+        f"{name:14} {what:>8}  p50 {result.percentile_ms(0.5):7.1f}  "
+        f"p95 {result.percentile_ms(0.95):7.1f}  p99 {result.percentile_ms(0.99):7.1f}  "
+        f"p99.9 {result.percentile_ms(0.999):7.1f} ms  {result.counts}  skipped {result.skipped}  "
+        f"{ {key: round(value) for key, value in result.daemon.items()} }",
+        flush=True,
+    )
+
+
+def _figures(
+    bench: PolicyBench,
+    results: dict[tuple[str, float], RunResult],
+    faulty: dict[str, RunResult],
+    overload: RunResult,
+) -> dict[str, Any]:
+    figures: dict[str, Any] = {"p99_ms": {}}
+    for (name, load), result in results.items():
+        figures["p99_ms"][f"{name}@{load:.0%}"] = round(result.percentile_ms(0.99), 1)
+    for name, result in faulty.items():
+        figures["p99_ms"][f"{name}@faults"] = round(result.percentile_ms(0.99), 1)
+    for other in ("least", "random", "best_possible"):
+        figures[f"p99_ratio_to_{other}"] = {
+            f"{load:.0%}": _ratio(results["late_binding", load], results[other, load])
+            for load in LOADS
+        }
+    for other in ("least", "random"):
+        ratio = _ratio(faulty["late_binding"], faulty[other])
+        figures[f"p99_ratio_to_{other}"]["faults"] = ratio
+    figures["failed_share_with_faults"] = {
+        name: round(1 - each.answered / max(1, each.calls), 4) for name, each in faulty.items()
+    }
+    mine = {f"{load:.0%}": results["late_binding", load] for load in LOADS}
+    mine["faults"] = faulty["late_binding"]
+    for label, result in mine.items():
+        for key, value in _costs(result).items():
+            figures.setdefault(key, {})[label] = value
+    figures["attempts_per_call"] = _attempts_per_call(overload)
+    figures["goodput_at_overload"] = round(overload.answered / bench.run_s / CAPACITY, 3)
+    figures["late_at_overload"] = round(_late_share(overload), 4)
+    return figures
+
+
+def _ratio(one: RunResult, other: RunResult) -> float:
+    return round(one.percentile_ms(0.99) / max(0.001, other.percentile_ms(0.99)), 3)
+
+
+def _costs(result: RunResult) -> dict[str, float]:
+    seconds = result.daemon["elapsed_s"]
+    calls = max(1, result.upstream_calls)
+    return {
+        "hedge_share": round(result.daemon.get("hedges", 0) / calls, 4),
+        "measuring_bytes_per_call": round(result.daemon["measuring_bytes"] / calls, 3),
+        "measuring_bytes_between_regions": result.daemon["measuring_bytes_between_regions"],
+        "control_kb_per_second": round(
+            (result.daemon["control_bytes"] + result.daemon["measuring_bytes"])
+            / seconds
+            / INSTANCES
+            / 1000,
+            3,
+        ),
+    }
+
+
+def _attempts_per_call(result: RunResult) -> float:
+    more = result.daemon.get("hedges", 0) + result.daemon.get("retries", 0)
+    return round(1 + more / max(1, result.upstream_calls - more), 4)
+
+
+def _late_share(result: RunResult) -> float:
+    late = sum(1 for each in result.times if each * 1000 > OVERLOAD_DEADLINE_MS)
+    return late / max(1, len(result.times))
+
+
+@asynccontextmanager
+async def _bench(run_s: float) -> AsyncIterator[PolicyBench]:
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    with Fleet() as fleet:
+        async with aiohttp.ClientSession(connector=connector) as session:
+            bench = PolicyBench(fleet, session, run_s)
+            await bench.start()
+            yield bench
+
+
+async def _main(arguments: list[str]) -> None:
+    run_s = SHORT_RUN_S if "--short" in arguments else RUN_S
+    policies = dict(POLICIES)
+    if "--with-more-baselines" in arguments:
+        policies.update(MORE_BASELINES)
+    began = time.monotonic()
+    async with _bench(run_s) as bench:
+        figures = await measure(bench, policies)
+    figures["rig_s"] = round(time.monotonic() - began, 1)
+    save_result("policy", figures)
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(sys.argv[1:]))
--- /dev/null
+++ b/bench/policy_daemon.py
@@ -0,0 +1,76 @@
+"""A whole daemon with a port that tells its counters and the bytes it sent to peers.
+
+Usage: python -m bench.policy_daemon SETTINGS ADMIN_PORT
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from heatherhead.assembly import create_assembly
+from heatherhead.membership.interface import LinkKind, Traffic
+from heatherhead.runtime import create_loop
+from heatherhead.settings import load_settings
+from heatherhead.telemetry.logs import configure_logs
+
+if TYPE_CHECKING:
+    from heatherhead.assembly import Assembly
+
+
+def _count_in(assembly: Assembly) -> Counter[str]:
+    """Sum the counters beside the telemetry, which forgets them at each flush."""
+    counts: Counter[str] = Counter()
+    telemetry = assembly.telemetry
+    count = telemetry.count
+
+    def counting(name: str, amount: int = 1) -> None:
+        counts[name] += amount
+        count(name, amount)
+
+    telemetry.count = counting  # type: ignore[method-assign]
+    return counts
+
+
+def _stats(assembly: Assembly, counts: Counter[str]) -> dict[str, object]:
+    sent = assembly.membership.network.budget.sent
+    router = assembly.router
+    return {
+        "live": len(assembly.membership.view.live()),
+        "ready": assembly.configuration.ready.is_set(),
+        "counts": dict(counts),
+        "control_bytes": sum(size for link, size in sent.items() if link[0] is Traffic.CONTROL),
+        "measuring_bytes": sum(size for link, size in sent.items() if link[0] is Traffic.MEASURING),
+        "measuring_bytes_between_regions": sent[Traffic.MEASURING, LinkKind.BETWEEN_REGIONS],
+        "homes": {
+            name: router.homes.home_ids(name, assembly.settings.instance.region)
+            for name in router.dispatcher_by_service
+        },
+    }
+
+
+async def _run(settings_path: str, admin_port: int) -> None:
+    assembly = create_assembly(load_settings(settings_path))
+    counts = _count_in(assembly)
+    await assembly.start()
+
+    async def stats(_: web.Request) -> web.Response:
+        return web.json_response(_stats(assembly, counts))
+
+    app = web.Application()
+    app.router.add_get("/stats", stats)
+    runner = web.AppRunner(app, handle_signals=False)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", admin_port).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    configure_logs("WARNING")
+    loop = create_loop()
+    asyncio.set_event_loop(loop)
+    loop.run_until_complete(_run(sys.argv[1], int(sys.argv[2])))
--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -20,7 +20,6 @@
 from heatherhead.configuration.replica import create_replica
 from heatherhead.configuration.service import create_configuration
 from heatherhead.membership.service import create_membership
-from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.router import create_router
 from heatherhead.settings.tls import create_client_context
 from heatherhead.store.factory import create_store
@@ -59,7 +58,7 @@
             settings, self.store, self.replica, self.membership
         )
         self.router = create_router(settings.routing, view, self.membership.network, self.telemetry)
-        homes = create_home_sets(view)
+        homes = self.router.homes
         self.client = create_upstream_client(settings.admission)
         self.runner = create_attempt_runner(
             self.router, self.client, settings.admission, self.telemetry
