--- /dev/null
+++ b/bench/choose.py
@@ -0,0 +1,87 @@
+"""Times the choice of an upstream alone, for services of 12, 100 and 1,000 upstreams.
+
+Usage: python -m bench.choose
+
+`choose_us` is the time of one acquire and finish through the router with nothing else to do, at
+half of the slots in use. The slope is the exponent with which it grows with the upstreams: 1 would
+be linear. The last line is JSON.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from math import log
+from random import Random
+from typing import TYPE_CHECKING
+
+from bench.fleet import save_result
+from heatherhead.calls import AttemptResult, AttemptState, Call
+from heatherhead.runtime import create_loop
+from heatherhead.tests.routing.fakes import create_service, create_single_router
+
+if TYPE_CHECKING:
+    from heatherhead.settings.routing import PolicyName
+
+SIZES = (12, 100, 1_000)
+SLOTS = 4
+CALLS = 20_000
+ROUNDS = 5
+POLICIES: tuple[PolicyName, ...] = (
+    "late_binding",
+    "least_in_flight",
+    "two_choices",
+    "round_robin",
+    "random",
+)
+MICROSECONDS = 1_000_000
+
+
+async def time_choice(policy: PolicyName, upstreams: int) -> float:
+    """Return the microseconds of one acquire and finish, the best of some rounds."""
+    router = create_single_router(
+        create_service(upstreams=upstreams, slots=SLOTS), policy=policy, slow_factor=100
+    )
+    loop = asyncio.get_running_loop()
+    rng = Random(upstreams)
+    held = deque()
+    for _ in range(upstreams * SLOTS // 2):
+        held.append((await router.acquire(_call(loop.time()))).unwrap())
+    best = float("inf")
+    for _ in range(ROUNDS):
+        calls = [_call(loop.time()) for _ in range(CALLS)]
+        results = [_result(rng) for _ in range(CALLS)]
+        began = time.perf_counter()
+        for call, result in zip(calls, results, strict=True):
+            held.append((await router.acquire(call)).ok_value)
+            held.popleft().finish(result)
+        best = min(best, (time.perf_counter() - began) / CALLS)
+    router.close()
+    return best * MICROSECONDS
+
+
+def _call(now: float) -> Call:
+    return Call("orders", "GET", "/", now, now + 60, True)
+
+
+def _result(rng: Random) -> AttemptResult:
+    return AttemptResult(AttemptState.ANSWERED, 200, rng.uniform(0.010, 0.012))
+
+
+def main() -> None:
+    """Time all policies at all sizes."""
+    loop = create_loop()
+    figures: dict[str, object] = {}
+    for policy in POLICIES:
+        times = [loop.run_until_complete(time_choice(policy, size)) for size in SIZES]
+        slope = log(times[-1] / times[0]) / log(SIZES[-1] / SIZES[0])
+        by_size = {str(size): round(each, 2) for size, each in zip(SIZES, times, strict=True)}
+        print(f"{policy:16} {by_size} us, slope {slope:.3f}", flush=True)
+        if policy == "late_binding":
+            figures = {"choose_us": by_size, "slope": round(slope, 3)}
+    save_result("choose", figures)
+
+
+if __name__ == "__main__":
+    main()
--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -35,6 +35,7 @@
     from heatherhead.membership.interface import Instance
     from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
+    from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["Dispatcher", "RoutedSlot", "create_dispatcher"]
 
@@ -73,6 +74,7 @@
         service: Service,
         own: Instance,
         settings: RoutingSettings,
+        telemetry: Telemetry,
         rng: Random,
     ) -> None:
         self.service = service
@@ -80,7 +82,9 @@
         self.state_by_id: dict[str, UpstreamState] = {}
         self.policy = create_policy(settings.policy, rng)
         self.service_time = create_service_time()
-        self.evidence = create_evidence(settings, self.policy, self.service_time, self.state_by_id)
+        self.evidence = create_evidence(
+            settings, self.policy, self.service_time, self.state_by_id, telemetry
+        )
         self.queue = create_call_queue(service.queue_limit, _weights(service))
         self.quarantine = create_quarantine(service.name, settings)
         self.isolation = create_isolation(self.policy.refresh)
@@ -108,12 +112,14 @@
             state = self._choose(call, avoid, now)
             if state is not None:
                 return Ok(self._start(state, call, now))
+        if now + self._expected_wait_s(now) + self.service_time.usual_s >= call.deadline:
+            return Err(_unreachable())
         return await self._wait(call, avoid, now)
 
     def try_acquire(self, call: Call, avoid: frozenset[str]) -> RoutedSlot | None:
         """Take a free slot unless calls wait for one."""
         now = self._loop.time()
-        if self.queue or self._too_late(call, now):
+        if self.queue or now + self.service_time.usual_s >= call.deadline:
             return None
         if self.quarantine and self.quarantine.is_suspect(call):
             return None
@@ -167,7 +173,7 @@
         while len(set_aside) < MAX_SET_ASIDE and (entry := self.queue.pop()) is not None:
             if entry.future.done():
                 continue
-            if self._too_late(entry.call, now):
+            if now + self.evidence.needed_s >= entry.call.deadline:
                 _refuse(entry, _unreachable())
                 continue
             state = self._choose(entry.call, entry.avoid, now)
@@ -191,6 +197,7 @@
         return self.evidence.threshold_s(self.settings.hedge_factor)
 
     def _take_upstreams(self, service: Service, *, cold: bool) -> None:
+        self.evidence.forget_slots()
         by_id = {each.id: each for each in service.upstreams}
         for upstream_id in list(self.state_by_id):
             if upstream_id not in by_id:
@@ -319,19 +326,28 @@
     def _refusal_on_arrival(self, call: Call, now: float) -> CallRefusedError | None:
         if not self.state_by_id:
             return self._no_upstream()
-        if self._too_late(call, now):
+        if now + self.service_time.usual_s >= call.deadline:
             return _unreachable()
         return self.quarantine.refusal(call) if self.quarantine else None
 
-    def _too_late(self, call: Call, now: float) -> bool:
-        return now + self.service_time.fast_s >= call.deadline
+    def _expected_wait_s(self, now: float) -> float:
+        """Estimate how long a call that comes now waits, and the margin of those that wait."""
+        waiting = len(self.queue)
+        if not waiting:
+            return 0.0
+        usual_s = self.service_time.usual_s
+        return (
+            waiting * usual_s / max(1, self.evidence.local_slots(now))
+            + self.evidence.needed_s
+            - usual_s
+        )
 
     def _local_is_too_late(self, call: Call, now: float) -> bool:
         """Tell whether the local region can't answer in time, or has no upstream at all."""
-        if not self.evidence.any_local_usable():
+        if not self.evidence.local_slots(now):
             return True
-        wait_s = self.service_time.usual_s * (1 + len(self.queue) / self.evidence.local_slots())
-        return now + wait_s + self.service_time.usual_s >= call.deadline
+        usual_s = self.service_time.usual_s
+        return now + self._expected_wait_s(now) + 2 * usual_s >= call.deadline
 
     def _arm(self, now: float) -> None:
         """Wake up for the first waiting deadline, end of a pause or overdue call."""
@@ -390,7 +406,8 @@
     service: Service,
     own: Instance,
     settings: RoutingSettings,
+    telemetry: Telemetry,
     rng: Random,
 ) -> Dispatcher:
     """Create the dispatcher of a service on the running loop."""
-    return Dispatcher(service, own, settings, rng)
+    return Dispatcher(service, own, settings, telemetry, rng)
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -23,6 +23,7 @@
     from heatherhead.routing.service_time import ServiceTime
     from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
+    from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["Evidence", "create_evidence"]
 
@@ -30,6 +31,7 @@
 HIGH_FACTOR = 1.2
 MAX_EJECTIONS = 5
 UNREACHABLE_S = 2.0
+SLOTS_LIFETIME_S = 0.02
 TRIAL_SERVICE_TIMES = 2
 SLOW_PAUSE_SERVICE_TIMES = 10
 FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
@@ -46,16 +48,21 @@
         policy: Policy,
         service_time: ServiceTime,
         state_by_id: Mapping[str, UpstreamState],
+        telemetry: Telemetry,
     ) -> None:
         self.slow_after_s = 0.0
+        self.needed_s = 0.0
         self.on_draining: Callable[[UpstreamState], None] | None = None
         self._settings = settings
         self._policy = policy
         self._service_time = service_time
         self._state_by_id = state_by_id
+        self._telemetry = telemetry
         self._pauses: list[tuple[float, int, UpstreamState]] = []
         self._serial = count()
         self._failing_share = 0.0
+        self._local_slots = 0
+        self._slots_counted_at = float("-inf")
 
     def threshold_s(self, factor: float) -> float:
         """Scale the usual service time, at least to that of the slower usual calls."""
@@ -102,6 +109,7 @@
         """Let upstreams back, one trial call first, whose pause is over."""
         while self._pauses and self._pauses[0][0] <= now:
             _, _, state = heappop(self._pauses)
+            self.forget_slots()
             if state.removed:
                 continue
             if state.draining_until and state.draining_until <= now:
@@ -124,18 +132,20 @@
         """Say when the next pause ends."""
         return self._pauses[0][0] if self._pauses else None
 
-    def any_local_usable(self) -> bool:
-        """Tell whether any upstream of this region may get work, now or after a short pause."""
-        return any(each.local_region and each.usable for each in self._state_by_id.values())
-
-    def local_slots(self) -> int:
-        """Count the slots of the usable upstreams of this region; at least one."""
-        slots = sum(
-            each.limit.allowed
-            for each in self._state_by_id.values()
-            if each.local_region and each.usable
-        )
-        return max(1, slots)
+    def local_slots(self, now: float) -> int:
+        """Count the slots of the usable upstreams of this region, as of a short time ago."""
+        if now >= self._slots_counted_at + SLOTS_LIFETIME_S:
+            self._slots_counted_at = now
+            self._local_slots = sum(
+                each.upstream.slots
+                for each in self._state_by_id.values()
+                if each.local_region and each.usable
+            )
+        return self._local_slots
+
+    def forget_slots(self) -> None:
+        """Count the slots anew when asked next, because the upstreams changed."""
+        self._slots_counted_at = float("-inf")
 
     def _answered(self, slot: RoutedSlot, duration_s: float, now: float) -> None:
         state = slot.state
@@ -144,6 +154,7 @@
         self._service_time.add(duration_s)
         if self._service_time.usual_s:
             self.slow_after_s = self.threshold_s(self._settings.slow_factor)
+            self.needed_s = self.threshold_s(1.0)
         if slot.aged or (self.slow_after_s and duration_s > self.slow_after_s):
             self._answered_late(slot, now)
             return
@@ -161,6 +172,7 @@
             self._mark_slow(slot.state, now)
 
     def _mark_slow(self, state: UpstreamState, now: float) -> None:
+        self._telemetry.count("routing.slow")
         state.slow = True
         state.slow_since = now
         state.reason = "its calls take far longer than usual"
@@ -198,6 +210,7 @@
         state.ejections += 1
         state.ejected_until = now + pause_s
         state.reason = f"{state.failures} calls failed in a row"
+        self._telemetry.count("routing.ejected")
         log_event("upstream_ejected", upstream=state.upstream.id, seconds=pause_s)
         self._pause(state, state.ejected_until)
 
@@ -209,6 +222,7 @@
         self._pause(state, state.draining_until)
 
     def _pause(self, state: UpstreamState, until: float) -> None:
+        self.forget_slots()
         heappush(self._pauses, (until, next(self._serial), state))
         self._policy.refresh(state)
 
@@ -226,6 +240,7 @@
     policy: Policy,
     service_time: ServiceTime,
     state_by_id: Mapping[str, UpstreamState],
+    telemetry: Telemetry,
 ) -> Evidence:
     """Create evidence that knows nothing yet."""
-    return Evidence(settings, policy, service_time, state_by_id)
+    return Evidence(settings, policy, service_time, state_by_id, telemetry)
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -98,7 +98,9 @@
         if dispatcher is not None:
             dispatcher.update(service)
         else:
-            dispatcher = create_dispatcher(service, self._membership.own, self._settings, self._rng)
+            dispatcher = create_dispatcher(
+                service, self._membership.own, self._settings, self._telemetry, self._rng
+            )
             dispatcher.evidence.on_draining = lambda state: self._tell_draining(name, state)
             dispatcher.quarantine.tell = lambda records: self._tell_crashes(name, records)
             self.dispatcher_by_service[name] = dispatcher
