Size homes for 800 calls a second each, and within a second

Cause: 1,500 calls a second is more than one process carries: on two homes at 50% load the median rose to 28 ms and the 99th percentile to 334 ms. Change: 800 calls a second a home; demand is told each second and grows at the latest rate.

--- a/bench/policy_daemon.py
+++ b/bench/policy_daemon.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import sys
+import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,9 @@
 if TYPE_CHECKING:
     from heatherhead.assembly import Assembly
 
+LAG_PROBE_S = 0.005
+LAG_BOUNDS_MS = (3, 10, 30)
+
 
 def _count_in(assembly: Assembly) -> Counter[str]:
     """Sum the counters beside the telemetry, which forgets them at each flush."""
@@ -40,6 +44,7 @@
     sent = assembly.membership.network.budget.sent
     router = assembly.router
     return {
+        "cpu_s": time.process_time(),
         "live": len(assembly.membership.view.live()),
         "ready": assembly.configuration.ready.is_set(),
         "counts": dict(counts),
@@ -53,6 +58,18 @@
     }
 
 
+async def _watch_lag(counts: Counter[str]) -> None:
+    """Count how often the event loop is late."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due = loop.time() + LAG_PROBE_S
+        await asyncio.sleep(LAG_PROBE_S)
+        late_ms = (loop.time() - due) * 1000
+        counts["lag_probes"] += 1
+        for bound_ms in LAG_BOUNDS_MS:
+            counts[f"lag_over_{bound_ms}_ms"] += late_ms > bound_ms
+
+
 async def _run(settings_path: str, admin_port: int) -> None:
     assembly = create_assembly(load_settings(settings_path))
     counts = _count_in(assembly)
@@ -61,12 +78,13 @@
     async def stats(_: web.Request) -> web.Response:
         return web.json_response(_stats(assembly, counts))
 
+    lag = asyncio.create_task(_watch_lag(counts))
     app = web.Application()
     app.router.add_get("/stats", stats)
     runner = web.AppRunner(app, handle_signals=False)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", admin_port).start()
-    await asyncio.Event().wait()
+    await lag
 
 
 if __name__ == "__main__":
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -33,9 +33,9 @@
 
 __all__ = ["RoutingRouter", "create_router"]
 
-DEMAND_INTERVAL_S = 2.0
+DEMAND_INTERVAL_S = 1.0
 REPAIR_INTERVAL_S = 30.0
-LOAD_WEIGHT = 0.5  # of the latest interval in the smoothed load
+LOAD_WEIGHT = 0.2  # of the latest interval in the smoothed load
 NO_AVOIDED: frozenset[str] = frozenset()
 
 
@@ -151,11 +151,10 @@
         rate_by_service = {}
         for name, dispatcher in self.dispatcher_by_service.items():
             if dispatcher.calls_seen or dispatcher.rate:
-                dispatcher.rate += LOAD_WEIGHT * (
-                    dispatcher.calls_seen / DEMAND_INTERVAL_S - dispatcher.rate
-                )
+                latest = dispatcher.calls_seen / DEMAND_INTERVAL_S
+                dispatcher.rate += LOAD_WEIGHT * (latest - dispatcher.rate)
                 dispatcher.calls_seen = 0
-                rate_by_service[name] = dispatcher.rate
+                rate_by_service[name] = max(dispatcher.rate, latest)
         load = sum(rate_by_service.values())
         self._exchange.load = round(load)
         self.homes.load_by_id[self._membership.own.id] = load
--- a/heatherhead/settings/routing.py
+++ b/heatherhead/settings/routing.py
@@ -26,7 +26,7 @@
         default=64, ge=1, le=1024, description="Most homes of a service in a region."
     )
     calls_per_home: float = Field(
-        default=1_500.0, gt=0, description="Calls a second that one home is meant to carry."
+        default=800.0, gt=0, description="Calls a second that one home is meant to carry."
     )
     share_upstreams: bool = Field(
         default=True, description="Share all upstreams among homes instead of dividing them."
