--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format prove demo run generate docs capacity bench-control bench-policy bench-choose
+.PHONY: install test lint format prove demo run generate docs capacity
+.PHONY: bench-operators bench-control bench-policy bench-choose
 
 install: $(STAMP)
 
@@ -48,3 +49,6 @@
 
 bench-choose: $(STAMP)
 	$(BIN)/python -m bench.choose
+
+bench-operators: $(STAMP)
+	$(BIN)/python -m bench.operators
--- a/heatherhead/tests/commands/main_tests.py
+++ b/heatherhead/tests/commands/main_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import sys
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -12,7 +13,7 @@
 from heatherhead.commands.exit_codes import ExitCode
 from heatherhead.configuration.schema import ServiceSchema
 from heatherhead.operators.event_hub import EventHub, Watcher
-from heatherhead.telemetry import HistogramKind
+from heatherhead.telemetry import CallOutcome, HistogramKind
 from heatherhead.tests.commands.fakes import CuttingProxy, SiteThread, Tool, site_thread
 from heatherhead.tests.operators.fakes import dead_address
 
@@ -195,8 +196,9 @@
     late = tool.run("services", "put", document, "--yes", "--wait", "--wait-timeout=0.3")
     assert late.code == ExitCode.NOT_IN_FORCE
     assert "in force on 2 of 3 instances, missing: a3" in late.err
-    status = tool.run("config", "status", "--json")
-    assert json.loads(status.out)["missing"] == ["a3"]
+    status = json.loads(tool.run("config", "status", "--json").out)
+    assert status["missing"] == ["a3"]
+    assert status["revision"] == thread.site.replica.revision
     thread.site.status.revision_by_id["a3"] = 10**6
     done = tool.run("upstreams", "drain", "orders", "u1", "--yes", "--wait")
     assert done.code == ExitCode.DONE
@@ -210,7 +212,7 @@
     assert "~ upstreams.u1.draining: false -> true" in drained.err
     assert "warning: upstreams: all are draining" in drained.err
     listed = tool.run("upstreams", "list", "--state=draining")
-    assert [line.split()[1] for line in listed.out.splitlines()[1:]] == ["u1", "u2"]
+    assert [line.split()[2] for line in listed.out.splitlines()[1:]] == ["u1", "u2"]
     assert tool.run("upstreams", "undrain", "orders", "u2", "--yes").code == ExitCode.DONE
     states = [each.draining for each in thread.site.replica.service("orders").upstreams]  # type: ignore[union-attr]
     assert states == [True, False]
@@ -236,18 +238,56 @@
     instances = tool.run("instances")
     assert [line.split()[0] for line in instances.out.splitlines()] == ["ID", "a1", "a2", "a3"]
     quarantine = tool.run("quarantine", "list")
-    fingerprint = quarantine.out.splitlines()[1].split()[1]
+    fingerprint = quarantine.out.splitlines()[1].split()[2]
     assert tool.run("quarantine", "release", "orders", fingerprint, "--yes").code == ExitCode.DONE
     assert thread.site.router.entries == []
     assert "a1" in tool.run("version").out
 
 
+def name_operators_addresses(thread: SiteThread) -> None:
+    """Let a1 and a2 be the two servers; a3 can't be connected to."""
+    site = thread.site
+    for instance_id, address in zip(("a1", "a2"), site.addresses, strict=True):
+        instance = site.membership.by_id[instance_id]
+        site.membership.by_id[instance_id] = replace(instance, operators=address)
+
+
+def test_all_instances_are_asked(thread: SiteThread, tool: Tool, document: str) -> None:
+    tool.run("services", "put", document, "--yes")
+    name_operators_addresses(thread)
+    run = tool.run("upstreams", "list", "orders", "--all", "--json")
+    assert run.code == ExitCode.DONE
+    assert "a3 is left out" in run.err
+    upstream_ids = [each["upstream"]["id"] for each in json.loads(run.out)]
+    assert upstream_ids == ["u1", "u2", "u1", "u2"]
+    run = tool.run("quarantine", "list", "--all", "--json")
+    assert [each["fingerprint"] for each in json.loads(run.out)] == ["fffffffffffffffe"] * 2
+
+
+def test_histograms_of_all_instances_are_merged(thread: SiteThread, tool: Tool) -> None:
+    site = thread.site
+    name_operators_addresses(thread)
+    for value in (0.001, 0.002, 0.1):
+        site.telemetry.observe("orders", "default", HistogramKind.UPSTREAM, value)
+    site.telemetry.count_outcome("orders", "default", CallOutcome.ANSWERED)
+    run = tool.run("histograms", "--all", "--json")
+    assert run.code == ExitCode.DONE
+    assert "a3 is left out" in run.err
+    document = json.loads(run.out)
+    (histogram,) = document["histograms"]
+    assert histogram["total"]["count"] == 6
+    assert histogram["total"]["p50"] == pytest.approx(0.002, rel=0.01)
+    assert histogram["total"]["p99"] == pytest.approx(0.1, rel=0.01)
+    assert [each["total"] for each in document["outcomes"]] == [2]
+
+
 def test_events(thread: SiteThread, tool: Tool, monkeypatch: pytest.MonkeyPatch) -> None:
     begin_watch = EventHub.watch
+    change_ids = iter(("c1", "c3"))
 
     async def change() -> None:
         service = ServiceSchema.model_validate({"name": "stock"})
-        await thread.site.editor.put(service, 0, "c1")
+        await thread.site.editor.put(service, 0, next(change_ids))
 
     def watch_and_change(hub: EventHub, kinds: list[EventKind]) -> Watcher:
         watcher = begin_watch(hub, kinds)
@@ -258,6 +298,11 @@
     run = tool.run("events", "--kind=services", "--count=1")
     assert run.code == ExitCode.DONE
     assert "service stock changed" in run.out
+    thread.call(thread.site.editor.delete("stock", thread.site.replica.revision, "c2"))
+    run = tool.run("events", "--count=1", "--json")
+    started, changed = (json.loads(line) for line in run.out.splitlines())
+    assert "watch_started" in started
+    assert changed["service_changed"]["change_id"] == "c3"
 
 
 @pytest.mark.parametrize(
