--- a/Makefile
+++ b/Makefile
@@ -50,5 +50,11 @@
 bench-choose: $(STAMP)
 	$(BIN)/python -m bench.choose
 
+bench-path: $(STAMP)
+	$(BIN)/python -m bench.path
+
+bench-kill: $(STAMP)
+	$(BIN)/python -m bench.kill
+
 bench-operators: $(STAMP)
 	$(BIN)/python -m bench.operators
