--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format prove demo run generate docs capacity bench-operators bench-control
+.PHONY: install test lint format prove demo run generate docs capacity
+.PHONY: bench-operators bench-control bench-policy bench-choose
 
 install: $(STAMP)
 
@@ -43,5 +44,17 @@
 bench-control: $(STAMP)
 	$(BIN)/python -m bench.control
 
+bench-policy: $(STAMP)
+	$(BIN)/python -m bench.policy
+
+bench-choose: $(STAMP)
+	$(BIN)/python -m bench.choose
+
+bench-path: $(STAMP)
+	$(BIN)/python -m bench.path
+
+bench-kill: $(STAMP)
+	$(BIN)/python -m bench.kill
+
 bench-operators: $(STAMP)
 	$(BIN)/python -m bench.operators
