--- a/heatherhead/operators/event_hub.py
+++ b/heatherhead/operators/event_hub.py
@@ -81,19 +81,19 @@
         self._sequence = 0
         self._watchers: set[Watcher] = set()
         self._state_by_id = self._instance_states()
-        self._is_open = False
+        self._loop: asyncio.AbstractEventLoop | None = None
         backend.replica.subscribe(self._service_changed)
         backend.membership.subscribe(self._instances_changed)
 
     def open(self) -> None:
-        """Begin to collect events."""
-        self._is_open = True
+        """Begin to collect events, on the running loop."""
+        self._loop = asyncio.get_running_loop()
         self._state_by_id = self._instance_states()
         add_event_listener(self._logged)
 
     def close(self) -> None:
         """Stop collecting events."""
-        self._is_open = False
+        self._loop = None
         remove_event_listener(self._logged)
 
     def watch(self, kinds: list[pb.EventKind]) -> Watcher:
@@ -117,15 +117,15 @@
         self._watchers.discard(watcher)
 
     def _publish(self, event: pb.Event) -> None:
+        if self._loop is None:
+            return
         self._sequence += 1
         event.sequence = self._sequence
-        buffered = _Buffered(event, asyncio.get_running_loop().time())
+        buffered = _Buffered(event, self._loop.time())
         for watcher in self._watchers:
             watcher.offer(buffered)
 
     def _service_changed(self, record: ServiceRecord) -> None:
-        if not self._is_open:
-            return
         changed = pb.ServiceChanged(
             name=record.name,
             revision=record.revision,
@@ -135,8 +135,6 @@
         self._publish(pb.Event(service_changed=changed))
 
     def _instances_changed(self) -> None:
-        if not self._is_open:
-            return
         old, new = self._state_by_id, self._instance_states()
         self._state_by_id = new
         for instance_id in sorted(old.keys() | new.keys()):
--- a/heatherhead/telemetry/logs.py
+++ b/heatherhead/telemetry/logs.py
@@ -40,8 +40,11 @@
     """Log one event with its fields."""
     pairs = " ".join(f"{name}={_quote(value)}" for name, value in fields.items())
     logger.opt(depth=1).log(level, "{}", f"event={event} {pairs}".rstrip())
-    for listener in _listeners:
-        listener(event, level, fields)
+    for listener in tuple(_listeners):
+        try:
+            listener(event, level, fields)
+        except Exception:  # whoever logs must not fail for who listens
+            logger.opt(exception=True).error("event=event_listener_failed")
 
 
 def _quote(value: object) -> str:
