--- a/heatherhead/configuration/editor.py
+++ b/heatherhead/configuration/editor.py
@@ -85,7 +85,7 @@
                 return Ok(found)
             if not _may_replace(held, service, expected_revision):
                 if is_fresh:
-                    return Err(_conflict(name, held, expected_revision))
+                    return Err(_refusal(name, held, expected_revision))
                 read = await self._read(name)
                 if isinstance(read, Err):
                     return read
@@ -104,7 +104,7 @@
             if isinstance(current, Err):
                 return current
             held, is_fresh = current.ok_value, True
-        return Err(in_doubt or _conflict(name, held, expected_revision))
+        return Err(in_doubt or _refusal(name, held, expected_revision))
 
     async def _swap(
         self, draft: ServiceRecord, held: ServiceRecord | None
@@ -181,6 +181,24 @@
     return ServiceRecord(name, 0, change_id, service, earlier)
 
 
+def _refusal(
+    name: str, held: ServiceRecord | None, expected_revision: int
+) -> ConflictError | StoreAmbiguousError:
+    """Tell of a conflict only where the history surely would show the change, had it been made."""
+    if held is None or _remembers_all_since(held, expected_revision):
+        return _conflict(name, held, expected_revision)
+    return StoreAmbiguousError(
+        f"service {name} has changed so often that it no longer shows whether this change was made;"
+        f" it is at revision {held.revision}",
+        remedy=f"look at it, and ask with a new change id and revision {held.revision} if need be",
+    )
+
+
+def _remembers_all_since(held: ServiceRecord, revision: int) -> bool:
+    history = held.earlier_changes
+    return len(history) < MAX_EARLIER_CHANGES or revision >= history[0].revision
+
+
 def _conflict(name: str, held: ServiceRecord | None, expected_revision: int) -> ConflictError:
     if held is None:
         return ConflictError(
--- /dev/null
+++ b/heatherhead/tests/configuration/machine_tests.py
@@ -0,0 +1,275 @@
+"""A state machine of operators, the store, watchers and instances, with all their faults.
+
+Moves bear the names of `spec/configuration` where it has them. The store's own history is the
+truth that answers, replicas and readiness are compared with.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from heatherhead.configuration.documents import decode_record
+from heatherhead.exceptions import ConflictError
+from heatherhead.tests.base import PausedClockLoop
+from heatherhead.tests.configuration.fleet import create_configuration_fleet, service
+from heatherhead.tests.membership.fleet import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from heatherhead.configuration.model import ServiceRecord
+
+NAMES = ["orders", "photos"]
+PLACES = {"i0-0-0": "r0", "i0-0-1": "r0", "i1-0-0": "r1", "i1-0-1": "r1"}
+NEW_ID = "new"
+ASK_TIMEOUT_S = 60.0
+CONVERGENCE_S = 300.0
+
+instance_ids = st.sampled_from([*PLACES, NEW_ID])
+
+
+@dataclass(slots=True)
+class Change:
+    """A change that an operator asked for, and what was told of it."""
+
+    id: str
+    name: str
+    queue_limit: int | None
+    expected_revision: int
+    told_revisions: set[int] = field(default_factory=set)
+    was_told_conflict: bool = False
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Asks for changes and lets faults happen in any order."""
+
+    @initialize()
+    def start_fleet(self) -> None:
+        """Start two regions of two instances each."""
+        self.loop = PausedClockLoop()
+        asyncio.set_event_loop(self.loop)
+        self.changes: list[Change] = []
+        self.fleet = self._run(self._create_fleet())
+        self.paused: str | None = None
+        self.floor_by_start: dict[int, int] = {}
+        self.recorded: dict[int, ServiceRecord] = {}
+
+    @rule(
+        at=instance_ids,
+        name=st.sampled_from(NAMES),
+        is_deletion=st.booleans(),
+        is_stale=st.booleans(),
+    )
+    def ask(self, at: str, name: str, is_deletion: bool, is_stale: bool) -> None:
+        """Ask for a new change, with a revision that the operator has seen."""
+        held = [
+            replica.by_name[name].revision
+            for replica in self.fleet.replica_by_id.values()
+            if name in replica.by_name
+        ]
+        expected = (min(held) if is_stale else max(held)) if held else 0
+        number = len(self.changes) + 1
+        limit = None if is_deletion else 100 + number
+        change = Change(f"c{number}", name, limit, expected)
+        self.changes.append(change)
+        self._ask(at, change)
+
+    @precondition(lambda self: self.changes)
+    @rule(at=instance_ids, data=st.data())
+    def ask_again(self, at: str, data: st.DataObject) -> None:
+        """Ask for an earlier change once more, perhaps at another instance."""
+        self._ask(at, data.draw(st.sampled_from(self.changes)))
+
+    @rule()
+    def stop_store(self) -> None:
+        """Make the store unreachable."""
+        self.fleet.set_store_down(True)
+
+    @rule()
+    def start_store(self) -> None:
+        """Bring the store back."""
+        self.fleet.set_store_down(False)
+
+    @rule(at=instance_ids, count=st.integers(1, 5), is_late=st.booleans())
+    def lose_replies(self, at: str, count: int, is_late: bool) -> None:
+        """Let the next writes of an instance go unanswered; late ones take effect later."""
+        way = self.fleet.way_by_id.get(at)
+        if way is not None and is_late:
+            way.late_writes = count
+        elif way is not None:
+            way.lose_replies = count
+
+    @rule()
+    def compact(self) -> None:
+        """Let the store forget its history."""
+        self._remember()
+        self.fleet.store.compact(self.fleet.store.revision)
+
+    @rule(lost=st.sampled_from([["i0-0-0", "i0-0-1"], ["i1-0-1"], ["i0-0-0", "i1-0-0"]]))
+    def cut(self, lost: list[str]) -> None:
+        """Part some instances from the others."""
+        others = [each for each in [*PLACES, NEW_ID] if each not in lost]
+        self._do(self.fleet.members.hub.cut, lost, others)
+
+    @rule()
+    def heal(self) -> None:
+        """Join all instances again."""
+        self._do(self.fleet.members.hub.heal)
+
+    @precondition(lambda self: self.paused is None)
+    @rule(at=instance_ids)
+    def pause(self, at: str) -> None:
+        """Pause an instance: it hears nothing for a while."""
+        if at in self.fleet.configuration_by_id:
+            self.paused = at
+            self._do(self.fleet.members.hub.pause, at)
+
+    @precondition(lambda self: self.paused is not None)
+    @rule()
+    def resume(self) -> None:
+        """Let the paused instance hear what came meanwhile."""
+        self._do(self.fleet.members.hub.resume, self.paused)
+        self.paused = None
+
+    @rule(at=instance_ids)
+    def start_instance(self, at: str) -> None:
+        """Start an instance anew with nothing, or a first time."""
+        if at == self.paused:
+            self.resume()
+        self._run(self._start_anew(at))
+
+    @rule(seconds=st.sampled_from([0.05, 1.0, 6.0, 30.0]))
+    def advance_clock(self, seconds: float) -> None:
+        """Let time pass."""
+        self._run(asyncio.sleep(seconds))
+
+    @rule(seconds=st.sampled_from([2.0, 20.0]))
+    def jump_clock(self, seconds: float) -> None:
+        """Pause the whole machine."""
+        self.loop.advance(seconds)
+        self._run(asyncio.sleep(0.01))
+
+    @invariant()
+    def nothing_reverts(self) -> None:
+        """No instance goes back to an older revision of a service."""
+        assert self.fleet.reverts == []
+
+    @invariant()
+    def each_change_is_applied_once_and_told_truly(self) -> None:
+        """Answers agree with the store's history, in which each change stands at most once."""
+        self._remember()
+        revisions_by_id: dict[str, set[int]] = {}
+        for record in self.recorded.values():
+            revisions_by_id.setdefault(record.change_id, set()).add(record.revision)
+        for change in self.changes:
+            applied = revisions_by_id.get(change.id, set())
+            assert len(applied) <= 1
+            assert change.told_revisions <= applied
+            assert not (change.was_told_conflict and applied)
+
+    @invariant()
+    def replicas_hold_what_the_store_held(self) -> None:
+        """Every record in force was written to the store at its revision."""
+        for replica in self.fleet.replica_by_id.values():
+            for record in replica.by_name.values():
+                assert self.recorded[record.revision] == record
+
+    @invariant()
+    def ready_instances_are_not_older_than_all_others_were(self) -> None:
+        """A new instance serves nothing older than what was in force everywhere at its start."""
+        for instance_id, configuration in self.fleet.configuration_by_id.items():
+            if configuration.ready.is_set():
+                floor = self.floor_by_start.get(id(configuration), -1)
+                assert configuration.table.applied >= floor, instance_id
+
+    def teardown(self) -> None:
+        """Remove all faults: every instance comes to hold what the store holds."""
+        if not hasattr(self, "fleet"):
+            return
+        try:
+            if self.paused is not None:
+                self.resume()
+            self.heal()
+            self.start_store()
+            self._run(wait_until(self._is_converged, CONVERGENCE_S))
+            self.nothing_reverts()
+            self.each_change_is_applied_once_and_told_truly()
+        finally:
+            self._run(self.fleet.stop())
+            self.loop.close()
+            asyncio.set_event_loop(None)
+
+    def _ask(self, at: str, change: Change) -> None:
+        configuration = self.fleet.configuration_by_id.get(at)
+        if configuration is None:
+            return
+        asking: Coroutine[Any, Any, Any]
+        if change.queue_limit is None:
+            asking = configuration.delete(change.name, change.expected_revision, change.id)
+        else:
+            wanted = service(change.name, change.queue_limit)
+            asking = configuration.put(wanted, change.expected_revision, change.id)
+        answer = self._run(asyncio.wait_for(asking, ASK_TIMEOUT_S))
+        if answer.is_ok():
+            change.told_revisions.add(answer.ok_value.revision)
+        elif isinstance(answer.err_value, ConflictError):
+            change.was_told_conflict = True
+
+    def _remember(self) -> None:
+        """Keep the store's history, as it may be compacted."""
+        for event in self.fleet.store.events_from(0):
+            if event.mod_revision not in self.recorded and event.value is not None:
+                record = decode_record(event.value, event.mod_revision)
+                self.recorded[event.mod_revision] = record
+
+    def _is_converged(self) -> bool:
+        revision_by_name = {
+            decode_record(each.value, each.mod_revision).name: each.mod_revision
+            for each in self.fleet.store.by_key.values()
+        }
+        replicas = self.fleet.replica_by_id.values()
+        are_equal = all(
+            {name: record.revision for name, record in each.by_name.items()} == revision_by_name
+            for each in replicas
+        )
+        newest = max(revision_by_name.values(), default=0)
+        configurations = self.fleet.configuration_by_id.values()
+        return are_equal and all(
+            each.ready.is_set() and each.missing(newest) == [] for each in configurations
+        )
+
+    async def _create_fleet(self) -> Any:
+        fleet = create_configuration_fleet()
+        for instance_id, region in PLACES.items():
+            await fleet.start(instance_id, region, f"{region}z")
+        await wait_until(lambda: all(map(fleet.is_ready, PLACES)))
+        return fleet
+
+    async def _start_anew(self, at: str) -> None:
+        if at in self.fleet.configuration_by_id:
+            await self.fleet.crash(at)
+        serving = [each for each in self.fleet.configuration_by_id.values() if each.ready.is_set()]
+        region = PLACES.get(at, "r0")
+        started = await self.fleet.start(at, region, f"{region}z")
+        self.floor_by_start[id(started)] = min((each.table.applied for each in serving), default=-1)
+
+    def _do(self, function: Callable[..., None], *arguments: object) -> None:
+        """Call a function inside the running loop."""
+
+        async def call() -> None:
+            function(*arguments)
+
+        self._run(call())
+
+    def _run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(coroutine)
+
+
+ConfigurationMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=40)
+TestConfigurationMachine = ConfigurationMachine.TestCase
