--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: install test lint format prove demo run generate docs capacity
-.PHONY: bench-operators bench-control bench-policy bench-choose
+.PHONY: bench-operators bench-control bench-policy bench-choose bench-path bench-kill
 
 install: $(STAMP)
 
--- a/heatherhead/routing/isolation.py
+++ b/heatherhead/routing/isolation.py
@@ -57,7 +57,9 @@
         if not self._waiting:
             return None
         deadline = min(each.call.deadline for each in self._waiting)
-        return min(deadline, self.ready_at) if self.reserved is not None else deadline
+        if self.reserved is None or self.reserved.in_flight:
+            return deadline
+        return min(deadline, self.ready_at)
 
     def reserve(self, states: Iterable[UpstreamState], now: float, grace_s: float) -> None:
         """Reserve the least busy upstream if a suspect waits and none is reserved."""
--- /dev/null
+++ b/heatherhead/tests/routing/evidence_tests.py
@@ -0,0 +1,236 @@
+"""Tests of `heatherhead.routing.evidence`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from heatherhead.calls import AttemptResult, AttemptState, LoadReport, UpstreamSign
+from heatherhead.tests.base import run_paused
+from heatherhead.tests.routing.fakes import (
+    answered,
+    create_call,
+    create_service,
+    create_single_router,
+    signed,
+    warm_up,
+)
+
+if TYPE_CHECKING:
+    from heatherhead.calls import Call
+    from heatherhead.routing.interface import Slot
+    from heatherhead.routing.router import RoutingRouter
+
+SLOW_AFTER_S = 0.022
+TRIAL_AFTER_S = 0.021
+COMPETES_AFTER_S = 0.201
+EJECTION_S = 1.001
+
+
+def _state(router: RoutingRouter, upstream_id: str) -> str:
+    return next(each.state for each in router.evidence("orders") if each.upstream.id == upstream_id)
+
+
+async def _take(router: RoutingRouter, count: int, call: Call | None = None) -> list[Slot]:
+    return [(await router.acquire(call or create_call())).unwrap() for _ in range(count)]
+
+
+async def _choices(router: RoutingRouter, count: int = 30) -> Counter[str]:
+    """Count the upstreams of calls that are answered one after the other."""
+    seen: Counter[str] = Counter()
+    for _ in range(count):
+        (slot,) = await _take(router, 1)
+        seen[slot.upstream.id] += 1
+        await asyncio.sleep(0.010)
+        slot.finish(answered())
+    return seen
+
+
+async def _fail(router: RoutingRouter, upstream_id: str, result: AttemptResult) -> None:
+    """End one call on an upstream with a result."""
+    others = frozenset(
+        each.upstream.id for each in router.evidence("orders") if each.upstream.id != upstream_id
+    )
+    (await router.acquire(create_call(), others)).unwrap().finish(result)
+
+
+def test_puts_no_more_work_on_an_upstream_whose_oldest_call_is_too_old() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=4))
+        await warm_up(router)
+        (stuck,) = await _take(router, 1)
+        await asyncio.sleep(SLOW_AFTER_S + 0.001)
+        (other,) = await _take(router, 1)
+        assert _state(router, stuck.upstream.id) == "slow"
+        other.finish(answered())
+        chosen = await _take(router, 4)
+        assert {each.upstream.id for each in chosen} == {other.upstream.id}
+        waiting = asyncio.create_task(router.acquire(create_call()))
+        await asyncio.sleep(0.001)
+        assert not waiting.done()
+        waiting.cancel()
+
+    run_paused(main())
+
+
+def test_a_slow_upstream_gets_one_trial_call_when_others_are_full() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=2))
+        await warm_up(router)
+        (stuck,) = await _take(router, 1)
+        await asyncio.sleep(SLOW_AFTER_S + 0.001)
+        await _take(router, 2)
+        trial = (await router.acquire(create_call())).unwrap()
+        assert trial.upstream.id == stuck.upstream.id
+        waiting = asyncio.create_task(router.acquire(create_call()))
+        await asyncio.sleep(0.005)
+        assert not waiting.done()
+        stuck.finish(answered(0.1))
+        trial.finish(answered())
+        assert (await waiting).unwrap().upstream.id == stuck.upstream.id
+        assert _state(router, stuck.upstream.id) != "slow"
+
+    run_paused(main())
+
+
+def test_a_slow_upstream_competes_again_after_a_while() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=4))
+        await warm_up(router)
+        (stuck,) = await _take(router, 1)
+        await asyncio.sleep(SLOW_AFTER_S + 0.001)
+        stuck.finish(answered(SLOW_AFTER_S + 0.001))
+        assert stuck.upstream.id not in await _choices(router, 5)
+        await asyncio.sleep(COMPETES_AFTER_S)
+        assert stuck.upstream.id in await _choices(router)
+
+    run_paused(main())
+
+
+def test_an_upstream_that_fails_fast_attracts_no_calls_and_is_ejected() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=4, slots=4))
+        await warm_up(router)
+        for _ in range(3):
+            await _fail(router, "u1", answered(0.0005, 500))
+        assert _state(router, "u1") == "ejected"
+        assert "u1" not in await _choices(router)
+        await asyncio.sleep(EJECTION_S)
+        await _fail(router, "u1", answered(0.0005, 500))
+        assert _state(router, "u1") == "ejected"
+        await asyncio.sleep(EJECTION_S)
+        assert _state(router, "u1") == "ejected"
+        await asyncio.sleep(EJECTION_S)
+        await _fail(router, "u1", answered())
+        assert _state(router, "u1") == "ramping"
+
+    run_paused(main())
+
+
+def test_one_failure_puts_an_upstream_behind_the_others() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=3, slots=4))
+        await warm_up(router)
+        await _fail(router, "u1", answered(0.0005, 500))
+        assert "u1" not in await _choices(router)
+
+    run_paused(main())
+
+
+def test_ejects_no_more_than_the_bounded_share() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=6, slots=2), ejected_share=0.34)
+        await warm_up(router)
+        for upstream_id in ("u0", "u1", "u2"):
+            for _ in range(3):
+                await _fail(router, upstream_id, signed(UpstreamSign.NONE, AttemptState.UNKNOWN))
+        states = [each.state for each in router.evidence("orders")]
+        assert states.count("ejected") == 2
+
+    run_paused(main())
+
+
+def test_attempts_that_this_side_gave_up_are_no_failures() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=4, slots=2))
+        for _ in range(5):
+            await _fail(router, "u1", AttemptResult(AttemptState.UNKNOWN, cancelled=True))
+        assert _state(router, "u1") == "ready"
+
+    run_paused(main())
+
+
+def test_a_draining_upstream_gets_no_new_work_while_its_calls_run_on() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=4), draining_ms=5_000)
+        running = await _take(router, 4)
+        await _fail(router, "u1", signed(UpstreamSign.DRAINING))
+        assert _state(router, "u1") == "draining"
+        assert "u1" not in await _choices(router)
+        for slot in running:
+            slot.finish(answered())
+        await asyncio.sleep(5.001)
+        assert "u1" in await _choices(router)
+
+    run_paused(main())
+
+
+def test_an_upstream_that_cannot_be_connected_to_is_tried_again_soon() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=4))
+        await _fail(router, "u1", signed(UpstreamSign.DRAINING, AttemptState.NOT_SENT))
+        assert "u1" not in await _choices(router)
+        await asyncio.sleep(2.001)
+        assert "u1" in await _choices(router)
+
+    run_paused(main())
+
+
+def test_an_upstream_that_sheds_gets_fewer_calls_side_by_side() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=1, slots=4))
+        slots = await _take(router, 3)
+        slots[0].finish(signed(UpstreamSign.SHEDDING))
+        assert router.evidence("orders")[0].limit == 2
+
+    run_paused(main())
+
+
+def test_an_upstream_added_later_starts_with_one_call() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=1, slots=4))
+        router.update_service("orders", create_service(upstreams=2, slots=4))
+        assert [each.limit for each in router.evidence("orders")] == [4, 1]
+        slots = await _take(router, 5)
+        assert Counter(each.upstream.id for each in slots) == {"u0": 4, "u1": 1}
+
+    run_paused(main())
+
+
+def test_a_report_of_no_load_does_not_outweigh_own_calls_in_flight() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=4))
+        await warm_up(router)
+        (stuck,) = await _take(router, 1)
+        lie = LoadReport(in_flight=0, received_at=asyncio.get_running_loop().time())
+        await _fail(router, stuck.upstream.id, answered(report=lie))
+        await asyncio.sleep(SLOW_AFTER_S + 0.001)
+        assert stuck.upstream.id not in {each.upstream.id for each in await _take(router, 4)}
+
+    run_paused(main())
+
+
+def test_calls_run_on_when_every_upstream_is_slow() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=1))
+        await warm_up(router)
+        slots = await _take(router, 2)
+        await asyncio.sleep(SLOW_AFTER_S + 0.001)
+        waiting = asyncio.create_task(router.acquire(create_call(5.0)))
+        await asyncio.sleep(0.5)
+        for slot in slots:
+            slot.finish(answered(0.5))
+        assert (await waiting).unwrap()
+
+    run_paused(main())
--- /dev/null
+++ b/heatherhead/tests/routing/exchange_tests.py
@@ -0,0 +1,157 @@
+"""Tests of `heatherhead.routing.exchange` and of what homes tell each other at once."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from heatherhead.calls import UpstreamSign
+from heatherhead.membership.interface import Traffic
+from heatherhead.routing.messages import DrainSighting, InFlightVectors
+from heatherhead.tests.base import run_paused
+from heatherhead.tests.routing.fakes import (
+    FakeNetwork,
+    answered,
+    create_call,
+    create_instance,
+    create_router_fleet,
+    create_service,
+    signed,
+)
+
+if TYPE_CHECKING:
+    from heatherhead.routing.router import RoutingRouter
+
+LONG_S = 0.5
+SHORT_S = 0.01
+ROUND_S = 0.06
+VECTOR_INTERVAL_S = 0.02
+
+
+async def _learn(routers: dict[str, RoutingRouter], duration_s: float) -> None:
+    """Let every router know the usual service time."""
+    for router in routers.values():
+        for _ in range(32):
+            (await router.acquire(create_call())).unwrap().finish(answered(duration_s))
+
+
+def _fleet(**settings: Any) -> dict[str, RoutingRouter]:
+    instances = [create_instance("a"), create_instance("b")]
+    service = create_service(upstreams=2, slots=2)
+    return create_router_fleet(service, instances, homes_minimum=2, **settings)
+
+
+def _network(router: RoutingRouter) -> FakeNetwork:
+    return router._network  # type: ignore[return-value]
+
+
+def _vectors(router: RoutingRouter) -> int:
+    return sum(isinstance(message, InFlightVectors) for _, message, _ in _network(router).sent)
+
+
+def test_a_home_leaves_room_for_the_calls_of_another() -> None:
+    async def main() -> None:
+        routers = _fleet()
+        await _learn(routers, LONG_S)
+        held = [(await routers["a"].acquire(create_call())).unwrap() for _ in range(3)]
+        await asyncio.sleep(ROUND_S)
+        await routers["b"].acquire(create_call())
+        waiting = asyncio.create_task(routers["b"].acquire(create_call()))
+        await asyncio.sleep(ROUND_S)
+        assert not waiting.done()
+        held[0].finish(answered(LONG_S))
+        await asyncio.sleep(ROUND_S)
+        assert waiting.done()
+
+    run_paused(main())
+
+
+def test_tells_nothing_of_calls_that_end_before_the_vector_arrives() -> None:
+    async def main() -> None:
+        routers = _fleet()
+        await _learn(routers, SHORT_S)
+        await routers["a"].acquire(create_call())
+        await asyncio.sleep(1.0)
+        assert _vectors(routers["a"]) == 0
+
+    run_paused(main())
+
+
+def test_a_spent_budget_slows_the_rounds_and_then_leaves_own_evidence_alone() -> None:
+    async def main() -> None:
+        routers = _fleet()
+        await _learn(routers, LONG_S)
+        for _ in range(4):
+            await routers["a"].acquire(create_call())
+        await asyncio.sleep(ROUND_S)
+        assert routers["b"].try_acquire(create_call()) is None
+        _network(routers["a"]).refuse = True
+        await asyncio.sleep(4.0)
+        assert routers["a"]._exchange.run_round() >= 8 * VECTOR_INTERVAL_S
+        assert routers["b"].try_acquire(create_call()) is not None
+
+    run_paused(main())
+
+
+def test_rounds_stay_within_their_bytes_a_second() -> None:
+    async def main() -> None:
+        routers = _fleet(vector_bytes_per_second=500.0)
+        await _learn(routers, LONG_S)
+        network = _network(routers["a"])
+        network.sent.clear()
+        switch = network._switch
+        switch.bytes_by_traffic.clear()
+        for _ in range(100):
+            slot = (await routers["a"].acquire(create_call())).unwrap()
+            await asyncio.sleep(0.05)
+            slot.finish(answered(LONG_S))
+        assert _vectors(routers["a"]) > 10
+        assert switch.bytes_by_traffic[Traffic.MEASURING] / 5.0 < 600
+
+    run_paused(main())
+
+
+def test_nothing_that_measures_leaves_the_region() -> None:
+    async def main() -> None:
+        instances = [create_instance("a"), create_instance("b")]
+        instances += [create_instance("far", region="away")]
+        routers = create_router_fleet(create_service(), instances, homes_minimum=3)
+        await _learn(routers, LONG_S)
+        for router in routers.values():
+            for _ in range(2):
+                await router.acquire(create_call())
+        await asyncio.sleep(40.0)
+        for own_id, router in routers.items():
+            for peer_id, message, traffic in _network(router).sent:
+                assert traffic is Traffic.CONTROL or "far" not in (own_id, peer_id), message
+
+    run_paused(main())
+
+
+def test_a_sighting_of_draining_reaches_the_other_homes_at_once() -> None:
+    async def main() -> None:
+        routers = _fleet()
+        slot = (await routers["a"].acquire(create_call())).unwrap()
+        slot.finish(signed(UpstreamSign.DRAINING))
+        await asyncio.sleep(0.002)
+        states = {each.upstream.id: each.state for each in routers["b"].evidence("orders")}
+        assert states[slot.upstream.id] == "draining"
+        second = (await routers["a"].acquire(create_call())).unwrap()
+        assert second.upstream.id != slot.upstream.id
+        sent = [each for each in _network(routers["a"]).sent if isinstance(each[1], DrainSighting)]
+        assert len(sent) == 1
+
+    run_paused(main())
+
+
+def test_vectors_of_another_list_of_upstreams_are_not_taken_in() -> None:
+    async def main() -> None:
+        routers = _fleet()
+        await _learn(routers, LONG_S)
+        routers["b"].update_service("orders", create_service(upstreams=3, slots=2))
+        for _ in range(4):
+            await routers["a"].acquire(create_call())
+        await asyncio.sleep(ROUND_S)
+        assert routers["b"].try_acquire(create_call()) is not None
+
+    run_paused(main())
--- a/heatherhead/tests/routing/fakes.py
+++ b/heatherhead/tests/routing/fakes.py
@@ -28,6 +28,7 @@
     "answered",
     "create_call",
     "create_instance",
+    "create_router_fleet",
     "create_service",
     "create_single_router",
     "warm_up",
@@ -158,6 +159,27 @@
     return router
 
 
+def create_router_fleet(
+    service: Service, instances: list[Instance], switch: FakeSwitch | None = None, **settings: Any
+) -> dict[str, RoutingRouter]:
+    """Create the routers of joined instances by id; each neighbours the next in a ring."""
+    switch = switch or FakeSwitch()
+    router_by_id = {}
+    for index, own in enumerate(instances):
+        network = FakeNetwork(own.id, switch)
+        network.neighbour_ids = [instances[(index + 1) % len(instances)].id]
+        router = create_router(
+            RoutingSettings(**settings),
+            FakeMembership(own, instances),
+            network,
+            FakeTelemetry(),
+            rng=Random(index),
+        )
+        router.update_service(service.name, service)
+        router_by_id[own.id] = router
+    return router_by_id
+
+
 def create_call(in_s: float = 1.0, **changes: Any) -> Call:
     """Create a call whose deadline is `in_s` seconds away."""
     now = asyncio.get_running_loop().time()
