--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -4,26 +4,26 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
 from itertools import count
 from typing import TYPE_CHECKING
 
 from result import Err, Ok
 
 from heatherhead.admission.queue import QueueEntry, create_call_queue
-from heatherhead.calls import AttemptResult, AttemptState, UpstreamSign
-from heatherhead.exceptions import (
-    CallRefusedError,
-    DeadlineUnreachableError,
-    NoUpstreamError,
-    QueueFullError,
-)
+from heatherhead.calls import AttemptResult, AttemptState
 from heatherhead.routing.evidence import create_evidence
 from heatherhead.routing.isolation import create_isolation
 from heatherhead.routing.policies import create_policy
 from heatherhead.routing.quarantine import create_quarantine
+from heatherhead.routing.refusals import (
+    deadline_unreachable,
+    no_upstream,
+    queue_full,
+    refuse,
+)
 from heatherhead.routing.service_time import create_service_time
-from heatherhead.routing.upstream_state import create_upstream_state
+from heatherhead.routing.slot import RoutedSlot
+from heatherhead.routing.upstream_state import take_upstreams
 
 if TYPE_CHECKING:
     from random import Random
@@ -31,41 +31,19 @@
     from result import Result
 
     from heatherhead.calls import Call
-    from heatherhead.configuration.model import Service, Upstream
+    from heatherhead.configuration.model import Service
+    from heatherhead.exceptions import CallRefusedError
     from heatherhead.membership.interface import Instance
     from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
     from heatherhead.telemetry.interface import Telemetry
 
-__all__ = ["Dispatcher", "RoutedSlot", "create_dispatcher"]
+__all__ = ["Dispatcher", "create_dispatcher"]
 
 MAX_SET_ASIDE = 16
-GRACE_ROUNDS = 2
-GRACE_SERVICE_TIMES = 2
 NOT_SENT = AttemptResult(AttemptState.NOT_SENT, cancelled=True)
 
 
-@dataclass(slots=True, eq=False)
-class RoutedSlot:
-    """A slot of an upstream that one attempt holds."""
-
-    upstream: Upstream
-    started_at: float
-    state: UpstreamState
-    serial: int
-    call: Call
-    dispatcher: Dispatcher
-    aged: bool = False
-    isolated: bool = False
-    finished: bool = False
-
-    def finish(self, result: AttemptResult) -> None:
-        """Give the slot back; a second time has no effect."""
-        if not self.finished:
-            self.finished = True
-            self.dispatcher.finish(self, result)
-
-
 class Dispatcher:
     """The queue, the upstreams and the evidence of one service."""
 
@@ -87,7 +65,7 @@
         )
         self.queue = create_call_queue(service.queue_limit, _weights(service))
         self.quarantine = create_quarantine(service.name, settings)
-        self.isolation = create_isolation(self.policy.refresh)
+        self.isolation = create_isolation(settings, self.policy.refresh)
         self.rate = 0.0
         self.calls_seen = 0
         self._own = own
@@ -113,7 +91,7 @@
             if state is not None:
                 return Ok(self._start(state, call, now))
         if now + self._expected_wait_s(now) + self.service_time.usual_s >= call.deadline:
-            return Err(_unreachable())
+            return Err(deadline_unreachable())
         return await self._wait(call, avoid, now)
 
     def try_acquire(self, call: Call, avoid: frozenset[str]) -> RoutedSlot | None:
@@ -135,7 +113,7 @@
         if slot.aged:
             state.aged -= 1
         self.evidence.finished(slot, result, now)
-        self._judge(slot, result)
+        self.quarantine.ended(slot, result)
         self.policy.refresh(state)
         if self.queue or self.isolation.reserved is not None:
             self.dispatch()
@@ -160,21 +138,21 @@
         if self._timer is not None:
             self._timer.cancel()
         for entry in (*self.queue.drain(), *self.isolation.drain()):
-            _refuse(entry, self._no_upstream())
+            refuse(entry, no_upstream(self.service))
 
     def dispatch(self) -> None:
         """Give waiting calls to free slots, in the order of the queue."""
         now = self._loop.time()
         self._watch(now)
         for entry in self.queue.take_expired(now):
-            _refuse(entry, _unreachable())
+            refuse(entry, deadline_unreachable())
         self._run_suspects(now)
         set_aside: list[QueueEntry] = []
         while len(set_aside) < MAX_SET_ASIDE and (entry := self.queue.pop()) is not None:
             if entry.future.done():
                 continue
             if now + self.evidence.needed_s >= entry.call.deadline:
-                _refuse(entry, _unreachable())
+                refuse(entry, deadline_unreachable())
                 continue
             state = self._choose(entry.call, entry.avoid, now)
             if state is not None:
@@ -198,23 +176,9 @@
 
     def _take_upstreams(self, service: Service, *, cold: bool) -> None:
         self.evidence.forget_slots()
-        by_id = {each.id: each for each in service.upstreams}
-        for upstream_id in list(self.state_by_id):
-            if upstream_id not in by_id:
-                state = self.state_by_id.pop(upstream_id)
-                self.policy.forget(state)
-                state.removed = True
-        for upstream in service.upstreams:
-            state = self.state_by_id.get(upstream.id)
-            if state is None or _moved(state.upstream, upstream):
-                if state is not None:
-                    self.policy.forget(state)
-                    state.removed = True
-                state = create_upstream_state(upstream, self._own, cold=cold)
-                self.state_by_id[upstream.id] = state
-            elif state.upstream != upstream:
-                state.upstream = upstream
-                state.limit.resize(upstream.slots)
+        for state in take_upstreams(self.state_by_id, service, self._own, cold=cold):
+            self.policy.forget(state)
+        for state in self.state_by_id.values():
             self.policy.refresh(state)
 
     def _choose(self, call: Call, avoid: frozenset[str], now: float) -> UpstreamState | None:
@@ -252,7 +216,7 @@
         entry = QueueEntry(call, avoid, future, now)
         evicted = self.queue.push(entry)
         if evicted is not None:
-            _refuse(evicted, _queue_full(self.service))
+            refuse(evicted, queue_full(self.service))
         self._arm(now)
         try:
             answer = await future
@@ -266,7 +230,7 @@
     ) -> Result[RoutedSlot, CallRefusedError]:
         entry = QueueEntry(call, avoid, self._loop.create_future(), now)
         if not self.isolation.add(entry):
-            return Err(_queue_full(self.service))
+            return Err(queue_full(self.service))
         self.dispatch()
         try:
             answer = await entry.future
@@ -279,8 +243,8 @@
         """Give the upstream that is reserved for suspects to the next of them."""
         isolation = self.isolation
         for entry in isolation.take_expired(now):
-            _refuse(entry, _unreachable())
-        isolation.reserve(self.state_by_id.values(), now, self._grace_s())
+            refuse(entry, deadline_unreachable())
+        isolation.reserve(self.state_by_id.values(), now, self.service_time.usual_s)
         entry_or_none = isolation.next(now)
         if entry_or_none is not None and isolation.reserved is not None:
             slot = self._start(isolation.reserved, entry_or_none.call, now)
@@ -291,28 +255,13 @@
                 entry_or_none.future.set_result(Ok(slot))
         isolation.release()
 
-    def _grace_s(self) -> float:
-        return max(
-            GRACE_ROUNDS * self.settings.vector_interval_ms / 1000,
-            GRACE_SERVICE_TIMES * self.service_time.usual_s,
-        )
-
-    def _judge(self, slot: RoutedSlot, result: AttemptResult) -> None:
-        """Take in what an attempt says of the call's own harm."""
-        if result.sign is UpstreamSign.DIED:
-            beside = [each.call for each in slot.state.slot_by_serial.values()]
-            calls = [each for each in (slot.call, *beside) if each.fingerprint]
-            self.quarantine.died(calls, alone=slot.isolated)
-        elif slot.isolated and result.state is AttemptState.ANSWERED:
-            self.quarantine.cleared(slot.call)
-
     def _recheck(
         self, answer: Result[RoutedSlot, CallRefusedError], call: Call
     ) -> Result[RoutedSlot, CallRefusedError]:
         """Refuse a slot that came before the deadline but is taken up after it."""
         if isinstance(answer, Ok) and self._loop.time() >= call.deadline:
             answer.ok_value.finish(NOT_SENT)
-            return Err(_unreachable())
+            return Err(deadline_unreachable())
         return answer
 
     def _abandon(self, entry: QueueEntry) -> None:
@@ -325,9 +274,9 @@
 
     def _refusal_on_arrival(self, call: Call, now: float) -> CallRefusedError | None:
         if not self.state_by_id:
-            return self._no_upstream()
+            return no_upstream(self.service)
         if now + self.service_time.usual_s >= call.deadline:
-            return _unreachable()
+            return deadline_unreachable()
         return self.quarantine.refusal(call) if self.quarantine else None
 
     def _expected_wait_s(self, now: float) -> float:
@@ -364,12 +313,6 @@
         after_s = self.evidence.slow_after_s
         return self._oldest[0].started_at + after_s if self._oldest and after_s else None
 
-    def _no_upstream(self) -> NoUpstreamError:
-        return NoUpstreamError(
-            f"service {self.service.name} has no upstream",
-            remedy="add upstreams to the service, or ask again later",
-        )
-
 
 def _earliest(*times: float | None) -> float | None:
     return min((each for each in times if each is not None), default=None)
@@ -379,29 +322,6 @@
     return {each.name: float(each.weight) for each in service.classes}
 
 
-def _moved(one: Upstream, other: Upstream) -> bool:
-    return (one.host, one.port) != (other.host, other.port)
-
-
-def _refuse(entry: QueueEntry, error: CallRefusedError) -> None:
-    if not entry.future.done():
-        entry.future.set_result(Err(error))
-
-
-def _unreachable() -> DeadlineUnreachableError:
-    return DeadlineUnreachableError(
-        "the call can't be answered before its deadline",
-        remedy="allow it more time, or send it again when the load is lower",
-    )
-
-
-def _queue_full(service: Service) -> QueueFullError:
-    return QueueFullError(
-        f"{service.queue_limit} calls of service {service.name} wait already",
-        remedy="send it again after a pause, or raise the service's queue_limit",
-    )
-
-
 def create_dispatcher(
     service: Service,
     own: Instance,
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -18,9 +18,9 @@
     from collections.abc import Callable, Mapping
 
     from heatherhead.calls import AttemptResult
-    from heatherhead.routing.dispatcher import RoutedSlot
     from heatherhead.routing.policies import Policy
     from heatherhead.routing.service_time import ServiceTime
+    from heatherhead.routing.slot import RoutedSlot
     from heatherhead.routing.upstream_state import UpstreamState
     from heatherhead.settings.routing import RoutingSettings
     from heatherhead.telemetry.interface import Telemetry
--- a/heatherhead/routing/exchange.py
+++ b/heatherhead/routing/exchange.py
@@ -82,8 +82,9 @@
         """Take in a service or its new list of upstreams."""
         name = dispatcher.service.name
         self.forget(name)
-        states = list(dispatcher.state_by_id.values())
-        shared = _SharedService(dispatcher, states, signature_of(dispatcher.state_by_id))
+        ids = [each.id for each in dispatcher.service.upstreams]
+        states = [dispatcher.state_by_id[each] for each in ids]
+        shared = _SharedService(dispatcher, states, signature_of(ids))
         self._shared_by_service[name] = shared
         self._take_homes(shared)
         self._list_co_homes()
--- a/heatherhead/routing/isolation.py
+++ b/heatherhead/routing/isolation.py
@@ -10,22 +10,27 @@
 
     from heatherhead.admission.queue import QueueEntry
     from heatherhead.routing.upstream_state import UpstreamState
+    from heatherhead.settings.routing import RoutingSettings
 
 __all__ = ["Isolation", "create_isolation"]
 
 MAX_WAITING = 64
+GRACE_ROUNDS = 2
+GRACE_SERVICE_TIMES = 2
 
 
 class Isolation:
     """The waiting suspects of one service and the upstream that is emptied for them.
 
     The upstream is taken from this home's own part of the division, so that two homes don't run
-    suspects on the same one; `grace_s` gives the other homes time to see that it is reserved.
+    suspects on the same one. It stays empty for a while first, so that the other homes see that it
+    is reserved and their calls on it end.
     """
 
-    def __init__(self, refresh: Callable[[UpstreamState], None]) -> None:
+    def __init__(self, settings: RoutingSettings, refresh: Callable[[UpstreamState], None]) -> None:
         self.reserved: UpstreamState | None = None
         self.ready_at = 0.0
+        self._rounds_s = GRACE_ROUNDS * settings.vector_interval_ms / 1000
         self._waiting: deque[QueueEntry] = deque()
         self._refresh = refresh
 
@@ -61,7 +66,7 @@
             return deadline
         return min(deadline, self.ready_at)
 
-    def reserve(self, states: Iterable[UpstreamState], now: float, grace_s: float) -> None:
+    def reserve(self, states: Iterable[UpstreamState], now: float, usual_s: float) -> None:
         """Reserve the least busy upstream if a suspect waits and none is reserved."""
         if self.reserved is not None or not self._waiting:
             return
@@ -71,7 +76,7 @@
         if chosen is not None:
             chosen.reserved = True
             self.reserved = chosen
-            self.ready_at = now + grace_s
+            self.ready_at = now + max(self._rounds_s, GRACE_SERVICE_TIMES * usual_s)
             self._refresh(chosen)
 
     def next(self, now: float) -> QueueEntry | None:
@@ -96,6 +101,8 @@
         return entries
 
 
-def create_isolation(refresh: Callable[[UpstreamState], None]) -> Isolation:
+def create_isolation(
+    settings: RoutingSettings, refresh: Callable[[UpstreamState], None]
+) -> Isolation:
     """Create an isolation without suspects; `refresh` tells the policy of a changed state."""
-    return Isolation(refresh)
+    return Isolation(settings, refresh)
--- a/heatherhead/routing/quarantine.py
+++ b/heatherhead/routing/quarantine.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from heatherhead.calls import AttemptState, UpstreamSign
 from heatherhead.exceptions import QuarantinedError
 from heatherhead.routing.interface import QuarantineEntry
 from heatherhead.routing.messages import CrashRecords
@@ -20,7 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from heatherhead.calls import Call
+    from heatherhead.calls import AttemptResult, Call
+    from heatherhead.routing.slot import RoutedSlot
     from heatherhead.settings.routing import RoutingSettings
 
 __all__ = ["CrashRecord", "Quarantine", "create_quarantine"]
@@ -70,6 +72,15 @@
         record = self._record(call.fingerprint)
         return record is not None and record.deaths < DEATHS_TO_QUARANTINE
 
+    def ended(self, slot: RoutedSlot, result: AttemptResult) -> None:
+        """Take in what the end of an attempt says of the calls on its upstream."""
+        if result.sign is UpstreamSign.DIED:
+            beside = [each.call for each in slot.state.slot_by_serial.values()]
+            calls = [each for each in (slot.call, *beside) if each.fingerprint]
+            self.died(calls, alone=slot.isolated)
+        elif slot.isolated and result.state is AttemptState.ANSWERED:
+            self.cleared(slot.call)
+
     def died(self, calls: Iterable[Call], *, alone: bool) -> None:
         """Take in that an upstream died with these calls in flight; `alone` says just one."""
         rows = []
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -8,7 +8,6 @@
 
 from result import Err
 
-from heatherhead.exceptions import NoUpstreamError
 from heatherhead.membership.interface import Traffic
 from heatherhead.routing.dispatcher import create_dispatcher
 from heatherhead.routing.exchange import create_vector_exchange
@@ -16,6 +15,7 @@
 from heatherhead.routing.interface import UpstreamEvidence
 from heatherhead.routing.messages import CrashRecords, DrainSighting, QuarantineRelease
 from heatherhead.routing.quarantine import DEATHS_TO_QUARANTINE
+from heatherhead.routing.refusals import unknown_service
 
 if TYPE_CHECKING:
     from result import Result
@@ -73,7 +73,7 @@
         """Wait for a slot."""
         dispatcher = self.dispatcher_by_service.get(call.service)
         if dispatcher is None:
-            return Err(_unknown_service(call.service))
+            return Err(unknown_service(call.service))
         return await dispatcher.acquire(call, avoid)
 
     def try_acquire(self, call: Call, avoid: frozenset[str] = NO_AVOIDED) -> Slot | None:
@@ -211,12 +211,6 @@
         return [home for region in regions for home in self._other_homes(service, region)]
 
 
-def _unknown_service(name: str) -> NoUpstreamError:
-    return NoUpstreamError(
-        f"there is no service {name}", remedy="ask for a service that is configured"
-    )
-
-
 def create_router(
     settings: RoutingSettings,
     membership: MembershipView,
--- a/heatherhead/routing/upstream_state.py
+++ b/heatherhead/routing/upstream_state.py
@@ -10,11 +10,11 @@
 if TYPE_CHECKING:
     from heatherhead.admission.limits import AdaptiveLimit
     from heatherhead.calls import LoadReport
-    from heatherhead.configuration.model import Upstream
+    from heatherhead.configuration.model import Service, Upstream
     from heatherhead.membership.interface import Instance
-    from heatherhead.routing.dispatcher import RoutedSlot
+    from heatherhead.routing.slot import RoutedSlot
 
-__all__ = ["UpstreamState", "create_upstream_state"]
+__all__ = ["UpstreamState", "create_upstream_state", "take_upstreams"]
 
 
 @dataclass(slots=True, eq=False)
@@ -99,3 +99,33 @@
         local_region,
         local_region and upstream.availability_zone == own.availability_zone,
     )
+
+
+def take_upstreams(
+    state_by_id: dict[str, UpstreamState], service: Service, own: Instance, *, cold: bool
+) -> list[UpstreamState]:
+    """Bring states in line with a service's upstreams; give back those that were dropped.
+
+    One whose address changed counts as dropped and added. Added ones start `cold` or not.
+    """
+    by_id = {each.id: each for each in service.upstreams}
+    dropped = [
+        state
+        for state in state_by_id.values()
+        if state.upstream.id not in by_id or _moved(state.upstream, by_id[state.upstream.id])
+    ]
+    for state in dropped:
+        state.removed = True
+        del state_by_id[state.upstream.id]
+    for upstream in service.upstreams:
+        state = state_by_id.get(upstream.id)
+        if state is None:
+            state_by_id[upstream.id] = create_upstream_state(upstream, own, cold=cold)
+        elif state.upstream != upstream:
+            state.upstream = upstream
+            state.limit.resize(upstream.slots)
+    return dropped
+
+
+def _moved(one: Upstream, other: Upstream) -> bool:
+    return (one.host, one.port) != (other.host, other.port)
--- a/heatherhead/tests/routing/dispatcher_tests.py
+++ b/heatherhead/tests/routing/dispatcher_tests.py
@@ -119,6 +119,19 @@
     run_paused(main())
 
 
+def test_refuses_a_waiting_call_that_has_become_too_late_to_be_answered() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=1, slots=1))
+        await warm_up(router)
+        held = (await router.acquire(create_call())).unwrap()
+        waiting = asyncio.create_task(router.acquire(create_call(0.025)))
+        await asyncio.sleep(0.014)
+        held.finish(answered(0.014))
+        assert isinstance((await waiting).unwrap_err(), DeadlineUnreachableError)
+
+    run_paused(main())
+
+
 def test_uses_another_region_only_when_the_local_one_is_too_late() -> None:
     async def main() -> None:
         upstreams = (
--- a/heatherhead/tests/routing/evidence_tests.py
+++ b/heatherhead/tests/routing/evidence_tests.py
@@ -108,6 +108,25 @@
     run_paused(main())
 
 
+def test_further_old_calls_do_not_prolong_the_pause_of_a_slow_upstream() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=1, slots=4))
+        await warm_up(router)
+        await _take(router, 1)
+        await asyncio.sleep(SLOW_AFTER_S - 0.005)
+        await _take(router, 1)
+        began = asyncio.get_running_loop().time()
+        await _take(router, 1, create_call(5.0))
+        waited_s = asyncio.get_running_loop().time() - began
+        assert round(waited_s, 3) == 0
+        await asyncio.sleep(0.006)
+        waiting = asyncio.create_task(router.acquire(create_call(5.0)))
+        await asyncio.sleep(TRIAL_AFTER_S)
+        assert waiting.done()
+
+    run_paused(main())
+
+
 def test_an_upstream_that_fails_fast_attracts_no_calls_and_is_ejected() -> None:
     async def main() -> None:
         router = create_single_router(create_service(upstreams=4, slots=4))
--- a/heatherhead/tests/routing/exchange_tests.py
+++ b/heatherhead/tests/routing/exchange_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from heatherhead.calls import UpstreamSign
@@ -95,7 +96,7 @@
 
 def test_rounds_stay_within_their_bytes_a_second() -> None:
     async def main() -> None:
-        routers = _fleet(vector_bytes_per_second=500.0)
+        routers = _fleet(vector_bytes_per_second=100.0)
         await _learn(routers, LONG_S)
         network = _network(routers["a"])
         network.sent.clear()
@@ -106,7 +107,7 @@
             await asyncio.sleep(0.05)
             slot.finish(answered(LONG_S))
         assert _vectors(routers["a"]) > 10
-        assert switch.bytes_by_traffic[Traffic.MEASURING] / 5.0 < 600
+        assert switch.bytes_by_traffic[Traffic.MEASURING] / 5.0 < 120
 
     run_paused(main())
 
@@ -131,8 +132,11 @@
 def test_a_sighting_of_draining_reaches_the_other_homes_at_once() -> None:
     async def main() -> None:
         routers = _fleet()
-        slot = (await routers["a"].acquire(create_call())).unwrap()
-        slot.finish(signed(UpstreamSign.DRAINING))
+        slots = [(await routers["a"].acquire(create_call())).unwrap() for _ in range(4)]
+        slot = slots[0]
+        for each in slots:
+            same = each.upstream.id == slot.upstream.id
+            each.finish(signed(UpstreamSign.DRAINING) if same else answered())
         await asyncio.sleep(0.002)
         states = {each.upstream.id: each.state for each in routers["b"].evidence("orders")}
         assert states[slot.upstream.id] == "draining"
@@ -148,10 +152,12 @@
     async def main() -> None:
         routers = _fleet()
         await _learn(routers, LONG_S)
-        routers["b"].update_service("orders", create_service(upstreams=3, slots=2))
+        service = create_service(upstreams=3, slots=2)
+        routers["b"].update_service("orders", replace(service, upstreams=service.upstreams[1:]))
         for _ in range(4):
             await routers["a"].acquire(create_call())
         await asyncio.sleep(ROUND_S)
-        assert routers["b"].try_acquire(create_call()) is not None
+        free = [routers["b"].try_acquire(create_call()) for _ in range(3)]
+        assert None not in free
 
     run_paused(main())
--- a/heatherhead/tests/routing/home_counts_tests.py
+++ b/heatherhead/tests/routing/home_counts_tests.py
@@ -63,8 +63,9 @@
         routers = create_router_fleet(create_service(), instances, **SETTINGS)
         await _serve(routers["i0"], 110, 3.0)
         version = routers["i0"].homes.counts.version
-        for rate in (90, 110, 90):
-            await _serve(routers["i0"], rate, 40.0)
+        for _ in range(2):
+            await _serve(routers["i0"], 95, 70.0)
+            await _serve(routers["i0"], 110, 5.0)
         assert _counts(routers) == {3}
         assert routers["i0"].homes.counts.version == version
 
@@ -98,5 +99,7 @@
         await _serve(routers["i0"], 150, 3.0)
         assert len(routers["i1"].homes.home_ids("orders", "local")) == 3
         assert len(routers["far0"].homes.home_ids("orders", "away")) == 1
+        network: FakeNetwork = routers["i2"]._network  # type: ignore[assignment]
+        assert all(peer_id != "far0" for peer_id, _, _ in network.sent)
 
     run_paused(main())
--- a/heatherhead/tests/routing/quarantine_tests.py
+++ b/heatherhead/tests/routing/quarantine_tests.py
@@ -26,6 +26,7 @@
 
 CULPRIT = 666
 QUARANTINE_MS = 10_000
+VECTOR_INTERVAL_S = 0.02
 DIED = AttemptResult(AttemptState.UNKNOWN, 0, 0.001, UpstreamSign.DIED)
 
 
@@ -91,6 +92,19 @@
     run_paused(main())
 
 
+def test_a_suspect_waits_until_the_other_homes_know_of_its_reservation() -> None:
+    async def main() -> None:
+        router = _router()
+        await warm_up(router)
+        await _crash(router)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await _take(router, CULPRIT)
+        assert round(loop.time() - began, 6) >= 2 * VECTOR_INTERVAL_S
+
+    run_paused(main())
+
+
 def test_an_innocent_suspect_is_cleared_by_its_answer() -> None:
     async def main() -> None:
         router = _router()
