--- a/heatherhead/callers/handler.py
+++ b/heatherhead/callers/handler.py
@@ -26,7 +26,7 @@
     OutcomeUnknownError,
     ReportedOutcome,
 )
-from heatherhead.telemetry.interface import HistogramKind
+from heatherhead.telemetry.interface import CallOutcome, HistogramKind
 from heatherhead.upstreams.attempts import UNKNOWN_REMEDY, CallRun
 
 if TYPE_CHECKING:
@@ -77,18 +77,37 @@
                 return await own(request)
         self._state.begin()
         try:
-            return await self._serve(request)
-        except CallCutError as error:
-            self._telemetry.count("calls.cut")
-            raise AnswerCutError(error.reason) from error
-        except AnswerCutError:
-            self._telemetry.count("calls.cut")
-            raise
+            return await self._serve(self._take_in(request))
         except HeatherheadError as error:
             return self._refusal(error)
         finally:
             self._state.end()
 
+    async def _serve(self, inbound: InboundCall) -> StreamResponse:
+        """Serve a call of a known service, and count how it ends."""
+        try:
+            response = await self._check_and_serve(inbound)
+        except CallCutError as error:
+            self._count_cut(inbound)
+            raise AnswerCutError(error.reason) from error
+        except (AnswerCutError, asyncio.CancelledError):
+            self._count_cut(inbound)
+            raise
+        except HeatherheadError as error:
+            self._count_outcome(inbound, _OUTCOME_BY_REPORTED[problem_of(error).outcome])
+            raise
+        if not inbound.passed_on:
+            self._count_outcome(inbound, CallOutcome.ANSWERED)
+            self._telemetry.count("calls.answered")
+        return response
+
+    def _count_cut(self, inbound: InboundCall) -> None:
+        self._count_outcome(inbound, CallOutcome.CUT)
+        self._telemetry.count("calls.cut")
+
+    def _count_outcome(self, inbound: InboundCall, outcome: CallOutcome) -> None:
+        self._telemetry.count_outcome(inbound.service.name, inbound.call.call_class, outcome)
+
     def _refusal(self, error: HeatherheadError) -> StreamResponse:
         problem = problem_of(error)
         self._telemetry.count(_COUNTER_BY_OUTCOME[problem.outcome])
@@ -97,24 +116,23 @@
             response.force_close()
         return response
 
-    async def _serve(self, request: BaseRequest) -> StreamResponse:
-        try:
-            inbound = self._take_in(request)
-        except CallRefusedError as error:
-            raise self._keyed.refuse(request, error) from error
+    async def _check_and_serve(self, inbound: InboundCall) -> StreamResponse:
         self._keyed.check(inbound)
         try:
             return await self._serve_in_time(inbound)
         except CallRefusedError as error:
             if inbound.key is None or inbound.reached_key_table:
                 raise
-            raise self._keyed.refuse(request, error) from error
+            raise self._keyed.refuse(inbound.request, error) from error
 
     def _take_in(self, request: BaseRequest) -> InboundCall:
-        target = target_of(request)
-        service = service_of(request, target, self._choice)
-        now = asyncio.get_running_loop().time()
-        call, asked = call_of(request, target, service, self._settings, now)
+        try:
+            target = target_of(request)
+            service = service_of(request, target, self._choice)
+            now = asyncio.get_running_loop().time()
+            call, asked = call_of(request, target, service, self._settings, now)
+        except CallRefusedError as error:
+            raise self._keyed.refuse(request, error) from error
         return InboundCall(request, service, call, asked)
 
     async def _serve_in_time(self, inbound: InboundCall) -> StreamResponse:
@@ -162,7 +180,6 @@
         observe = self._telemetry.observe
         observe(call.service, call.call_class, HistogramKind.ADDED, max(0.0, added_s))
         observe(call.service, call.call_class, HistogramKind.ATTEMPTS, call.attempts)
-        self._telemetry.count("calls.answered")
 
 
 def _deadline_error(inbound: InboundCall) -> HeatherheadError:
@@ -180,6 +197,11 @@
     ReportedOutcome.UNKNOWN: "calls.unknown",
     ReportedOutcome.RAN: "calls.ran",
 }
+_OUTCOME_BY_REPORTED = {
+    ReportedOutcome.NOT_RUN: CallOutcome.NOT_RUN,
+    ReportedOutcome.UNKNOWN: CallOutcome.UNKNOWN,
+    ReportedOutcome.RAN: CallOutcome.RAN,
+}
 
 
 def create_call_handler(
--- a/heatherhead/callers/inbound.py
+++ b/heatherhead/callers/inbound.py
@@ -26,6 +26,8 @@
     A deadline that the caller named covers the whole exchange. The service's default one covers
     the time to the head of the answer, and stands still while an upload is streamed: uploads and
     answers that flow are bounded by their idle timeouts instead.
+
+    `passed_on` tells that the instance which issued the call's grant serves and counts it.
     """
 
     request: BaseRequest
@@ -37,6 +39,7 @@
     run: CallRun | None = None
     maybe_ran_before: bool = False
     reached_key_table: bool = False
+    passed_on: bool = False
     scope: asyncio.Timeout | None = None
 
     @property
--- a/heatherhead/callers/pass_on.py
+++ b/heatherhead/callers/pass_on.py
@@ -64,6 +64,7 @@
         await self._client.send(owner.callers.host, owner.callers.port, outbound, attempt)
         if attempt.answer is None:
             raise GrantOwnerGoneError
+        inbound.passed_on = True
         try:
             return await relay_answer(
                 inbound.request,
--- a/heatherhead/daemon.py
+++ b/heatherhead/daemon.py
@@ -22,12 +22,13 @@
 from heatherhead.assembly import create_assembly
 from heatherhead.exceptions import SettingsError
 from heatherhead.runtime import create_loop
-from heatherhead.settings import load_settings
+from heatherhead.settings.check import check_settings_file, load_checked_settings
 from heatherhead.telemetry.logs import configure_logs, log_event
 
 if TYPE_CHECKING:
     from heatherhead.assembly import Assembly
     from heatherhead.settings import Settings
+    from heatherhead.settings.check import SettingsReport
 
 __all__ = ["main"]
 
@@ -64,19 +65,37 @@
 def main() -> None:
     """Run the daemon, or check its settings."""
     arguments = docopt(__doc__)
+    path = arguments["SETTINGS"]
+    if arguments["--check"]:
+        _check(path)
+        return
     try:
-        settings = load_settings(arguments["SETTINGS"])
+        settings, report = load_checked_settings(path)
     except SettingsError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_SETTINGS)
-    if arguments["--check"]:
-        sys.stdout.write("settings are fine\n")
-        return
-    _run(settings)
+    _run(settings, report)
+
+
+def _check(path: str) -> None:
+    """Print all that is found in a settings file; exits with an error if a daemon can't start."""
+    report = check_settings_file(path)
+    if report.problems:
+        sys.stderr.write(f"{report}\n")
+        sys.exit(EXIT_SETTINGS)
+    sys.stdout.write(f"{report}\n")
 
 
-def _run(settings: Settings) -> None:
+def _run(settings: Settings, report: SettingsReport) -> None:
     configure_logs(settings.telemetry.log_level)
+    for warning in report.warnings:
+        log_event(
+            "settings_warning",
+            level="WARNING",
+            field=warning.path,
+            reason=warning.reason,
+            remedy=warning.remedy,
+        )
     gc.set_threshold(GC_GENERATION_0, 20, 100)
     with aiomisc.entrypoint(
         DaemonService(settings=settings),
--- /dev/null
+++ b/heatherhead/tests/callers/outcomes_tests.py
@@ -0,0 +1,76 @@
+"""Tests of the outcomes that the path counts by service and class."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from heatherhead.telemetry.interface import CallOutcome
+from heatherhead.tests.callers.fakes import hold, refuse, run_shifted, stand
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from heatherhead.tests.callers.fakes import FakeUpstream, Stand
+
+URGENT = {"Heatherhead-Class": "urgent"}
+CLASSES = {"classes": [{"name": "default"}, {"name": "urgent"}]}
+
+
+def counted(here: Stand) -> dict[tuple[str, str, CallOutcome], int]:
+    """Read the outcomes of an instance."""
+    readings = here.assembly.telemetry.outcomes()
+    return {(each.service, each.call_class, each.outcome): each.total for each in readings}
+
+
+async def cut(_upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+    """Close the connection without an answer."""
+    assert request.transport is not None
+    request.transport.abort()
+    await asyncio.Event().wait()
+    raise AssertionError
+
+
+def test_answers_are_counted_by_class_with_and_without_a_key() -> None:
+    async def main() -> None:
+        async with stand(None, service=CLASSES) as here:
+            async with here.session.get(here.url + "/") as answer:
+                assert answer.status == 200
+            headers = {"Idempotency-Key": f"{await here.grant()}.order-1", **URGENT}
+            for _ in range(2):
+                async with here.session.post(here.url + "/", headers=headers) as answer:
+                    assert answer.status == 200
+            assert counted(here) == {
+                ("orders", "default", CallOutcome.ANSWERED): 1,
+                ("orders", "urgent", CallOutcome.ANSWERED): 2,
+            }
+
+    run_shifted(main())
+
+
+def test_refusals_and_unknown_outcomes_are_counted() -> None:
+    async def main() -> None:
+        async with stand(refuse, service={"retry_share": 0.0}) as here:
+            async with here.session.get(here.url + "/") as answer:
+                assert answer.status == 503
+            assert counted(here) == {("orders", "default", CallOutcome.NOT_RUN): 1}
+        async with stand(cut, service={"key_required": False}) as here:
+            async with here.session.post(here.url + "/") as answer:
+                assert answer.status == 502
+            assert counted(here) == {("orders", "default", CallOutcome.UNKNOWN): 1}
+
+    run_shifted(main())
+
+
+def test_a_caller_that_leaves_is_counted_as_cut() -> None:
+    async def main() -> None:
+        async with stand(hold) as here:
+            caller = await here.caller()
+            await caller.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await here.upstreams[0].arrived.wait()
+            caller.close()
+            await here.upstreams[0].gone.wait()
+            await here.assembly.state.wait_idle()
+            assert counted(here) == {("orders", "default", CallOutcome.CUT): 1}
+
+    run_shifted(main())
--- a/heatherhead/tests/daemon_tests.py
+++ b/heatherhead/tests/daemon_tests.py
@@ -17,6 +17,18 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+FAULTY_SETTINGS = """{
+    "operators": {"listen": {"host": "localhost", "port": 1}},
+    "routing": {"homes_minimum": 9, "homes_maximum": 8},
+    "services": [{"name": "orders", "hosts": ["a.test"]}],
+}"""
+DOUBTFUL_SETTINGS = """{
+    "callers": {"listen": {"port": 0}},
+    "operators": {"listen": {"port": 0}},
+    "membership": {"listen": {"port": 0}},
+    "services": [{"name": "orders", "hosts": ["a.test"]}],
+}"""
+
 
 class _Upstream(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -57,16 +69,51 @@
         upstream.server_close()
 
 
-def test_check_names_the_wrong_field(tmp_path: Path) -> None:
+def test_check_reports_all_problems_and_warnings(tmp_path: Path) -> None:
+    checked = _run_daemon(tmp_path, FAULTY_SETTINGS, "--check")
+    assert checked.returncode == 2
+    assert "error: operators.listen.host" in checked.stderr
+    assert "error: routing.homes_minimum" in checked.stderr
+    assert "warning: services.0.upstreams" in checked.stderr
+
+
+def test_check_of_usable_settings_prints_the_warnings(tmp_path: Path) -> None:
+    checked = _run_daemon(tmp_path, DOUBTFUL_SETTINGS, "--check")
+    assert checked.returncode == 0
+    assert "warning: services.0.upstreams" in checked.stdout
+
+
+def test_daemon_refuses_to_start_with_fields_that_do_not_fit_together(tmp_path: Path) -> None:
+    started = _run_daemon(tmp_path, FAULTY_SETTINGS)
+    assert started.returncode == 2
+    assert "operators.listen.host" in started.stderr
+    assert "routing.homes_minimum" in started.stderr
+
+
+def test_start_logs_the_warnings(tmp_path: Path) -> None:
     path = tmp_path / "settings.json"
-    path.write_text('{"callers": {"listen": {"port": 70000}}}')
-    checked = subprocess.run(
-        [sys.executable, "-m", "heatherhead.daemon", "--check", str(path)],
+    path.write_text(DOUBTFUL_SETTINGS)
+    daemon = subprocess.Popen(
+        [sys.executable, "-m", "heatherhead.daemon", str(path)], stderr=subprocess.PIPE, text=True
+    )
+    try:
+        assert daemon.stderr is not None
+        line = _wait_for_line(daemon.stderr, "event=settings_warning")
+        assert "field=services.0.upstreams" in line
+    finally:
+        daemon.kill()
+        daemon.wait()
+        daemon.stderr.close()
+
+
+def _run_daemon(tmp_path: Path, settings: str, *options: str) -> subprocess.CompletedProcess[str]:
+    path = tmp_path / "settings.json"
+    path.write_text(settings)
+    return subprocess.run(
+        [sys.executable, "-m", "heatherhead.daemon", *options, str(path)],
         capture_output=True,
         text=True,
     )
-    assert checked.returncode == 2
-    assert "callers.listen.port" in checked.stderr
 
 
 def _listening_port(lines: object) -> int:
