Send a small answer's head and body in one write; choose services by path depth

Cause: a sampling profile showed two writes an answer where the forwarder makes one, header copies in Python loops, and a choice of service that looked at every prefix.

--- a/heatherhead/callers/headers.py
+++ b/heatherhead/callers/headers.py
@@ -36,34 +36,30 @@
 REPLAYED = istr("Heatherhead-Replayed")  # "true": the recorded answer of an earlier send
 IDEMPOTENCY_KEY = istr("Idempotency-Key")
 
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
+_HOP_BY_HOP = (
+    istr("Connection"),
+    istr("Keep-Alive"),
+    istr("Proxy-Authenticate"),
+    istr("Proxy-Authorization"),
+    istr("Proxy-Connection"),
+    istr("TE"),
+    istr("Trailer"),
+    istr("Transfer-Encoding"),
+    istr("Upgrade"),
 )
 
 
 def end_to_end_headers(
-    headers: CIMultiDictProxy[str], also_stripped: frozenset[str] = frozenset()
+    headers: CIMultiDictProxy[str], also_stripped: tuple[istr, ...] = ()
 ) -> CIMultiDict[str]:
-    """Copy headers without those of one connection (RFC 9110, section 7.6.1).
-
-    `also_stripped` holds further names in lower case.
-    """
-    stripped = _HOP_BY_HOP | also_stripped if also_stripped else _HOP_BY_HOP
+    """Copy headers without those of one connection (RFC 9110, section 7.6.1)."""
+    kept = CIMultiDict(headers)
     named = headers.get("Connection")
     if named is not None:
-        stripped = stripped | {name.strip().lower() for name in named.split(",")}
-    kept: CIMultiDict[str] = CIMultiDict()
-    for name, value in headers.items():
-        if name.lower() not in stripped:
-            kept.add(name, value)
+        for name in named.split(","):
+            kept.popall(name.strip(), None)
+    for name in _HOP_BY_HOP:
+        kept.popall(name, None)
+    for name in also_stripped:
+        kept.popall(name, None)
     return kept
--- a/heatherhead/callers/relay.py
+++ b/heatherhead/callers/relay.py
@@ -32,8 +32,7 @@
 
 SMALL_ANSWER_BYTES = 64 * 1024
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # closing then sends a reset, never a clean end
-_NOT_FOR_CALLERS = frozenset({LOAD.lower(), DRAINING.lower(), NOT_RUN.lower()})
-_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_NOT_FOR_CALLERS = (LOAD, DRAINING, NOT_RUN)
 _GATEWAY_STATUSES = frozenset({502, 503, 504})
 
 
@@ -68,27 +67,52 @@
     Raises `AnswerCutError` when the upstream or the caller stops in the middle, and
     `OutcomeUnknownError` when nothing has reached the caller yet.
     """
-    response = web.StreamResponse(
-        status=answer.status, reason=answer.reason, headers=answer_headers(answer, keep_promise)
-    )
+    headers = answer_headers(answer, keep_promise)
+    length = answer.content_length
+    if length is not None and length <= SMALL_ANSWER_BYTES and not begun:
+        body = await _read_whole(answer)
+        return await _send_whole(request, answer.status, answer.reason, headers, body, close=close)
+    response = web.StreamResponse(status=answer.status, reason=answer.reason, headers=headers)
     if close:
         response.force_close()
     try:
         await _copy(request, response, answer, settings, begun)
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-        if not response.prepared:
-            raise OutcomeUnknownError(
-                "the upstream's answer ended early", remedy=UNKNOWN_REMEDY
-            ) from error
         abort_connection(request)
         raise AnswerCutError(f"answer cut short: {error}") from error
     except asyncio.CancelledError:
-        if response.prepared:
-            abort_connection(request)
+        abort_connection(request)
         raise
     return response
 
 
+async def _read_whole(answer: ClientResponse) -> bytes:
+    try:
+        return await answer.read()
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        raise OutcomeUnknownError(
+            "the upstream's answer ended early", remedy=UNKNOWN_REMEDY
+        ) from error
+
+
+async def _send_whole(
+    request: web.BaseRequest,
+    status: int,
+    reason: str | None,
+    headers: CIMultiDict[str],
+    body: bytes,
+    *,
+    close: bool,
+) -> web.Response:
+    """Send head and body in one write."""
+    response = web.Response(status=status, reason=reason, headers=headers, body=body)
+    if close:
+        response.force_close()
+    await response.prepare(request)
+    await response.write_eof()
+    return response
+
+
 async def relay_recorded(
     request: web.BaseRequest, recorded: RecordedAnswer, *, close: bool, replayed: bool
 ) -> web.StreamResponse:
@@ -96,16 +120,7 @@
     headers: CIMultiDict[str] = CIMultiDict(recorded.headers)
     if replayed:
         headers[REPLAYED] = "true"
-    response = web.StreamResponse(status=recorded.status, headers=headers)
-    if close:
-        response.force_close()
-    if recorded.status not in _STATUSES_WITHOUT_BODY:
-        response.content_length = len(recorded.body)
-    await response.prepare(request)
-    if recorded.body:
-        await response.write(recorded.body)
-    await response.write_eof()
-    return response
+    return await _send_whole(request, recorded.status, None, headers, recorded.body, close=close)
 
 
 async def _copy(
@@ -115,14 +130,6 @@
     settings: CallersSettings,
     begun: bytes,
 ) -> None:
-    length = answer.content_length
-    if length is not None and length <= SMALL_ANSWER_BYTES:
-        body = await answer.read()
-        await response.prepare(request)
-        if body:
-            await response.write(body)
-        await response.write_eof()
-        return
     await response.prepare(request)
     if begun:
         await response.write(begun)
--- a/heatherhead/callers/requests.py
+++ b/heatherhead/callers/requests.py
@@ -5,6 +5,8 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from multidict import istr
+
 from heatherhead.callers.deadlines import asked_deadline_ms, remaining_ms
 from heatherhead.callers.headers import (
     CALL_CLASS,
@@ -29,7 +31,7 @@
 
 __all__ = ["call_of", "outbound_request", "service_of", "target_of"]
 
-_STRIPPED = frozenset({"expect", "content-length"})
+_STRIPPED = (istr("Expect"), istr("Content-Length"))
 _FINGERPRINT_BYTES = 8
 _MAX_TENANT_CHARS = 64
 _MAX_KEY_CHARS = 512
@@ -106,6 +108,8 @@
 
 
 def _class_of(service: Service, asked: str, tenant: str) -> str:
+    if not asked and not tenant:
+        return "default"
     names = [each.name for each in service.classes]
     if asked in names:
         return asked
--- a/heatherhead/callers/service_choice.py
+++ b/heatherhead/callers/service_choice.py
@@ -12,44 +12,45 @@
 
 
 class ServiceChoice:
-    """Finds services; a host name goes before a path prefix, a longer prefix before a shorter."""
+    """Finds services; a host name goes before a path prefix, a longer prefix before a shorter.
+
+    The time of a choice depends on the depth of the path, not on the number of services.
+    """
 
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._by_host: dict[str, Service] = {}
-        self._by_prefix: list[tuple[str, Service]] = []
+        self._by_prefix: dict[str, Service] = {}
         replica.subscribe(self._rebuild)
         self._rebuild(None)
 
     def _rebuild(self, _record: ServiceRecord | None) -> None:
-        services = sorted(self._replica.services(), key=lambda service: service.name)
-        self._by_host = {
-            host.lower(): service for service in reversed(services) for host in service.hosts
+        services = sorted(self._replica.services(), key=lambda service: service.name, reverse=True)
+        self._by_host = {host.lower(): service for service in services for host in service.hosts}
+        self._by_prefix = {
+            prefix.rstrip("/"): service for service in services for prefix in service.path_prefixes
         }
-        prefixes = [(prefix, service) for service in services for prefix in service.path_prefixes]
-        self._by_prefix = sorted(prefixes, key=lambda pair: len(pair[0]), reverse=True)
 
-    def choose(self, host: str, path: str) -> Service | None:
-        """Find the service for a Host header and a path; `None` if no rule matches."""
-        name = host.rpartition(":")[0] if _has_port(host) else host
-        service = self._by_host.get(name.lower())
+    def choose(self, host: str, target: str) -> Service | None:
+        """Find the service for a Host header and a request target; `None` if no rule matches."""
+        service = self._by_host.get(_name_of(host))
         if service is not None:
             return service
-        for prefix, candidate in self._by_prefix:
-            if _below(path, prefix):
-                return candidate
-        return None
-
-
-def _has_port(host: str) -> bool:
-    return host.rpartition(":")[2].isdigit() and (host.count(":") == 1 or "]:" in host)
-
-
-def _below(path: str, prefix: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    rest = path[len(prefix) :]
-    return prefix.endswith("/") or not rest or rest[0] in "/?"
+        prefix = target.partition("?")[0]
+        while prefix:
+            service = self._by_prefix.get(prefix)
+            if service is not None:
+                return service
+            prefix = prefix.rpartition("/")[0]
+        return self._by_prefix.get("")
+
+
+def _name_of(host: str) -> str:
+    """Give a host name without its port, in lower case."""
+    name, separator, port = host.rpartition(":")
+    if separator and port.isdigit() and (":" not in name or name.endswith("]")):
+        return name.lower()
+    return host.lower()
 
 
 def create_service_choice(replica: Replica) -> ServiceChoice:
--- /dev/null
+++ b/heatherhead/tests/callers/service_choice_tests.py
@@ -0,0 +1,48 @@
+"""Tests of `heatherhead.callers.service_choice`."""
+
+from __future__ import annotations
+
+import pytest
+
+from heatherhead.callers.service_choice import create_service_choice
+from heatherhead.configuration.model import Service, ServiceRecord
+from heatherhead.configuration.replica import create_replica
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        ("a.example", "/", "a"),
+        ("A.example:8080", "/b/1", "a"),
+        ("[::1]:80", "/", "six"),
+        ("x", "/b", "b"),
+        ("x", "/b/", "b"),
+        ("x", "/b?c", "b"),
+        ("x", "/b/c/d", "deep"),
+        ("x", "/bc", None),
+        ("x", "/", None),
+        ("x", "*", None),
+    ],
+)
+def test_choice(host: str, target: str, name: str | None) -> None:
+    replica = create_replica()
+    choice = create_service_choice(replica)
+    services = [
+        Service("a", hosts=("a.example",)),
+        Service("six", hosts=("[::1]",)),
+        Service("b", path_prefixes=("/b",)),
+        Service("deep", path_prefixes=("/b/c/",)),
+    ]
+    for revision, service in enumerate(services, start=1):
+        replica.apply(ServiceRecord(service.name, revision, "c", service))
+    chosen = choice.choose(host, target)
+    assert (chosen.name if chosen else None) == name
+
+
+def test_choice_follows_the_replica() -> None:
+    replica = create_replica()
+    choice = create_service_choice(replica)
+    replica.apply(ServiceRecord("b", 1, "c", Service("b", path_prefixes=("/",))))
+    assert choice.choose("x", "/any/path") is not None
+    replica.apply(ServiceRecord("b", 2, "d", None))
+    assert choice.choose("x", "/any/path") is None
