Take requests read after a pause to be as old as the pause; bound the key table by settings

Cause: a request that waited in the kernel while the process was stopped got its whole deadline from the moment it was read. Change: a watch notices late ticks and dates such requests back. Keyed calls are in the histograms as well.

--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -7,13 +7,14 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.admission.grants import create_grant_issuer
-from heatherhead.admission.key_table import create_key_table
+from heatherhead.admission.key_table import KeyTableLimits, create_key_table
 from heatherhead.callers.addresses import create_address_answers
 from heatherhead.callers.handler import create_call_handler
 from heatherhead.callers.key_runs import create_key_runner
 from heatherhead.callers.keyed import create_keyed_calls
 from heatherhead.callers.listener import bind, create_callers_listener
 from heatherhead.callers.pass_on import create_pass_on
+from heatherhead.callers.pauses import create_pause_watch
 from heatherhead.callers.protocol import create_callers_server
 from heatherhead.callers.service_choice import create_service_choice
 from heatherhead.callers.state import CallersState, Phase
@@ -35,6 +36,7 @@
 
     from heatherhead.configuration.model import ServiceRecord
     from heatherhead.settings import Settings
+    from heatherhead.settings.admission import AdmissionSettings
 
 __all__ = ["Assembly", "create_assembly"]
 
@@ -68,7 +70,8 @@
         issuer = create_grant_issuer(
             settings.instance.id, incarnation, callers.addresses_keep_s + GRANT_SLACK_S
         )
-        table = create_key_table(issuer)
+        table = create_key_table(issuer, _key_limits(settings.admission))
+        self.pauses = create_pause_watch()
         owner_tls = _owner_tls(settings)
         keyed = create_keyed_calls(
             issuer,
@@ -77,6 +80,7 @@
             create_pass_on(view, self.client, callers, self.state, self.telemetry, owner_tls),
             self.state,
             callers,
+            self.telemetry,
         )
         self.addresses = create_address_answers(
             callers,
@@ -94,6 +98,7 @@
             keyed,
             self.state,
             self.telemetry,
+            self.pauses,
             {"/v1/addresses": self.addresses.addresses, "/v1/ready": self.addresses.ready},
         )
         backend = Backend(
@@ -157,9 +162,8 @@
     async def _wait_for_given_answers(self) -> None:
         """Serve until no caller has a reason to come; others may have given this address too."""
         now = asyncio.get_running_loop().time()
-        alone = len(self.membership.view.by_id) <= 1
         until = self.addresses.given_until
-        if not alone:
+        if not self.membership.is_lone:
             until = max(until, now + self.settings.callers.addresses_keep_s + GRANT_SLACK_S)
         await asyncio.sleep(max(0.0, until - now))
 
@@ -167,6 +171,7 @@
         """Stop all parts."""
         self.listener.stop_accepting()
         await self.listener.close()
+        self.pauses.stop()
         await self.operators.stop()
         await self.configuration.stop()
         await self.membership.stop()
@@ -182,6 +187,15 @@
     return settings.model_copy(update={"callers": callers.model_copy(update={"listen": listen})})
 
 
+def _key_limits(settings: AdmissionSettings) -> KeyTableLimits:
+    return KeyTableLimits(
+        max_entries=settings.max_keys,
+        max_recorded_bytes=settings.max_recorded_bytes,
+        max_answer_bytes=settings.max_recorded_answer_bytes,
+        retention_s=settings.keys_kept_s,
+    )
+
+
 def _owner_tls(settings: Settings) -> ssl.SSLContext | None:
     tls = settings.callers.listen.tls
     return create_client_context(tls) if tls is not None else None
--- a/heatherhead/callers/handler.py
+++ b/heatherhead/callers/handler.py
@@ -35,6 +35,7 @@
     from aiohttp.web import BaseRequest, StreamResponse
 
     from heatherhead.callers.keyed import KeyedCalls
+    from heatherhead.callers.pauses import PauseWatch
     from heatherhead.callers.service_choice import ServiceChoice
     from heatherhead.callers.state import CallersState
     from heatherhead.settings.callers import CallersSettings
@@ -59,6 +60,7 @@
         keyed: KeyedCalls,
         state: CallersState,
         telemetry: Telemetry,
+        pauses: PauseWatch,
         own_by_path: dict[str, OwnHandler],
     ) -> None:
         self._settings = settings
@@ -67,6 +69,7 @@
         self._keyed = keyed
         self._state = state
         self._telemetry = telemetry
+        self._pauses = pauses
         self._own_by_path = own_by_path
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
@@ -99,6 +102,8 @@
         if not inbound.passed_on:
             self._count_outcome(inbound, CallOutcome.ANSWERED)
             self._telemetry.count("calls.answered")
+        if inbound.run is not None:
+            self._observe(inbound.run)
         return response
 
     def _count_cut(self, inbound: InboundCall) -> None:
@@ -129,7 +134,7 @@
         try:
             target = target_of(request)
             service = service_of(request, target, self._choice)
-            now = asyncio.get_running_loop().time()
+            now = self._pauses.arrival(asyncio.get_running_loop().time())
             call, asked = call_of(request, target, service, self._settings, now)
         except CallRefusedError as error:
             raise self._keyed.refuse(request, error) from error
@@ -170,7 +175,6 @@
             complete = True
         finally:
             opened.close(complete=complete)
-        self._observe(run)
         return response
 
     def _observe(self, run: CallRun) -> None:
@@ -211,7 +215,8 @@
     keyed: KeyedCalls,
     state: CallersState,
     telemetry: Telemetry,
+    pauses: PauseWatch,
     own_by_path: dict[str, OwnHandler],
 ) -> CallHandler:
     """Create the handler; `own_by_path` holds the paths that this instance answers itself."""
-    return CallHandler(settings, choice, runner, keyed, state, telemetry, own_by_path)
+    return CallHandler(settings, choice, runner, keyed, state, telemetry, pauses, own_by_path)
--- a/heatherhead/callers/keyed.py
+++ b/heatherhead/callers/keyed.py
@@ -38,6 +38,7 @@
     from heatherhead.callers.state import CallersState
     from heatherhead.exceptions import CallRefusedError
     from heatherhead.settings.callers import CallersSettings
+    from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["KeyedCalls", "create_keyed_calls"]
 
@@ -53,6 +54,7 @@
         pass_on: PassOn,
         state: CallersState,
         settings: CallersSettings,
+        telemetry: Telemetry,
     ) -> None:
         self._issuer = issuer
         self._table = table
@@ -60,6 +62,7 @@
         self._pass_on = pass_on
         self._state = state
         self._settings = settings
+        self._telemetry = telemetry
 
     def check(self, inbound: InboundCall) -> None:
         """Read the key of a non-idempotent call, before its body is asked for.
@@ -173,6 +176,7 @@
         error = end.error()
         if error is not None:
             raise error
+        self._telemetry.count("keys.replayed")
         assert end.answer is not None
         return await relay_recorded(
             inbound.request, end.answer, close=self._state.closing_connections, replayed=True
@@ -192,6 +196,7 @@
     pass_on: PassOn,
     state: CallersState,
     settings: CallersSettings,
+    telemetry: Telemetry,
 ) -> KeyedCalls:
     """Create the filter of keyed calls."""
-    return KeyedCalls(issuer, table, runner, pass_on, state, settings)
+    return KeyedCalls(issuer, table, runner, pass_on, state, settings, telemetry)
--- a/heatherhead/settings/admission.py
+++ b/heatherhead/settings/admission.py
@@ -27,6 +27,18 @@
     answer_idle_timeout_s: float = Field(
         default=60.0, gt=0, description="Seconds an upstream may send no byte of an answer."
     )
+    max_keys: int = Field(
+        default=200_000, ge=1, description="Keys of non-idempotent calls remembered at once."
+    )
+    keys_kept_s: float = Field(
+        default=60.0, gt=0, description="Seconds a key is remembered after its grant expired."
+    )
+    max_recorded_bytes: int = Field(
+        default=16 * 1024**2, ge=0, description="Memory for recorded answers of keyed calls."
+    )
+    max_recorded_answer_bytes: int = Field(
+        default=64 * 1024, ge=0, description="Largest answer that is recorded."
+    )
     max_answer_header_bytes: int = Field(
         default=32_768, ge=1024, description="Longest single header of an answer."
     )
