--- a/bench/kill.py
+++ b/bench/kill.py
@@ -133,7 +133,9 @@
     service = ServiceSchema.model_validate(
         {"name": "orders", "path_prefixes": ["/"], "upstreams": upstreams}
     )
-    editor = create_editor(store, "/heatherhead/", replica, replica.apply)
+    editor = create_editor(
+        store, "/heatherhead/", replica, lambda record, _document: replica.apply(record)
+    )
     (await editor.put(service, 0, "bench")).unwrap()
     await store.close()
 
