--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: install test lint format prove demo run generate docs capacity
+.PHONY: bench-operators bench-control bench-policy bench-choose bench-path bench-kill
 
 install: $(STAMP)
 
@@ -39,3 +40,21 @@
 
 run: $(STAMP)
 	$(BIN)/python -m heatherhead.daemon examples/quickstart.json
+
+bench-control: $(STAMP)
+	$(BIN)/python -m bench.control
+
+bench-policy: $(STAMP)
+	$(BIN)/python -m bench.policy
+
+bench-choose: $(STAMP)
+	$(BIN)/python -m bench.choose
+
+bench-path: $(STAMP)
+	$(BIN)/python -m bench.path
+
+bench-kill: $(STAMP)
+	$(BIN)/python -m bench.kill
+
+bench-operators: $(STAMP)
+	$(BIN)/python -m bench.operators
--- a/bench/fake_upstream.py
+++ b/bench/fake_upstream.py
@@ -1,7 +1,8 @@
 """Fake upstreams: HTTP servers with a few slots and faults that are scripted or switched.
 
 Run as `python -m bench.fake_upstream SCRIPT.json`; one process serves the upstreams of the script.
-The answer to `GET /__state` is what each upstream saw; `POST /__fault` switches its fault.
+The answer to `GET /__state` is what each upstream saw; `POST /__fault` switches its fault,
+and `POST /__spells` begins its slow spells anew.
 """
 
 from __future__ import annotations
@@ -55,7 +56,8 @@
 
     Spells of `slow_s` seconds, `slow_factor` times slower, begin at random about every
     `slow_every_s` seconds from a generator seeded with `seed`; 0 for none. See `SlowSpells` for
-    `epoch`.
+    `epoch`. The id of each run is appended to the file `run_log` before the run begins, where a
+    kill of the process leaves it.
     """
 
     port: int
@@ -68,6 +70,7 @@
     slow_factor: float = 10.0
     seed: int = 1
     epoch: float = 0.0
+    run_log: str = ""
     fault: Fault = field(default_factory=Fault)
 
 
@@ -112,10 +115,13 @@
         self.in_flight_max = 0
         self.runs_by_id: Counter[str] = Counter()
         self.answered_by_id: Counter[str] = Counter()
-        self._slots = asyncio.Semaphore(script.slots)
-        self._spells = SlowSpells(
-            script.slow_every_s, script.slow_s, script.slow_factor, script.seed, script.epoch
+        self._run_log = (
+            os.open(script.run_log, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+            if script.run_log
+            else None
         )
+        self._slots = asyncio.Semaphore(script.slots)
+        self._spells = self._create_spells()
         self._body = b"x" * script.answer_bytes
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -124,6 +130,8 @@
             return web.json_response(self.state())
         if request.path == "/__fault":
             return await self._switch_fault(request)
+        if request.path == "/__spells":
+            return await self._restart_spells(request)
         if self.fault.draining or self.fault.shedding:
             return self._refusal()
         if self.fault.fail_fast:
@@ -166,6 +174,8 @@
         run_id = request.headers.get(RUN_ID_HEADER)
         if run_id and len(self.runs_by_id) < MAX_RUN_IDS:
             self.runs_by_id[run_id] += 1
+            if self._run_log is not None:
+                os.write(self._run_log, f"{run_id}\n".encode())
         if CRASH_HEADER in request.headers:
             os._exit(1)
         received = await _read_body(request)
@@ -190,6 +200,21 @@
             headers["Connection"] = "close"
         return web.Response(status=503, headers=headers, text="not run")
 
+    def _create_spells(self) -> SlowSpells:
+        script = self.script
+        return SlowSpells(
+            script.slow_every_s, script.slow_s, script.slow_factor, script.seed, script.epoch
+        )
+
+    async def _restart_spells(self, request: web.BaseRequest) -> web.Response:
+        changes: Mapping[str, float] = json.loads(await request.read())
+        self.script.epoch = changes["epoch"]
+        self.script.slow_every_s = changes["slow_every_s"]
+        self._spells = self._create_spells()
+        self.calls = 0
+        self.cancelled = 0
+        return web.json_response({})
+
     async def _switch_fault(self, request: web.BaseRequest) -> web.Response:
         changes: Mapping[str, bool] = json.loads(await request.read())
         for name, value in changes.items():
--- a/heatherhead/operators/changes.py
+++ b/heatherhead/operators/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -10,9 +11,9 @@
 
 from heatherhead.configuration.model import ServiceRecord
 from heatherhead.configuration.schema import service_from_schema, service_to_schema
+from heatherhead.configuration.service_checks import overlaps, warnings_of
 from heatherhead.exceptions import ConfigurationError, ConflictError
 from heatherhead.operators import heatherhead_pb2 as pb
-from heatherhead.operators.checks import check_change_id, overlaps, warnings_of
 from heatherhead.operators.errors import ChangeConflictError, UnknownNameError
 from heatherhead.operators.messages import to_message
 from heatherhead.telemetry.logs import log_event
@@ -27,10 +28,13 @@
 
 __all__ = ["Change", "ServiceChanger"]
 
+MAX_CHANGE_ID_CHARACTERS = 128
 MAX_DRAIN_RACES = 5
 REPLICA_WAIT_S = 1.0
 REPLICA_POLL_S = 0.05
 
+_CHANGE_ID = re.compile(r"[!-~]+")
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
@@ -44,7 +48,13 @@
     dry_run: bool = False
 
     def __post_init__(self) -> None:
-        check_change_id(self.change_id)
+        is_short = len(self.change_id) <= MAX_CHANGE_ID_CHARACTERS
+        if not is_short or not _CHANGE_ID.fullmatch(self.change_id):
+            raise ConfigurationError(
+                "change_id",
+                "not an identifier",
+                remedy=f"send 1 to {MAX_CHANGE_ID_CHARACTERS} printable characters without spaces",
+            )
 
 
 class ServiceChanger:
@@ -60,9 +70,11 @@
 
     async def put(self, schema: ServiceSchema, change: Change) -> pb.ChangeReply:
         """Create or replace a service."""
+        service = service_from_schema(schema)
         if not _is_known(self._replica.by_name.get(schema.name), change.change_id):
-            self._refuse_overlaps(service_from_schema(schema))
-        return await self._put(schema, change)
+            self._refuse_overlaps(service)
+        await asyncio.sleep(0)  # lets calls go on after the conversion of a large service
+        return await self._put(schema, service, change)
 
     async def delete(self, name: str, change: Change) -> pb.ChangeReply:
         """Delete a service."""
@@ -95,14 +107,13 @@
             expected = held.revision if expected_revision is None else expected_revision
             change = Change(change_id, expected, dry_run)
             try:
-                return await self._put(service_to_schema(wanted), change)
+                return await self._put(service_to_schema(wanted), wanted, change)
             except ChangeConflictError:
                 if expected_revision is not None or not races_left:
                     raise
         raise AssertionError("the last race raises")
 
-    async def _put(self, schema: ServiceSchema, change: Change) -> pb.ChangeReply:
-        service = service_from_schema(schema)
+    async def _put(self, schema: ServiceSchema, service: Service, change: Change) -> pb.ChangeReply:
         held = self._replica.by_name.get(schema.name)
         if change.dry_run:
             self._compare(held, schema.name, change)
@@ -110,6 +121,7 @@
         if held and held.service == service and held.revision == change.expected_revision:
             return _reply(held, unchanged=True)
         answer = await self._editor.put(schema, change.expected_revision, change.change_id)
+        await asyncio.sleep(0)  # lets calls go on before a large service is written out
         return _reply(await self._accepted(answer, schema.name))
 
     def _require(self, name: str) -> ServiceRecord:
--- a/heatherhead/operators/messages.py
+++ b/heatherhead/operators/messages.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from google.protobuf.json_format import MessageToDict
+from google.protobuf.message import Message
 from pydantic import ValidationError
 
 from heatherhead.configuration.interface import AppliedRevision
@@ -15,10 +15,12 @@
 from heatherhead.field_problems import problems_of
 from heatherhead.operators import heatherhead_pb2 as pb
 from heatherhead.routing.interface import QuarantineEntry
-from heatherhead.telemetry.interface import Distribution, HistogramKind, HistogramReading
-
-if TYPE_CHECKING:
-    from google.protobuf.message import Message
+from heatherhead.telemetry.interface import (
+    Distribution,
+    HistogramKind,
+    HistogramReading,
+    OutcomeReading,
+)
 
 __all__ = ["message_of_schema", "schema_of_message", "summary_of_record", "to_message"]
 
@@ -34,7 +36,7 @@
 
 def schema_of_message(message: pb.Service) -> ServiceSchema:
     """Validate a service that was sent; raises `ConfigurationError` with every wrong field."""
-    document = MessageToDict(message, preserving_proto_field_name=True)
+    document = _document(message)
     try:
         return ServiceSchema.model_validate(document)
     except ValidationError as error:
@@ -44,6 +46,19 @@
         ) from error
 
 
+def _document(message: Message) -> dict[str, Any]:
+    """Convert a message into a map of the fields that were sent."""
+    return {field.name: _plain(value) for field, value in message.ListFields()}
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Message):
+        return _document(value)
+    if isinstance(value, str | int | float):
+        return value
+    return [_plain(each) for each in value]
+
+
 def message_of_schema(schema: ServiceSchema) -> pb.Service:
     """Convert a validated service into a message with every field set."""
     return to_message(service_from_schema(schema))
@@ -138,9 +153,11 @@
 
 @to_message.register
 def _(value: AppliedRevision) -> pb.AppliedRevision:
-    return pb.AppliedRevision(
-        instance_id=value.instance_id, revision=value.revision, age_s=value.age_s
-    )
+    message = pb.AppliedRevision(instance_id=value.instance_id)
+    if value.revision >= 0:
+        message.revision = value.revision
+        message.age_s = value.age_s
+    return message
 
 
 @to_message.register
@@ -166,3 +183,14 @@
         total=to_message(value.total),
         encoded=value.encoded,
     )
+
+
+@to_message.register
+def _(value: OutcomeReading) -> pb.OutcomeCount:
+    return pb.OutcomeCount(
+        service=value.service,
+        call_class=value.call_class,
+        outcome=value.outcome,
+        recent=value.recent,
+        total=value.total,
+    )
--- a/heatherhead/tests/callers/fakes.py
+++ b/heatherhead/tests/callers/fakes.py
@@ -28,7 +28,7 @@
     "stand",
 ]
 
-Handler = "Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]"
+START_STEP_S = 0.1
 
 
 class ShiftedLoop(asyncio.SelectorEventLoop):
@@ -146,11 +146,13 @@
     upstreams: list[FakeUpstream]
     session: aiohttp.ClientSession
     url: str
+    callers: list[RawCaller] = field(default_factory=list)
 
     async def caller(self) -> RawCaller:
         """Connect a raw caller."""
         port = self.assembly.settings.callers.listen.port
-        return RawCaller(*await asyncio.open_connection("127.0.0.1", port))
+        self.callers.append(RawCaller(*await asyncio.open_connection("127.0.0.1", port)))
+        return self.callers[-1]
 
     async def grant(self) -> str:
         """Ask for a grant."""
@@ -160,11 +162,12 @@
 
 def settings_for(ports: list[int], **overrides: Any) -> dict[str, Any]:
     """Build settings of one instance with the service `orders` on upstream ports."""
+    slots = overrides.pop("slots", 4)
     service = {
         "name": "orders",
         "path_prefixes": ["/"],
         "upstreams": [
-            {"id": f"u{index}", "host": "127.0.0.1", "port": port}
+            {"id": f"u{index}", "host": "127.0.0.1", "port": port, "slots": slots}
             for index, port in enumerate(ports)
         ],
         **overrides.pop("service", {}),
@@ -180,7 +183,7 @@
     assembly = create_assembly(Settings.model_validate(document))
     await assembly.start()
     try:
-        await assembly.configuration.ready.wait()
+        await _configured(assembly)
         yield assembly
     finally:
         await assembly.stop()
@@ -198,7 +201,10 @@
         async with started(settings_for(ports, **overrides)) as assembly:
             url = f"http://127.0.0.1:{assembly.settings.callers.listen.port}"
             async with aiohttp.ClientSession() as session:
-                yield Stand(assembly, upstreams, session, url)
+                here = Stand(assembly, upstreams, session, url)
+                yield here
+                for caller in here.callers:
+                    caller.close()
     finally:
         for upstream in upstreams:
             upstream.go.set()
@@ -206,6 +212,15 @@
             await server.cleanup()
 
 
+async def _configured(assembly: Assembly) -> None:
+    """Wait for the configuration; a shifted clock makes that short."""
+    loop = asyncio.get_running_loop()
+    while isinstance(loop, ShiftedLoop) and not assembly.configuration.ready.is_set():
+        loop.advance(START_STEP_S)
+        await asyncio.sleep(0)
+    await assembly.configuration.ready.wait()
+
+
 async def _serve(upstream: FakeUpstream) -> web.ServerRunner:
     runner = web.ServerRunner(
         web.Server(upstream.handle, handler_cancellation=True), shutdown_timeout=0.0
--- a/heatherhead/tests/operators/fakes.py
+++ b/heatherhead/tests/operators/fakes.py
@@ -31,6 +31,7 @@
     from heatherhead.configuration.replica import Replica
     from heatherhead.exceptions import HeatherheadError
     from heatherhead.operators.client import OperatorsClient
+    from heatherhead.settings.instance import TlsSettings
     from heatherhead.store.interface import WriteAnswer
 
 __all__ = ["Site", "dead_address", "running_site"]
@@ -150,7 +151,9 @@
         self.status = FakeStatus(self.replica)
         self.router = FakeRouter(self.replica)
         self.telemetry = TelemetryRecorder(None, 8)
-        self.editor = create_editor(self.store, "/test/", self.replica, self.replica.apply)
+        self.editor = create_editor(
+            self.store, "/test/", self.replica, lambda record, _: self.replica.apply(record)
+        )
         self.backend = Backend(
             self.replica,
             self.editor,
@@ -163,7 +166,7 @@
 
     def other_editor(self) -> Editor:
         """Create the editor of an instance whose replica has nothing yet."""
-        return create_editor(self.store, "/test/", create_replica(), lambda _: True)
+        return create_editor(self.store, "/test/", create_replica(), lambda *_: True)
 
     def client(self, timeout_s: float = 10.0) -> OperatorsClient:
         """Create a client of all servers."""
@@ -171,10 +174,10 @@
 
 
 @asynccontextmanager
-async def running_site(servers: int = 1) -> AsyncIterator[Site]:
+async def running_site(servers: int = 1, tls: TlsSettings | None = None) -> AsyncIterator[Site]:
     """Run operators' servers on free ports of the loopback."""
     site = Site()
-    settings = OperatorsSettings(listen=ListenSettings(port=0))
+    settings = OperatorsSettings(listen=ListenSettings(port=0, tls=tls))
     running = [create_operators_server(settings, site.backend) for _ in range(servers)]
     try:
         for server in running:
