--- a/heatherhead/callers/handler.py
+++ b/heatherhead/callers/handler.py
@@ -26,7 +26,7 @@
     OutcomeUnknownError,
     ReportedOutcome,
 )
-from heatherhead.telemetry.interface import HistogramKind
+from heatherhead.telemetry.interface import CallOutcome, HistogramKind
 from heatherhead.upstreams.attempts import UNKNOWN_REMEDY, CallRun
 
 if TYPE_CHECKING:
@@ -35,6 +35,7 @@
     from aiohttp.web import BaseRequest, StreamResponse
 
     from heatherhead.callers.keyed import KeyedCalls
+    from heatherhead.callers.pauses import PauseWatch
     from heatherhead.callers.service_choice import ServiceChoice
     from heatherhead.callers.state import CallersState
     from heatherhead.settings.callers import CallersSettings
@@ -59,6 +60,7 @@
         keyed: KeyedCalls,
         state: CallersState,
         telemetry: Telemetry,
+        pauses: PauseWatch,
         own_by_path: dict[str, OwnHandler],
     ) -> None:
         self._settings = settings
@@ -67,6 +69,7 @@
         self._keyed = keyed
         self._state = state
         self._telemetry = telemetry
+        self._pauses = pauses
         self._own_by_path = own_by_path
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
@@ -77,18 +80,39 @@
                 return await own(request)
         self._state.begin()
         try:
-            return await self._serve(request)
-        except CallCutError as error:
-            self._telemetry.count("calls.cut")
-            raise AnswerCutError(error.reason) from error
-        except AnswerCutError:
-            self._telemetry.count("calls.cut")
-            raise
+            return await self._serve(self._take_in(request))
         except HeatherheadError as error:
             return self._refusal(error)
         finally:
             self._state.end()
 
+    async def _serve(self, inbound: InboundCall) -> StreamResponse:
+        """Serve a call of a known service, and count how it ends."""
+        try:
+            response = await self._check_and_serve(inbound)
+        except CallCutError as error:
+            self._count_cut(inbound)
+            raise AnswerCutError(error.reason) from error
+        except (AnswerCutError, asyncio.CancelledError):
+            self._count_cut(inbound)
+            raise
+        except HeatherheadError as error:
+            self._count_outcome(inbound, _OUTCOME_BY_REPORTED[problem_of(error).outcome])
+            raise
+        if not inbound.passed_on:
+            self._count_outcome(inbound, CallOutcome.ANSWERED)
+            self._telemetry.count("calls.answered")
+        if inbound.run is not None:
+            self._observe(inbound.run)
+        return response
+
+    def _count_cut(self, inbound: InboundCall) -> None:
+        self._count_outcome(inbound, CallOutcome.CUT)
+        self._telemetry.count("calls.cut")
+
+    def _count_outcome(self, inbound: InboundCall, outcome: CallOutcome) -> None:
+        self._telemetry.count_outcome(inbound.service.name, inbound.call.call_class, outcome)
+
     def _refusal(self, error: HeatherheadError) -> StreamResponse:
         problem = problem_of(error)
         self._telemetry.count(_COUNTER_BY_OUTCOME[problem.outcome])
@@ -97,24 +121,23 @@
             response.force_close()
         return response
 
-    async def _serve(self, request: BaseRequest) -> StreamResponse:
-        try:
-            inbound = self._take_in(request)
-        except CallRefusedError as error:
-            raise self._keyed.refuse(request, error) from error
+    async def _check_and_serve(self, inbound: InboundCall) -> StreamResponse:
         self._keyed.check(inbound)
         try:
             return await self._serve_in_time(inbound)
         except CallRefusedError as error:
             if inbound.key is None or inbound.reached_key_table:
                 raise
-            raise self._keyed.refuse(request, error) from error
+            raise self._keyed.refuse(inbound.request, error) from error
 
     def _take_in(self, request: BaseRequest) -> InboundCall:
-        target = target_of(request)
-        service = service_of(request, target, self._choice)
-        now = asyncio.get_running_loop().time()
-        call, asked = call_of(request, target, service, self._settings, now)
+        try:
+            target = target_of(request)
+            service = service_of(request, target, self._choice)
+            now = self._pauses.arrival(asyncio.get_running_loop().time())
+            call, asked = call_of(request, target, service, self._settings, now)
+        except CallRefusedError as error:
+            raise self._keyed.refuse(request, error) from error
         return InboundCall(request, service, call, asked)
 
     async def _serve_in_time(self, inbound: InboundCall) -> StreamResponse:
@@ -152,7 +175,6 @@
             complete = True
         finally:
             opened.close(complete=complete)
-        self._observe(run)
         return response
 
     def _observe(self, run: CallRun) -> None:
@@ -162,7 +184,6 @@
         observe = self._telemetry.observe
         observe(call.service, call.call_class, HistogramKind.ADDED, max(0.0, added_s))
         observe(call.service, call.call_class, HistogramKind.ATTEMPTS, call.attempts)
-        self._telemetry.count("calls.answered")
 
 
 def _deadline_error(inbound: InboundCall) -> HeatherheadError:
@@ -180,6 +201,11 @@
     ReportedOutcome.UNKNOWN: "calls.unknown",
     ReportedOutcome.RAN: "calls.ran",
 }
+_OUTCOME_BY_REPORTED = {
+    ReportedOutcome.NOT_RUN: CallOutcome.NOT_RUN,
+    ReportedOutcome.UNKNOWN: CallOutcome.UNKNOWN,
+    ReportedOutcome.RAN: CallOutcome.RAN,
+}
 
 
 def create_call_handler(
@@ -189,7 +215,8 @@
     keyed: KeyedCalls,
     state: CallersState,
     telemetry: Telemetry,
+    pauses: PauseWatch,
     own_by_path: dict[str, OwnHandler],
 ) -> CallHandler:
     """Create the handler; `own_by_path` holds the paths that this instance answers itself."""
-    return CallHandler(settings, choice, runner, keyed, state, telemetry, own_by_path)
+    return CallHandler(settings, choice, runner, keyed, state, telemetry, pauses, own_by_path)
