--- a/heatherhead/tests/configuration/dissemination_tests.py
+++ b/heatherhead/tests/configuration/dissemination_tests.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from heatherhead.configuration.record_messages import Records
+from heatherhead.configuration.record_messages import RecordHeads, Records
 from heatherhead.tests.base import run_paused
 from heatherhead.tests.configuration.fleet import (
     ConfigurationFleet,
@@ -81,6 +81,32 @@
     _run(scenario)
 
 
+def test_later_change_does_not_stand_for_one_that_is_missing() -> None:
+    async def scenario(fleet: ConfigurationFleet) -> None:
+        ids = await fleet.start_all(1, 1, 2)
+        teller, hearer = (fleet.configuration_by_id[each] for each in ids)
+        hub = fleet.members.hub
+        fleet.way_by_id[ids[1]].is_down = True
+        await asyncio.sleep(20)
+        hub.loses = lambda _, receiver, message: (
+            receiver == ids[1] and isinstance(message, Records | RecordHeads)
+        )
+        await teller.put(service("missed"), 0, "c1")
+        before = hearer.table.applied
+        await asyncio.sleep(1)
+        hub.loses = lambda _, receiver, message: isinstance(message, RecordHeads)
+        later = (await teller.put(service("later"), 0, "c2")).ok_value
+        await asyncio.sleep(1)
+        assert fleet.replica_by_id[ids[1]].service("later") is not None
+        assert hearer.table.applied == before
+        assert teller.missing(later.revision) == [ids[1]]
+        hub.loses = lambda *_: False
+        await wait_until(lambda: hearer.table.applied == later.revision)
+        assert fleet.replica_by_id[ids[1]].service("missed") is not None
+
+    _run(scenario)
+
+
 def test_snapshot_reaches_a_new_instance_once_and_not_from_each_neighbour() -> None:
     async def scenario(fleet: ConfigurationFleet) -> None:
         await fleet.start_all(2, 2, 3)
