--- /dev/null
+++ b/examples/caller.py
@@ -0,0 +1,113 @@
+"""A caller of heatherhead: follows address answers and sends keyed orders.
+
+Run as `python examples/caller.py http://127.0.0.1:8080 stock`. It sends one read and one order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import uuid
+from dataclasses import dataclass, field
+
+import aiohttp
+
+SENDS = 4
+PAUSE_S = 0.2
+DEADLINE_MS = 5_000
+
+
+class OutcomeUnknownError(Exception):
+    """The order may or may not have run; ask the service before ordering again."""
+
+
+@dataclass
+class Caller:
+    """Keeps the address answer of one service for as long as it says."""
+
+    session: aiohttp.ClientSession
+    entry_url: str
+    service: str
+    urls: list[str] = field(default_factory=list)
+    grant: str = ""
+    grant_url: str = ""
+    keep_until: float = 0.0
+
+    async def refresh(self) -> None:
+        """Ask for addresses and a grant when the last answer has run out."""
+        loop = asyncio.get_running_loop()
+        if loop.time() < self.keep_until:
+            return
+        async with self.session.get(
+            f"{self.entry_url}/v1/addresses", params={"service": self.service}
+        ) as answer:
+            answer.raise_for_status()
+            document = await answer.json()
+        self.urls = [f"http://{each['address']}" for each in document["addresses"]]
+        self.grant = document["grant"]
+        self.grant_url = f"http://{document['grant_address']}"
+        self.keep_until = loop.time() + document["keep_s"]
+
+    async def read(self, path: str) -> bytes:
+        """Send an idempotent call; any address will do, and sending again does no harm."""
+        for _ in range(SENDS):
+            await self.refresh()
+            try:
+                async with self.session.get(random.choice(self.urls) + path) as answer:
+                    answer.raise_for_status()
+                    return await answer.read()
+            except aiohttp.ClientError:
+                self.keep_until = 0.0
+                await asyncio.sleep(PAUSE_S)
+        raise TimeoutError(f"no answer to {path}")
+
+    async def order(self, path: str, body: bytes) -> bytes:
+        """Send a call that must run at most once.
+
+        Raises `OutcomeUnknownError` if it can't be learned whether the order ran.
+        """
+        for _ in range(SENDS):
+            await self.refresh()
+            key = f"{self.grant}.{uuid.uuid4()}"
+            answer = await self._send_key(path, body, key)
+            if answer is not None:
+                return answer
+            self.keep_until = 0.0  # it was not run: a new grant and a new key are safe
+            await asyncio.sleep(PAUSE_S)
+        raise TimeoutError(f"{path} was not run")
+
+    async def _send_key(self, path: str, body: bytes, key: str) -> bytes | None:
+        """Send until the outcome is known; `None` says that the call was not run."""
+        headers = {"Idempotency-Key": key, "Heatherhead-Deadline-Ms": str(DEADLINE_MS)}
+        reason = ""
+        for _ in range(SENDS):
+            try:
+                async with self.session.post(
+                    self.grant_url + path, data=body, headers=headers
+                ) as answer:
+                    if answer.content_type != "application/problem+json":
+                        return await answer.read()
+                    problem = await answer.json()
+            except aiohttp.ClientError as error:
+                reason = str(error)
+            else:
+                reason = problem["title"]
+                if problem["outcome"] == "not-run":
+                    return None
+                if problem["outcome"] == "ran":
+                    break
+            await asyncio.sleep(PAUSE_S)
+        raise OutcomeUnknownError(reason)
+
+
+async def run(entry_url: str, service: str) -> None:
+    """Send one read and one order."""
+    async with aiohttp.ClientSession() as session:
+        caller = Caller(session, entry_url, service)
+        print("read:", len(await caller.read("/stock")), "bytes")
+        print("order:", len(await caller.order("/orders", b"one pallet")), "bytes")
+
+
+if __name__ == "__main__":
+    asyncio.run(run(sys.argv[1], sys.argv[2]))
--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -72,7 +72,7 @@
         )
         table = create_key_table(issuer, _key_limits(settings.admission))
         self.pauses = create_pause_watch()
-        owner_tls = _owner_tls(settings)
+        self._owner_tls = owner_tls = _owner_tls(settings)
         keyed = create_keyed_calls(
             issuer,
             table,
@@ -140,6 +140,8 @@
     def reload(self) -> None:
         """Read the certificates again; raises `SettingsError`."""
         self.listener.reload_tls()
+        if self._owner_tls is not None and self.settings.callers.listen.tls is not None:
+            reload_certificate(self._owner_tls, self.settings.callers.listen.tls)
         tls = self.settings.operators.listen.tls
         if tls is not None and self.operators.tls_context is not None:
             reload_certificate(self.operators.tls_context, tls)
--- /dev/null
+++ b/heatherhead/tests/callers/example_tests.py
@@ -0,0 +1,71 @@
+"""Tests of `examples/caller.py` against an instance."""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from aiohttp import web
+
+from heatherhead.tests.callers.fakes import refuse, run_shifted, stand
+
+if TYPE_CHECKING:
+    from heatherhead.tests.callers.fakes import FakeUpstream
+
+EXAMPLE = Path(__file__).parents[3] / "examples" / "caller.py"
+
+
+def _load() -> Any:
+    spec = importlib.util.spec_from_file_location("example_caller", EXAMPLE)
+    assert spec is not None and spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    sys.modules["example_caller"] = module
+    spec.loader.exec_module(module)
+    module.PAUSE_S = 0.0
+    return module
+
+
+def test_reads_and_orders() -> None:
+    async def main() -> None:
+        async with stand(None) as here:
+            caller = _load().Caller(here.session, here.url, "orders")
+            assert await caller.read("/stock") == b"hello"
+            assert await caller.order("/orders", b"one pallet") == b"hello"
+            assert here.upstreams[0].bodies == [b"", b"one pallet"]
+
+    run_shifted(main())
+
+
+def test_order_that_was_not_run_is_sent_with_a_new_key() -> None:
+    async def refuse_once(upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+        upstream.respond = None
+        return await refuse(upstream, request)
+
+    async def main() -> None:
+        async with stand(refuse_once) as here:
+            caller = _load().Caller(here.session, here.url, "orders")
+            assert await caller.order("/orders", b"one pallet") == b"hello"
+            keys = [each["Idempotency-Key"] for each in here.upstreams[0].headers]
+            assert len(set(keys)) == 2
+
+    run_shifted(main())
+
+
+def test_order_without_news_is_told_as_unknown() -> None:
+    async def crash(_upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+    async def main() -> None:
+        async with stand(crash) as here:
+            module = _load()
+            caller = module.Caller(here.session, here.url, "orders")
+            with pytest.raises(module.OutcomeUnknownError):
+                await caller.order("/orders", b"one pallet")
+            assert len(here.upstreams[0].seen) == 1
+
+    run_shifted(main())
