--- a/bench/control.py
+++ b/bench/control.py
@@ -190,7 +190,7 @@
             "upstreams": [
                 {
                     "id": f"u{number:04}-{each:03}",
-                    "host": f"10.{number // 250}.{number % 250}.{each % 250 + 1}",
+                    "host": f"127.{number // 250 + 1}.{number % 250}.{each % 250 + 1}",
                     "port": 8000 + each,
                     "region": f"r{each % REGIONS}",
                     "availability_zone": f"r{each % REGIONS}z{each // REGIONS % ZONES}",
@@ -381,6 +381,9 @@
         result["store_slow"] = await _change_stream(control, changes // 2, 2)
         await control.store_faults(delay_s=0.0)
         _note("store slow", result["store_slow"])
+        await control.post_all("/faults", {"without_routing": True}, control.daemons)
+        result["without_routing"] = await _idle(control, idle_s / 2)
+        _note("idle without routing", result["without_routing"])
         if is_whole:
             result["lost_region"] = await _lost_region(control)
             _note("lost region", result["lost_region"])
@@ -404,6 +407,12 @@
             _note(f"{services} services, {upstreams} upstreams", rows[services, upstreams])
     small, middle, large = rows.values()
     return {
+        "core_share_per_100_services": round(
+            (middle["control_core_share_mean"] - small["control_core_share_mean"]) / 4.59, 5
+        ),
+        "core_share_per_1000_upstreams": round(
+            (large["control_core_share_mean"] - middle["control_core_share_mean"]) / 8.98, 5
+        ),
         "rss_mb_per_100_services": round((middle["rss_mb"] - small["rss_mb"]) / 4.59, 3),
         "rss_mb_per_1000_upstreams": round((large["rss_mb"] - middle["rss_mb"]) / 8.98, 3),
         "rss_mb_smallest": small["rss_mb"],
@@ -441,6 +450,7 @@
         "control_kb_per_s": idle["control_kb_per_s"],
         "control_kb_per_s_slope": slope("control_kb_per_s"),
         "control_core_share": idle["control_core_share"],
+        "control_core_share_without_routing": large["without_routing"]["control_core_share"],
         "control_core_share_slope": slope("control_core_share_mean"),
         "rss_mb": max(idle["rss_mb"], small["idle"]["rss_mb"]),
         "rss_mb_slope_by_instances": slope("rss_mb"),
--- a/bench/control_daemon.py
+++ b/bench/control_daemon.py
@@ -148,6 +148,9 @@
     async def faults(request: web.Request) -> web.Response:
         body = await request.json()
         probe.heartbeat_loss = body.get("heartbeat_loss", probe.heartbeat_loss)
+        if body.get("without_routing"):
+            for name in assembly.replica.by_name:
+                assembly.router.update_service(name, None)
         if "cut" in body:
             await probe.set_cut(set(body["cut"]), is_store_cut=body["is_store_cut"])
         return web.json_response({})
