--- a/heatherhead/tests/membership/network_tests.py
+++ b/heatherhead/tests/membership/network_tests.py
@@ -12,9 +12,11 @@
 from heatherhead.membership.interface import Address, Instance, LinkKind, Traffic
 from heatherhead.membership.member_messages import Heartbeat, MemberReports, Ping
 from heatherhead.membership.member_table import Member, create_member_table
-from heatherhead.membership.network import Network, create_network
-from heatherhead.settings.instance import ListenSettings
+from heatherhead.membership.network import Network, TlsContexts, create_network
+from heatherhead.settings.instance import ListenSettings, TlsSettings
 from heatherhead.settings.membership import MembershipSettings, TrafficBudget
+from heatherhead.settings.tls import create_client_context, create_server_context
+from heatherhead.tests.certificates import AUTHORITY, INSTANCE, STRANGER
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -22,12 +24,18 @@
 TIMEOUT_S = 10.0
 
 
-async def _start(name: str, **settings: object) -> Network:
+def _tls(pair: tuple[str, str]) -> TlsSettings:
+    certificate, key = pair
+    return TlsSettings(certificate=certificate, key=key, client_ca=AUTHORITY)
+
+
+async def _start(name: str, tls: TlsSettings | None = None, **settings: object) -> Network:
     nowhere = Address("127.0.0.1", 1)
     own = Instance(name, f"{name}-1", "r", f"z{name}", nowhere, nowhere, nowhere)
     table = create_member_table(own)
-    listen = ListenSettings(port=0)
-    network = create_network(MembershipSettings(listen=listen, **settings), table)
+    listen = ListenSettings(port=0, tls=tls)
+    contexts = TlsContexts(create_server_context(tls), create_client_context(tls)) if tls else None
+    network = create_network(MembershipSettings(listen=listen, **settings), table, contexts)
     port = await network.start()
     table.set_own(replace(own, peers=Address("127.0.0.1", port)))
     return network
@@ -169,6 +177,29 @@
     _run(scenario)
 
 
+def test_peers_need_a_certificate_of_the_authority() -> None:
+    async def main() -> None:
+        async with asyncio.timeout(TIMEOUT_S):
+            hub = await _start("hub", tls=_tls(INSTANCE))
+            fitting = await _start("fitting", tls=_tls(INSTANCE))
+            stranger = await _start("stranger", tls=_tls(STRANGER))
+            plain = await _start("plain")
+            _introduce(hub, fitting, stranger, plain)
+            for refused in (stranger, plain):
+                told: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+                refused.on_unreachable(told.set_result)
+                refused.try_reach(hub._table.own.instance)
+                assert await told == "hub"
+            greeted = _greeting(hub)
+            fitting.try_reach(hub._table.own.instance)
+            assert await greeted == "fitting"
+            assert hub.links() == ["fitting"]
+            for each in (hub, fitting, stranger, plain):
+                await each.stop()
+
+    asyncio.run(main())
+
+
 def test_streams_above_the_cap_are_refused() -> None:
     async def main() -> None:
         async with asyncio.timeout(TIMEOUT_S):
