--- a/bench/control.py
+++ b/bench/control.py
@@ -12,204 +12,18 @@
 import signal
 import sys
 import time
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
-from random import Random
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
-
-from bench.fleet import Fleet, cpu_seconds, free_ports, rss_mb, save_result
-from heatherhead.configuration.editor import create_editor
-from heatherhead.configuration.replica import create_replica
-from heatherhead.configuration.schema import ServiceSchema
-from heatherhead.settings.store import StoreSettings
-from heatherhead.store import create_store
+from bench.control_fleet import control_fleet, service_schema
+from bench.fleet import cpu_seconds, rss_mb, save_result
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from bench.control_fleet import ControlFleet
 
 SERVICES = 510
 UPSTREAMS = 10_000
-REGIONS = 3
-ZONES = 2
 CHANGES_PER_S = 5.0
 IDLE_S = 20.0
-POLL_S = 0.1
-WAIT_S = 90.0
-
-
-@dataclass(frozen=True, slots=True)
-class Daemon:
-    """One daemon of the fleet under measurement."""
-
-    id: str
-    region: str
-    availability_zone: str
-    peers_port: int
-    admin_port: int
-
-
-class ControlFleet:
-    """Daemons with their fake store and list, and questions to all of them."""
-
-    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession, count: int) -> None:
-        ports = free_ports(2 * count)
-        self.daemons = [
-            Daemon(
-                f"i{number:03}",
-                f"r{number % REGIONS}",
-                f"r{number % REGIONS}z{number // REGIONS % ZONES}",
-                ports[2 * number],
-                ports[2 * number + 1],
-            )
-            for number in range(count)
-        ]
-        self.fleet = fleet
-        self.session = session
-        self.random = Random(count)
-        self.store_url = self.list_url = ""
-
-    async def start(self, services: int, upstreams: int) -> None:
-        """Start the fakes, load the configuration and start all daemons."""
-        for name in ("fake_store", "fake_instance_list"):
-            self.fleet.start(name, [f"heatherhead.tests.{name}"])
-            self.fleet.wait_for(lambda each=name: self.fleet.output(each).strip(), name)
-        self.store_url = self.fleet.output("fake_store").strip()
-        self.list_url = self.fleet.output("fake_instance_list").strip()
-        await self.load(services, upstreams)
-        await self.publish_list()
-        for daemon in self.daemons:
-            self.start_daemon(daemon)
-        await self.wait_all(
-            lambda stats: stats["ready"] and stats["services"] >= services, self.daemons
-        )
-        count = len(self.daemons)
-        await self.wait_all(lambda stats: stats["live"] == count, self.daemons)
-
-    def start_daemon(self, daemon: Daemon) -> None:
-        """Start one daemon's process."""
-        settings = {
-            "instance": {
-                "id": daemon.id,
-                "region": daemon.region,
-                "availability_zone": daemon.availability_zone,
-            },
-            "callers": {"listen": {"port": 0}},
-            "operators": {"listen": {"port": 0}},
-            "membership": {
-                "listen": {"port": daemon.peers_port},
-                "instance_list_url": self.list_url,
-            },
-            "store": {"urls": [self.store_url]},
-        }
-        path = self.fleet.write_json(f"{daemon.id}.json", settings)
-        self.fleet.start(daemon.id, ["bench.control_daemon", str(path), str(daemon.admin_port)])
-
-    async def load(self, services: int, upstreams: int) -> None:
-        """Put the configuration into the store."""
-        store = create_store(
-            StoreSettings(urls=(self.store_url,), calls_per_s=1_000, calls_burst=10_000)
-        )
-        replica = create_replica()
-        editor = create_editor(
-            store, "/heatherhead/", replica, lambda record, _: replica.apply(record)
-        )
-        each = upstreams // services
-        for number in range(services):
-            (await editor.put(_service(number, each), 0, f"load-{number}")).unwrap()
-        await store.close()
-
-    async def publish_list(self) -> None:
-        """Hand the instance list to its fake."""
-        entries = []
-        for each in self.daemons:
-            address = {"host": "127.0.0.1", "port": each.peers_port}
-            place = {"region": each.region, "availability_zone": each.availability_zone}
-            addresses = {"callers": address, "peers": address, "operators": address}
-            entries.append({"id": each.id, **place, **addresses})
-        url = self.list_url.replace("/instances", "/admin/instances")
-        async with self.session.put(url, json={"instances": entries}):
-            pass
-
-    async def get(self, daemon: Daemon, path: str) -> Any:
-        """Ask one daemon."""
-        async with self.session.get(f"http://127.0.0.1:{daemon.admin_port}{path}") as reply:
-            return await reply.json()
-
-    async def get_all(self, path: str, daemons: list[Daemon]) -> list[Any]:
-        """Ask several daemons."""
-        return await asyncio.gather(*(self.get(each, path) for each in daemons))
-
-    async def post(self, daemon: Daemon, path: str, body: object) -> Any:
-        """Tell one daemon something."""
-        url = f"http://127.0.0.1:{daemon.admin_port}{path}"
-        async with self.session.post(url, json=body) as reply:
-            return await reply.json()
-
-    async def post_all(self, path: str, body: object, daemons: list[Daemon]) -> None:
-        """Tell several daemons something."""
-        await asyncio.gather(*(self.post(each, path, body) for each in daemons))
-
-    async def store_faults(self, **faults: object) -> None:
-        """Switch the store's faults."""
-        async with self.session.post(f"{self.store_url}/admin/faults", json=faults):
-            pass
-
-    async def store_calls(self) -> int:
-        """Count the calls to the store so far; a waiting watch is one."""
-        async with self.session.get(f"{self.store_url}/admin/calls") as reply:
-            return sum((await reply.json()).values())
-
-    async def wait_all(self, holds: Callable[[Any], bool], daemons: list[Daemon]) -> float:
-        """Wait until a condition holds of all daemons' stats; return how long that took."""
-        began_at = time.monotonic()
-        behind: list[Any] = []
-        while time.monotonic() - began_at < WAIT_S:
-            try:
-                stats = await self.get_all("/stats", daemons)
-            except aiohttp.ClientError:
-                await asyncio.sleep(POLL_S)
-                continue
-            pairs = zip(daemons, stats, strict=True)
-            behind = [(each.id, stat) for each, stat in pairs if not holds(stat)]
-            if not behind:
-                return time.monotonic() - began_at
-            await asyncio.sleep(POLL_S)
-        raise TimeoutError(
-            f"no such state within {WAIT_S} s; logs are in {self.fleet.directory}; {behind[:3]}"
-        )
-
-
-def _service(number: int, upstreams: int, version: int = 0) -> ServiceSchema:
-    return ServiceSchema.model_validate(
-        {
-            "name": f"service-{number:04}",
-            "hosts": [f"service-{number:04}.example"],
-            "queue_limit": 512 + version,
-            "upstreams": [
-                {
-                    "id": f"u{number:04}-{each:03}",
-                    "host": f"127.{number // 250 + 1}.{number % 250}.{each % 250 + 1}",
-                    "port": 8000 + each,
-                    "region": f"r{each % REGIONS}",
-                    "availability_zone": f"r{each % REGIONS}z{each // REGIONS % ZONES}",
-                }
-                for each in range(upstreams)
-            ],
-        }
-    )
-
-
-@asynccontextmanager
-async def _control_fleet(count: int, services: int, upstreams: int) -> AsyncIterator[ControlFleet]:
-    timeout = aiohttp.ClientTimeout(total=30)
-    connector = aiohttp.TCPConnector(limit=0)
-    with Fleet() as fleet:
-        async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
-            control = ControlFleet(fleet, session, count)
-            await control.start(services, upstreams)
-            yield control
 
 
 async def _change_stream(control: ControlFleet, changes: int, version: int) -> dict[str, float]:
@@ -219,7 +33,7 @@
     calls = await control.store_calls()
 
     async def change(number: int) -> None:
-        service = _service(number, UPSTREAMS // SERVICES, version).model_dump(mode="json")
+        service = service_schema(number, UPSTREAMS // SERVICES, version).model_dump(mode="json")
         body = {"service": service, "change_id": f"change-{version}-{number}"}
         daemon = control.random.choice(control.daemons)
         body["expected_revision"] = revision_by_name[service["name"]]
@@ -227,9 +41,7 @@
         asked_at[service["name"], reply["revision"]] = reply["asked_at"]
         revision_by_name[service["name"]] = reply["revision"]
 
-    revision_by_name = _revisions.setdefault(id(control), {})
-    if not revision_by_name:
-        revision_by_name.update({f"service-{number:04}": number + 2 for number in range(SERVICES)})
+    revision_by_name = control.revision_by_name
     running = []
     for number in range(changes):
         running.append(asyncio.create_task(change(number)))
@@ -245,9 +57,6 @@
     return {"p99_s": _p99(times), "max_s": round(max(times), 4), "calls": used / changes}
 
 
-_revisions: dict[int, dict[str, int]] = {}
-
-
 def _p99(values: list[float]) -> float:
     ordered = sorted(values)
     return round(ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))], 4)
@@ -276,7 +85,7 @@
         "control_core_share_mean": round(sum(spent) / len(spent) / elapsed_s, 4),
         "rss_mb": round(max(map(rss_mb, processes)), 1),
         "watchers": sum(each["is_watching"] for each in after),
-        "links_max": max(each["links"] for each in after),
+        "neighbours_max": max(len(each["neighbours"]) for each in after),
     }
 
 
@@ -287,10 +96,10 @@
     in_ids, out_ids = [each.id for each in inside], [each.id for each in outside]
     await control.post_all("/faults", {"cut": out_ids, "is_store_cut": True}, inside)
     await control.post_all("/faults", {"cut": in_ids, "is_store_cut": False}, outside)
-    revisions = _revisions[id(control)]
+    revisions = control.revision_by_name
     last = 0
     for number in range(20):
-        service = _service(100 + number, UPSTREAMS // SERVICES, 77).model_dump(mode="json")
+        service = service_schema(100 + number, UPSTREAMS // SERVICES, 77).model_dump(mode="json")
         body = {
             "service": service,
             "change_id": f"cut-{number}",
@@ -371,7 +180,7 @@
 ) -> dict[str, Any]:
     """Run all measurements on one fleet."""
     result: dict[str, Any] = {"instances": count}
-    async with _control_fleet(count, SERVICES, UPSTREAMS) as control:
+    async with control_fleet(count, SERVICES, UPSTREAMS) as control:
         await asyncio.sleep(settle_s)
         result["idle"] = await _idle(control, idle_s)
         _note("idle", result["idle"])
@@ -393,7 +202,6 @@
         alive = [each for each in control.daemons if each.id in gone]
         stats = await control.get_all("/stats", alive)
         result["reverts"] = sum(each["reverts"] for each in stats)
-    _revisions.clear()
     return result
 
 
@@ -401,7 +209,7 @@
     """Measure memory and processor time of a small fleet with three configurations."""
     rows = {}
     for services, upstreams in ((51, 1_000), (510, 1_020), (510, 10_000)):
-        async with _control_fleet(count, services, upstreams) as control:
+        async with control_fleet(count, services, upstreams) as control:
             await asyncio.sleep(4)
             rows[services, upstreams] = await _idle(control, idle_s)
             _note(f"{services} services, {upstreams} upstreams", rows[services, upstreams])
