--- a/heatherhead/membership/dialer.py
+++ b/heatherhead/membership/dialer.py
@@ -75,6 +75,10 @@
         self._task_by_id[instance.id] = asyncio.create_task(self._run(instance))
         return True
 
+    def forget_failures(self, instance_id: str) -> None:
+        """Let the next attempt at an instance begin at once, as there is news of it."""
+        self._backoff_by_id.pop(instance_id, None)
+
     async def close(self) -> None:
         """Cancel all attempts."""
         tasks = list(self._task_by_id.values())
--- a/heatherhead/membership/network.py
+++ b/heatherhead/membership/network.py
@@ -137,9 +137,10 @@
     def want(self, neighbours: Iterable[Instance]) -> None:
         """Choose the instances to which a stream is kept up."""
         now = asyncio.get_running_loop().time()
-        self._wanted_since_by_id = {
-            each.id: self._wanted_since_by_id.get(each.id, now) for each in neighbours
-        }
+        wanted = {each.id: self._wanted_since_by_id.get(each.id, now) for each in neighbours}
+        for instance_id in wanted.keys() - self._wanted_since_by_id.keys():
+            self._dialer.forget_failures(instance_id)
+        self._wanted_since_by_id = wanted
         self._dial_wanted()
 
     def try_reach(self, instance: Instance) -> None:
