--- a/bench/control.py
+++ b/bench/control.py
@@ -257,7 +257,7 @@
         "reverts": small["reverts"] + large["reverts"],
         "control_kb_per_s": idle["control_kb_per_s"],
         "control_kb_per_s_slope": slope("control_kb_per_s"),
-        "control_core_share": idle["control_core_share"],
+        "control_core_share": max(idle["control_core_share"], small["idle"]["control_core_share"]),
         "control_core_share_without_routing": large["without_routing"]["control_core_share"],
         "control_core_share_slope": slope("control_core_share_mean"),
         "rss_mb": max(idle["rss_mb"], small["idle"]["rss_mb"]),
