Check the health of idle upstreams from the homes they are assigned to

Cause: an upstream that leaves while no calls reach it was noticed by the first call it refused. Change: with the service's new field health_path, each idle upstream is checked by one home of its own region (rendezvous over the homes), about every 1.5 s, within a budget of bytes a second. Calls of own or of other homes put a check off. Routing takes findings in as hints: own calls go first, hints leave out half of a service's upstreams at most, an announced drain counts at once, and good answers only bring the trial call of an ejected upstream forward. The other homes are told of a drain at once (sighting when announced, the new message 46 HealthHint otherwise) and again before it ends.

--- a/bench/fake_upstream.py
+++ b/bench/fake_upstream.py
@@ -1,8 +1,8 @@
 """Fake upstreams: HTTP servers with a few slots and faults that are scripted or switched.
 
 Run as `python -m bench.fake_upstream SCRIPT.json`; one process serves the upstreams of the script.
-The answer to `GET /__state` is what each upstream saw; `POST /__fault` switches its fault,
-and `POST /__spells` begins its slow spells anew.
+`GET /__health` answers health checks. The answer to `GET /__state` is what each upstream saw;
+`POST /__fault` switches its fault, and `POST /__spells` begins its slow spells anew.
 """
 
 from __future__ import annotations
@@ -26,6 +26,7 @@
 
 __all__ = ["Fault", "SlowSpells", "UpstreamScript", "main"]
 
+HEALTH_PATH = "/__health"
 LOAD_HEADER = "Heatherhead-Load"
 NOT_RUN_HEADER = "Heatherhead-Not-Run"
 RUN_ID_HEADER = "Heatherhead-Bench-Run"
@@ -48,6 +49,7 @@
     cold: bool = False
     shedding: bool = False
     stalled: bool = False
+    lying_health: bool = False
 
 
 @dataclass(slots=True)
@@ -111,6 +113,8 @@
         self.fault = script.fault
         self.calls = 0
         self.cancelled = 0
+        self.refused = 0
+        self.health_checks = 0
         self.in_flight = 0
         self.in_flight_max = 0
         self.runs_by_id: Counter[str] = Counter()
@@ -132,7 +136,10 @@
             return await self._switch_fault(request)
         if request.path == "/__spells":
             return await self._restart_spells(request)
+        if request.path == HEALTH_PATH:
+            return await self._health()
         if self.fault.draining or self.fault.shedding:
+            self.refused += 1
             return self._refusal()
         if self.fault.fail_fast:
             return web.Response(status=500, text="failing fast")
@@ -144,6 +151,8 @@
             "port": self.script.port,
             "calls": self.calls,
             "cancelled": self.cancelled,
+            "refused": self.refused,
+            "health_checks": self.health_checks,
             "in_flight": self.in_flight,
             "in_flight_max": self.in_flight_max,
             "fault": asdict(self.fault),
@@ -157,6 +166,14 @@
             factor *= COLD_FACTOR
         return self.script.service_s * factor
 
+    async def _health(self) -> web.Response:
+        """Say whether this upstream takes calls; a lying one says the opposite."""
+        self.health_checks += 1
+        while self.fault.stalled:
+            await asyncio.sleep(0.01)
+        fine = self.fault.draining == self.fault.lying_health
+        return web.Response(status=200 if fine else 503, headers={LOAD_HEADER: str(self.in_flight)})
+
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
         self.in_flight_max = max(self.in_flight_max, self.in_flight)
--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -19,6 +19,8 @@
 from heatherhead.callers.state import CallersState, Phase
 from heatherhead.configuration.replica import create_replica
 from heatherhead.configuration.service import create_configuration
+from heatherhead.health import create_health_checker
+from heatherhead.health.probe import create_health_probe
 from heatherhead.membership.interface import Address
 from heatherhead.membership.service import create_membership
 from heatherhead.operators import Backend, create_operators_server
@@ -65,6 +67,15 @@
         self.runner = create_attempt_runner(
             self.router, self.client, settings.admission, self.telemetry
         )
+        routing = settings.routing
+        self.health = create_health_checker(
+            routing,
+            view.own,
+            homes,
+            self.router,
+            create_health_probe(self.client, routing.health_timeout_ms / 1000),
+            self.telemetry,
+        )
         issuer = create_grant_issuer(
             settings.instance.id, incarnation, callers.addresses_keep_s + GRANT_SLACK_S
         )
@@ -111,6 +122,7 @@
 
     def _on_record(self, record: ServiceRecord) -> None:
         self.router.update_service(record.name, record.service)
+        self.health.update_service(record.name, record.service)
         if record.service is None:
             self.runner.forget(record.name)
 
@@ -122,6 +134,7 @@
         self._advertise()
         await self.membership.start()
         await self.configuration.start()
+        self.health.start()
         self.state.phase = Phase.SERVING
         log_event("started", instance=self.settings.instance.id)
 
@@ -168,6 +181,7 @@
         self.listener.stop_accepting()
         await self.listener.close()
         await self.operators.stop()
+        await self.health.stop()
         await self.configuration.stop()
         await self.membership.stop()
         await self.client.close()
--- a/heatherhead/configuration/model.py
+++ b/heatherhead/configuration/model.py
@@ -56,6 +56,7 @@
     retry_share: float = 0.1
     hedge_share: float = 0.05
     key_required: bool = True
+    health_path: str | None = None
 
     def upstream(self, upstream_id: str) -> Upstream | None:
         """Find an upstream by its id."""
--- a/heatherhead/configuration/schema.py
+++ b/heatherhead/configuration/schema.py
@@ -23,6 +23,7 @@
 MAX_HOSTS = 256
 MAX_PATH_PREFIXES = 256
 MAX_METHODS = 32
+MAX_HEALTH_PATH = 256
 NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 HOST_PATTERN = r"^[A-Za-z0-9._-]{1,253}$|^\[[0-9A-Fa-f:.]{2,45}\]$"
 PATH_PATTERN = r"^/[!$-;=@-~]*$"
@@ -31,6 +32,7 @@
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 HostName = Annotated[str, Field(pattern=HOST_PATTERN)]
 PathPrefix = Annotated[str, Field(pattern=PATH_PATTERN, max_length=1024)]
+HealthPath = Annotated[str, Field(pattern=PATH_PATTERN, max_length=MAX_HEALTH_PATH)]
 Method = Annotated[str, Field(pattern=METHOD_PATTERN)]
 
 
@@ -113,6 +115,9 @@
     key_required: bool = Field(
         default=True, description="Whether a non-idempotent call needs an Idempotency-Key."
     )
+    health_path: HealthPath | None = Field(
+        default=None, description="Path asked of idle upstreams; none for no health checks."
+    )
 
     @model_validator(mode="after")
     def _names_are_unique(self) -> ServiceSchema:
@@ -147,6 +152,7 @@
         retry_share=schema.retry_share,
         hedge_share=schema.hedge_share,
         key_required=schema.key_required,
+        health_path=schema.health_path,
     )
 
 
--- /dev/null
+++ b/heatherhead/health/probe.py
@@ -0,0 +1,139 @@
+"""Sends one health check and reads what its answer says."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+import aiohttp
+from multidict import CIMultiDict
+
+from heatherhead.calls import UpstreamSign
+from heatherhead.routing.health import (
+    HealthDraining,
+    HealthFine,
+    HealthGone,
+    HealthSilent,
+    HealthUnclear,
+)
+from heatherhead.upstreams.answers import load_report, sign_of_answer
+from heatherhead.upstreams.client import Attempt, OutboundRequest
+
+if TYPE_CHECKING:
+    from aiohttp import ClientResponse
+
+    from heatherhead.configuration.model import Upstream
+    from heatherhead.routing.health import HealthFinding
+    from heatherhead.upstreams.client import UpstreamClient
+
+__all__ = ["HealthProbe", "Probe", "ProbeResult", "create_health_probe"]
+
+FINE_STATUSES = range(200, 300)
+UNAVAILABLE_STATUS = 503
+MAX_BODY_BYTES = 1024  # a longer body is not read, at the price of the connection
+LINE_END_BYTES = 2
+SEPARATOR_BYTES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    """What a check found, and the bytes of its request and answer."""
+
+    finding: HealthFinding
+    bytes_used: int
+
+
+class Probe(Protocol):
+    """Checks one upstream."""
+
+    async def check(self, upstream: Upstream, path: str) -> ProbeResult:
+        """Ask an upstream for its health; raises nothing."""
+        ...
+
+
+class HealthProbe:
+    """Asks by `GET` over the connections that calls use."""
+
+    def __init__(self, client: UpstreamClient, timeout_s: float) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+        self._loop = asyncio.get_running_loop()
+
+    async def check(self, upstream: Upstream, path: str) -> ProbeResult:
+        """Ask an upstream for its health; see `Probe`."""
+        sent_at = self._loop.time()
+        request = _request(upstream, path)
+        attempt = Attempt(sent_at + self._timeout_s)
+        answer_bytes = 0
+        try:
+            async with asyncio.timeout_at(attempt.deadline):
+                await self._client.send(upstream.host, upstream.port, request, attempt)
+                if attempt.answer is not None:
+                    answer_bytes = await _finish(attempt.answer)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            _abandon(attempt)
+        except BaseException:
+            _abandon(attempt)
+            raise
+        request_bytes = _request_bytes(request) if attempt.sent else 0
+        return ProbeResult(_finding(attempt, sent_at), request_bytes + answer_bytes)
+
+
+def _request(upstream: Upstream, path: str) -> OutboundRequest:
+    host = f"[{upstream.host}]" if ":" in upstream.host else upstream.host
+    return OutboundRequest("GET", path, CIMultiDict({"Host": f"{host}:{upstream.port}"}))
+
+
+async def _finish(answer: ClientResponse) -> int:
+    """Read a short body, so that the connection can be used again; give the answer's bytes."""
+    size = _head_bytes(answer)
+    length = answer.content_length
+    if length is None or length > MAX_BODY_BYTES:
+        answer.close()
+        return size
+    return size + len(await answer.read())
+
+
+def _abandon(attempt: Attempt) -> None:
+    if attempt.answer is not None:
+        attempt.answer.close()
+
+
+def _finding(attempt: Attempt, sent_at: float) -> HealthFinding:
+    answer = attempt.answer
+    if answer is None:
+        if attempt.sign is UpstreamSign.DRAINING:
+            return HealthGone(sent_at)
+        return HealthSilent(sent_at)
+    report = load_report(answer, sent_at)
+    if sign_of_answer(answer, attempt.connection_calls) is UpstreamSign.DRAINING:
+        return HealthDraining(sent_at, announced=True, report=report)
+    if answer.status == UNAVAILABLE_STATUS:
+        return HealthDraining(sent_at, report=report)
+    if answer.status in FINE_STATUSES:
+        return HealthFine(sent_at, report)
+    return HealthUnclear(sent_at, answer.status)
+
+
+def _request_bytes(request: OutboundRequest) -> int:
+    first_line = len(f"{request.method} {request.target} HTTP/1.1") + LINE_END_BYTES
+    headers = sum(
+        len(name) + SEPARATOR_BYTES + len(value) + LINE_END_BYTES
+        for name, value in request.headers.items()
+    )
+    return first_line + headers + LINE_END_BYTES
+
+
+def _head_bytes(answer: ClientResponse) -> int:
+    first_line = len(f"HTTP/1.1 {answer.status} {answer.reason or ''}") + LINE_END_BYTES
+    headers = sum(
+        len(name) + SEPARATOR_BYTES + len(value) + LINE_END_BYTES
+        for name, value in answer.raw_headers
+    )
+    return first_line + headers + LINE_END_BYTES
+
+
+def create_health_probe(client: UpstreamClient, timeout_s: float) -> HealthProbe:
+    """Create a probe; must be called inside the running loop."""
+    return HealthProbe(client, timeout_s)
--- a/heatherhead/operators/messages.py
+++ b/heatherhead/operators/messages.py
@@ -99,6 +99,7 @@
         retry_share=value.retry_share,
         hedge_share=value.hedge_share,
         key_required=value.key_required,
+        health_path=value.health_path,
     )
 
 
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -34,6 +34,7 @@
 SLOTS_LIFETIME_S = 0.02
 TRIAL_SERVICE_TIMES = 2
 SLOW_PAUSE_SERVICE_TIMES = 10
+HINTED_SHARE = 0.5  # of the upstreams may be out when health checks leave out one more
 FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
 FAILING_SHARE_WEIGHT = 0.02
 FIRST_FAILING_STATUS = 500
@@ -53,6 +54,7 @@
         self.slow_after_s = 0.0
         self.needed_s = 0.0
         self.on_draining: Callable[[UpstreamState], None] | None = None
+        self.on_hint: Callable[[UpstreamState], None] | None = None
         self._settings = settings
         self._policy = policy
         self._service_time = service_time
@@ -72,6 +74,8 @@
     def finished(self, slot: RoutedSlot, result: AttemptResult, now: float) -> None:
         """Take in how an attempt ended."""
         state = slot.state
+        if not result.cancelled:
+            state.seen_at = now
         if result.report is not None:
             state.report = result.report
         if result.sign is UpstreamSign.DRAINING:
@@ -86,7 +90,7 @@
     def _refused_by_draining(self, state: UpstreamState, result: AttemptResult, now: float) -> None:
         """Take an upstream out; one that can't even be connected to may be back soon."""
         if result.state is AttemptState.NOT_SENT:
-            self._leave_out(state, now + UNREACHABLE_S, "it can't be connected to")
+            self.leave_out_unreachable(state, now)
             return
         is_news = not state.draining_until
         self.drain(state, now)
@@ -105,6 +109,43 @@
         until = now + self._settings.draining_ms / 1000
         self._leave_out(state, until, "it refuses calls because it drains")
 
+    @property
+    def draining_s(self) -> float:
+        """How long a sighting of draining holds, in seconds."""
+        return self._settings.draining_ms / 1000
+
+    def own_calls_succeed(self, state: UpstreamState, now: float) -> bool:
+        """Tell whether own calls were answered well so lately that health checks count less."""
+        return now - state.good_at < self._settings.health_interval_ms / 1000
+
+    def may_leave_out_by_hint(self) -> bool:
+        """Tell whether one more upstream may be left out for what health checks alone say."""
+        out = sum(1 for each in self._state_by_id.values() if not each.usable)
+        return out + 1 <= HINTED_SHARE * len(self._state_by_id)
+
+    def leave_out_unreachable(self, state: UpstreamState, now: float) -> None:
+        """Give no work for a short time to an upstream that can't be connected to."""
+        self._leave_out(state, now + UNREACHABLE_S, "it can't be connected to")
+
+    def eject_silent(self, state: UpstreamState, now: float) -> None:
+        """Eject an upstream that leaves health checks without an answer."""
+        if not state.ejected_until and self._may_eject():
+            self._eject(state, now, f"{state.silences} health checks in a row had no answer")
+
+    def allow_trial(self, state: UpstreamState, now: float) -> None:
+        """End the wait of an ejected upstream after its first part, for the trial that ends it.
+
+        A trial that fails shows that the health checks mislead; then the whole wait counts until
+        the upstream has answered calls again.
+        """
+        if not state.ejected_until or not state.is_trusting_health:
+            return
+        first_part_ends = state.ejected_at + self._settings.ejection_ms / 1000
+        if first_part_ends < state.ejected_until:
+            state.let_back_by_health = True
+            state.ejected_until = max(now, first_part_ends)
+            self._pause(state, state.ejected_until)
+
     def end_pauses(self, now: float) -> None:
         """Let upstreams back, one trial call first, whose pause is over."""
         while self._pauses and self._pauses[0][0] <= now:
@@ -151,6 +192,8 @@
         state = slot.state
         self._failing_share *= 1 - FAILING_SHARE_WEIGHT
         state.failures = 0
+        state.good_at = now
+        state.let_back_by_health = False
         self._service_time.add(duration_s)
         if self._service_time.usual_s:
             self.slow_after_s = self.threshold_s(self._settings.slow_factor)
@@ -166,6 +209,7 @@
             state.reason = ""
         if state.limit.allowed >= state.limit.slots:
             state.ejections = 0
+            state.is_trusting_health = True
 
     def _answered_late(self, slot: RoutedSlot, now: float) -> None:
         if not slot.aged and not slot.state.slow:
@@ -199,17 +243,21 @@
         if not at_once and self._failing_share > FAILING_SHARE_OF_SERVICE:
             return
         if self._may_eject():
-            self._eject(state, now)
+            self._eject(state, now, f"{state.failures} calls failed in a row")
 
     def _may_eject(self) -> bool:
         ejected = sum(1 for each in self._state_by_id.values() if each.ejected_until)
         return ejected + 1 <= self._settings.ejected_share * len(self._state_by_id)
 
-    def _eject(self, state: UpstreamState, now: float) -> None:
+    def _eject(self, state: UpstreamState, now: float, reason: str) -> None:
+        if state.let_back_by_health:
+            state.let_back_by_health = False
+            state.is_trusting_health = False
         pause_s = self._settings.ejection_ms / 1000 * 2 ** min(state.ejections, MAX_EJECTIONS)
         state.ejections += 1
+        state.ejected_at = now
         state.ejected_until = now + pause_s
-        state.reason = f"{state.failures} calls failed in a row"
+        state.reason = reason
         self._telemetry.count("routing.ejected")
         log_event("upstream_ejected", upstream=state.upstream.id, seconds=pause_s)
         self._pause(state, state.ejected_until)
--- a/heatherhead/routing/interface.py
+++ b/heatherhead/routing/interface.py
@@ -12,8 +12,17 @@
     from heatherhead.configuration.model import Service, Upstream
     from heatherhead.exceptions import CallRefusedError
     from heatherhead.membership.interface import Instance
+    from heatherhead.routing.health import HealthFinding
 
-__all__ = ["Home", "HomeSets", "QuarantineEntry", "Router", "Slot", "UpstreamEvidence"]
+__all__ = [
+    "HealthEvidence",
+    "Home",
+    "HomeSets",
+    "QuarantineEntry",
+    "Router",
+    "Slot",
+    "UpstreamEvidence",
+]
 
 
 class Slot(Protocol):
@@ -87,6 +96,21 @@
         ...
 
 
+class HealthEvidence(Protocol):
+    """What health checks ask of routing, and tell it."""
+
+    def seen_at(self, service: str, upstream: Upstream) -> float:
+        """Say when calls of this instance or of another home last showed the upstream's state.
+
+        In seconds on the loop's clock; minus infinity for never.
+        """
+        ...
+
+    def observe_health(self, service: str, upstream: Upstream, finding: HealthFinding) -> None:
+        """Take in a finding; one about an unknown upstream has no effect."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Home:
     """An instance that callers of a service should use, with its share of the calls."""
--- a/heatherhead/routing/messages.py
+++ b/heatherhead/routing/messages.py
@@ -10,6 +10,7 @@
     "CallRates",
     "CrashRecords",
     "DrainSighting",
+    "HealthHint",
     "HomeCounts",
     "InFlightVectors",
     "QuarantineRelease",
@@ -39,6 +40,15 @@
     upstream_id: str
 
 
+@peer_message(46)
+@dataclass(frozen=True, slots=True)
+class HealthHint:
+    """A health check suggests that an upstream drains; weighed against the receiver's own calls."""
+
+    service: str
+    upstream_id: str
+
+
 @peer_message(42)
 @dataclass(frozen=True, slots=True)
 class CrashRecords:
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -12,19 +12,27 @@
 from heatherhead.membership.interface import Traffic
 from heatherhead.routing.dispatcher import create_dispatcher
 from heatherhead.routing.exchange import create_vector_exchange
+from heatherhead.routing.health import note_finding, take_finding, take_hint
 from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.interface import UpstreamEvidence
-from heatherhead.routing.messages import CrashRecords, DrainSighting, QuarantineRelease
+from heatherhead.routing.messages import (
+    CrashRecords,
+    DrainSighting,
+    HealthHint,
+    QuarantineRelease,
+)
 from heatherhead.routing.quarantine import DEATHS_TO_QUARANTINE
+from heatherhead.routing.upstream_state import NEVER
 
 if TYPE_CHECKING:
     from result import Result
 
     from heatherhead.calls import Call
-    from heatherhead.configuration.model import Service
+    from heatherhead.configuration.model import Service, Upstream
     from heatherhead.exceptions import CallRefusedError
     from heatherhead.membership.interface import MembershipView, PeerNetwork
     from heatherhead.routing.dispatcher import Dispatcher
+    from heatherhead.routing.health import HealthFinding
     from heatherhead.routing.homes import RendezvousHomes
     from heatherhead.routing.interface import QuarantineEntry, Slot
     from heatherhead.routing.upstream_state import UpstreamState
@@ -64,6 +72,7 @@
         self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
         self._next_repair = self._loop.time() + REPAIR_INTERVAL_S * rng.random()
         network.subscribe(DrainSighting, self._on_drain_sighting)
+        network.subscribe(HealthHint, self._on_health_hint)
         network.subscribe(CrashRecords, self._on_crash_records)
         network.subscribe(QuarantineRelease, self._on_release)
 
@@ -102,6 +111,7 @@
                 service, self._membership.own, self._settings, self._telemetry, self._rng
             )
             dispatcher.evidence.on_draining = lambda state: self._tell_draining(name, state)
+            dispatcher.evidence.on_hint = lambda state: self._tell_hint(name, state)
             dispatcher.quarantine.tell = lambda records: self._tell_crashes(name, records)
             self.dispatcher_by_service[name] = dispatcher
         self._exchange.follow(dispatcher)
@@ -119,11 +129,40 @@
                 state.in_flight,
                 state.limit.value,
                 state.oldest_age_s(now),
-                state.reason,
+                state.told_reason(now),
             )
             for state in dispatcher.state_by_id.values()
         ]
 
+    def seen_at(self, service: str, upstream: Upstream) -> float:
+        """Say when calls last showed something of an upstream; see `HealthEvidence`."""
+        state = self._state_of(service, upstream)
+        if state is None:
+            return NEVER
+        return self._loop.time() if state.others_in_flight else state.seen_at
+
+    def observe_health(self, service: str, upstream: Upstream, finding: HealthFinding) -> None:
+        """Take in what a health check found; see `HealthEvidence`."""
+        state = self._state_of(service, upstream)
+        if state is None:
+            return
+        now = self._loop.time()
+        note_finding(state, finding, now)
+        dispatcher = self.dispatcher_by_service[service]
+        dispatcher.evidence.end_pauses(now)
+        take_finding(finding, dispatcher.evidence, state, now)
+        if dispatcher.queue:
+            dispatcher.dispatch()
+
+    def _state_of(self, service: str, upstream: Upstream) -> UpstreamState | None:
+        """Find the state of an upstream, unless its id has got another address."""
+        dispatcher = self.dispatcher_by_service.get(service)
+        state = dispatcher.state_by_id.get(upstream.id) if dispatcher else None
+        if state is None:
+            return None
+        held = state.upstream
+        return state if (held.host, held.port) == (upstream.host, upstream.port) else None
+
     def quarantined(self) -> list[QuarantineEntry]:
         """List the quarantined fingerprints."""
         dispatchers = self.dispatcher_by_service.values()
@@ -171,7 +210,13 @@
 
     def _tell_draining(self, service: str, state: UpstreamState) -> None:
         """Tell the other homes at once."""
-        message = DrainSighting(service, state.upstream.id)
+        self._tell_homes_of_region(service, DrainSighting(service, state.upstream.id))
+
+    def _tell_hint(self, service: str, state: UpstreamState) -> None:
+        """Tell the other homes what a health check suggests."""
+        self._tell_homes_of_region(service, HealthHint(service, state.upstream.id))
+
+    def _tell_homes_of_region(self, service: str, message: DrainSighting | HealthHint) -> None:
         for peer_id in self._other_homes(service, self._membership.own.region):
             self._network.send(peer_id, message, Traffic.CONTROL)
 
@@ -181,6 +226,12 @@
         if dispatcher is not None and state is not None:
             dispatcher.evidence.drain(state, self._loop.time())
 
+    def _on_health_hint(self, _sender_id: str, message: HealthHint) -> None:
+        dispatcher = self.dispatcher_by_service.get(message.service)
+        state = dispatcher.state_by_id.get(message.upstream_id) if dispatcher else None
+        if dispatcher is not None and state is not None:
+            take_hint(dispatcher.evidence, state, self._loop.time())
+
     def _tell_crashes(self, service: str, records: CrashRecords) -> None:
         """Tell suspects to the homes of this region, and the quarantined to all homes."""
         peer_ids = self._other_homes(service, self._membership.own.region)
--- a/heatherhead/routing/upstream_state.py
+++ b/heatherhead/routing/upstream_state.py
@@ -14,7 +14,9 @@
     from heatherhead.membership.interface import Instance
     from heatherhead.routing.dispatcher import RoutedSlot
 
-__all__ = ["UpstreamState", "create_upstream_state"]
+__all__ = ["NEVER", "UpstreamState", "create_upstream_state"]
+
+NEVER = float("-inf")
 
 
 @dataclass(slots=True, eq=False)
@@ -22,6 +24,9 @@
     """Own calls in flight, evidence and place among the candidates of one upstream.
 
     Times are in seconds on the loop's clock; zero means that the condition does not hold.
+    `seen_at` and `good_at` are those of the last own attempt that showed anything of the upstream,
+    and of the last one that it answered well. `silences` counts health checks in a row without an
+    answer.
     """
 
     upstream: Upstream
@@ -41,12 +46,21 @@
     on_trial: bool = False
     failures: int = 0
     ejections: int = 0
+    ejected_at: float = 0.0
     ejected_until: float = 0.0
     draining_until: float = 0.0
     reserved: bool = False
     removed: bool = False
     report: LoadReport | None = None
     reason: str = ""
+    seen_at: float = NEVER
+    good_at: float = NEVER
+    silences: int = 0
+    is_trusting_health: bool = True
+    let_back_by_health: bool = False
+    health: str = ""
+    health_at: float = NEVER
+    tell_at: float = NEVER
     bucket: int = -1
     position: int = -1
 
@@ -77,6 +91,13 @@
             return now - slot.started_at
         return 0.0
 
+    def told_reason(self, now: float) -> str:
+        """Say for operators why the state is what it is, and what the last health check found."""
+        if not self.health:
+            return self.reason
+        health = f"health check {now - self.health_at:.1f} s ago: {self.health}"
+        return f"{self.reason}; {health}" if self.reason else health
+
     def condition(self) -> str:
         """Name the state for operators."""
         if self.draining_until or self.upstream.draining:
--- a/heatherhead/settings/check.py
+++ b/heatherhead/settings/check.py
@@ -159,6 +159,8 @@
          membership.suspect_after_ms - 1),
         ("membership.list_poll_s", membership.list_poll_s, "list_seldom_poll_s",
          membership.list_seldom_poll_s),
+        ("routing.health_timeout_ms", routing.health_timeout_ms, "health_interval_ms",
+         routing.health_interval_ms),
         ("routing.homes_minimum", routing.homes_minimum, "homes_maximum", routing.homes_maximum),
     )  # fmt: skip
     for path, value, other, bound in pairs:
--- a/heatherhead/settings/routing.py
+++ b/heatherhead/settings/routing.py
@@ -61,6 +61,21 @@
     draining_ms: int = Field(
         default=30_000, ge=1, le=3_600_000, description="How long a sighting of draining holds."
     )
+    health_interval_ms: int = Field(
+        default=1_500,
+        ge=100,
+        le=600_000,
+        description="Time without calls after which an upstream's health is checked, and between "
+        "two checks; each is up to a fifth shorter or longer.",
+    )
+    health_timeout_ms: int = Field(
+        default=500, ge=1, le=60_000, description="How long a health check waits for its answer."
+    )
+    health_bytes_per_second: float = Field(
+        default=4_000,
+        gt=0,
+        description="Bytes of health checks, requests and answers, of one instance a second.",
+    )
     quarantine_ms: int = Field(
         default=300_000, ge=1, le=86_400_000, description="How long a fingerprint is held back."
     )
--- a/heatherhead/tests/configuration/documents_tests.py
+++ b/heatherhead/tests/configuration/documents_tests.py
@@ -28,6 +28,7 @@
     retry_share=0.2,
     hedge_share=0.0,
     key_required=False,
+    health_path="/health",
 )
 
 
--- /dev/null
+++ b/heatherhead/tests/health/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `heatherhead.health`."""
--- /dev/null
+++ b/heatherhead/tests/health/fakes.py
@@ -0,0 +1,121 @@
+"""Instances of which each checks the health of its upstreams with a scripted probe."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from heatherhead.health import create_health_checker
+from heatherhead.health.probe import ProbeResult
+from heatherhead.routing.health import HealthDraining, HealthFine
+from heatherhead.settings.routing import RoutingSettings
+from heatherhead.tests.base import run_paused
+from heatherhead.tests.routing.fakes import FakeTelemetry, create_router_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from heatherhead.configuration.model import Service, Upstream
+    from heatherhead.health import HealthChecker
+    from heatherhead.membership.interface import Instance
+    from heatherhead.routing.router import RoutingRouter
+
+__all__ = ["CheckingInstance", "FakeProbe", "Fleet", "run_checking"]
+
+CHECK_BYTES = 200
+ANSWER_S = 0.005
+
+
+@dataclass(slots=True)
+class FakeProbe:
+    """Answers as the test says, and notes who was checked when."""
+
+    answer_s: float = ANSWER_S
+    bytes_used: int = CHECK_BYTES
+    draining: set[str] = field(default_factory=set)
+    announced: bool = True
+    checks: list[tuple[float, str]] = field(default_factory=list)
+    under_way: int = 0
+    most_under_way: int = 0
+
+    async def check(self, upstream: Upstream, path: str) -> ProbeResult:
+        """Answer one check."""
+        now = asyncio.get_running_loop().time()
+        self.checks.append((now, upstream.id))
+        self.under_way += 1
+        self.most_under_way = max(self.most_under_way, self.under_way)
+        try:
+            await asyncio.sleep(self.answer_s)
+        finally:
+            self.under_way -= 1
+        if upstream.id in self.draining:
+            return ProbeResult(HealthDraining(now, announced=self.announced), self.bytes_used)
+        return ProbeResult(HealthFine(now), self.bytes_used)
+
+    def checked(self) -> set[str]:
+        """Name the upstreams that were checked."""
+        return {upstream_id for _, upstream_id in self.checks}
+
+
+@dataclass(slots=True)
+class CheckingInstance:
+    """One instance: its router, checker and telemetry."""
+
+    router: RoutingRouter
+    checker: HealthChecker
+    probe: FakeProbe
+    telemetry: FakeTelemetry
+
+    def states(self) -> dict[str, str]:
+        """Name the state of each upstream."""
+        return {each.upstream.id: each.state for each in self.router.evidence("orders")}
+
+    def reasons(self) -> dict[str, str]:
+        """Tell the reason of each upstream's state."""
+        return {each.upstream.id: each.reason for each in self.router.evidence("orders")}
+
+
+Fleet = dict[str, CheckingInstance]
+
+
+def run_checking(
+    scenario: Callable[[Fleet], Awaitable[None]],
+    service: Service,
+    instances: list[Instance],
+    **settings: Any,
+) -> None:
+    """Run a scenario with a paused clock on instances that check the upstreams of a service."""
+
+    async def main() -> None:
+        fleet = _create_fleet(service, instances, **settings)
+        for instance in fleet.values():
+            instance.checker.start()
+        await scenario(fleet)
+        for instance in fleet.values():
+            await instance.checker.stop()
+            instance.router.close()
+
+    run_paused(main())
+
+
+def _create_fleet(service: Service, instances: list[Instance], **settings: Any) -> Fleet:
+    """Create instances on one fake network that all have the service; each has its own probe."""
+    fleet: Fleet = {}
+    routers = create_router_fleet(service, instances, **settings)
+    own_by_id = {each.id: each for each in instances}
+    for number, (own_id, router) in enumerate(routers.items()):
+        probe, telemetry = FakeProbe(), FakeTelemetry()
+        checker = create_health_checker(
+            RoutingSettings(**settings),
+            own_by_id[own_id],
+            router.homes,
+            router,
+            probe,
+            telemetry,
+            Random(number),
+        )
+        checker.update_service(service.name, service)
+        fleet[own_id] = CheckingInstance(router, checker, probe, telemetry)
+    return fleet
--- /dev/null
+++ b/heatherhead/tests/health/probe_tests.py
@@ -0,0 +1,143 @@
+"""Tests of `heatherhead.health.probe` against upstreams on the loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import pytest
+
+from heatherhead.configuration.model import Upstream
+from heatherhead.health.probe import MAX_BODY_BYTES, ProbeResult, create_health_probe
+from heatherhead.routing.health import (
+    HealthDraining,
+    HealthFine,
+    HealthGone,
+    HealthSilent,
+    HealthUnclear,
+)
+from heatherhead.settings.admission import AdmissionSettings
+from heatherhead.tests.callers.fakes import raw_upstream, run_shifted
+from heatherhead.upstreams.client import create_upstream_client
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from heatherhead.health.probe import HealthProbe
+
+TIMEOUT_S = 5.0
+
+
+def _upstream(port: int) -> Upstream:
+    return Upstream("u1", "127.0.0.1", port)
+
+
+def _run(
+    answer: bytes | None,
+    scenario: Callable[[HealthProbe, Upstream, list[bytes]], Awaitable[None]],
+    timeout_s: float = TIMEOUT_S,
+) -> None:
+    """Run with an upstream that gives the same answer to each request, or none."""
+    heads: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                heads.append(await reader.readuntil(b"\r\n\r\n"))
+                if answer is not None:
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def main() -> None:
+        client = create_upstream_client(AdmissionSettings())
+        async with raw_upstream(serve) as port:
+            await scenario(create_health_probe(client, timeout_s), _upstream(port), heads)
+        await client.close()
+
+    run_shifted(main())
+
+
+@pytest.mark.parametrize(
+    ("head", "expected"),
+    [
+        (b"200 OK", HealthFine),
+        (b"503 Busy", HealthDraining),
+        (b"404 No", HealthUnclear),
+        (b"500 Oops", HealthUnclear),
+    ],
+)
+def test_status_tells_the_finding_and_all_bytes_are_counted(head: bytes, expected: type) -> None:
+    answer = b"HTTP/1.1 " + head + b"\r\nHeatherhead-Load: 3\r\nContent-Length: 2\r\n\r\nok"
+
+    async def scenario(probe: HealthProbe, upstream: Upstream, heads: list[bytes]) -> None:
+        result = await probe.check(upstream, "/health")
+        assert type(result.finding) is expected
+        assert heads[0].startswith(b"GET /health HTTP/1.1\r\n")
+        assert result.bytes_used == len(heads[0]) + len(answer)
+        if isinstance(result.finding, HealthFine | HealthDraining):
+            assert result.finding.report is not None
+            assert result.finding.report.in_flight == 3
+
+    _run(answer, scenario)
+
+
+@pytest.mark.parametrize("header", [b"Heatherhead-Draining: true", b"Connection: close"])
+def test_headers_announce_a_drain(header: bytes) -> None:
+    async def scenario(probe: HealthProbe, upstream: Upstream, _heads: list[bytes]) -> None:
+        finding = (await probe.check(upstream, "/health")).finding
+        assert isinstance(finding, HealthDraining)
+        assert finding.announced
+
+    _run(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + header + b"\r\n\r\n", scenario)
+
+
+def test_a_long_body_is_not_read() -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1)
+
+    async def scenario(probe: HealthProbe, upstream: Upstream, heads: list[bytes]) -> None:
+        result: ProbeResult = await probe.check(upstream, "/health")
+        assert isinstance(result.finding, HealthFine)
+        assert result.bytes_used == len(heads[0]) + len(head)
+
+    _run(head, scenario)
+
+
+def test_no_answer_in_time_is_silence() -> None:
+    async def scenario(probe: HealthProbe, upstream: Upstream, heads: list[bytes]) -> None:
+        result = await probe.check(upstream, "/health")
+        assert isinstance(result.finding, HealthSilent)
+        assert result.bytes_used == len(heads[0])
+
+    _run(None, scenario, timeout_s=0.05)
+
+
+def test_an_upstream_that_hangs_up_is_silent() -> None:
+    async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def main() -> None:
+        client = create_upstream_client(AdmissionSettings())
+        async with raw_upstream(hang_up) as port:
+            probe = create_health_probe(client, TIMEOUT_S)
+            finding = (await probe.check(_upstream(port), "/health")).finding
+            assert isinstance(finding, HealthSilent)
+        await client.close()
+
+    run_shifted(main())
+
+
+def test_a_refused_connection_is_gone_and_costs_no_bytes() -> None:
+    async def main() -> None:
+        client = create_upstream_client(AdmissionSettings())
+        with socket.socket() as bound:
+            bound.bind(("127.0.0.1", 0))
+            probe = create_health_probe(client, TIMEOUT_S)
+            result = await probe.check(_upstream(bound.getsockname()[1]), "/health")
+        assert isinstance(result.finding, HealthGone)
+        assert result.bytes_used == 0
+        await client.close()
+
+    run_shifted(main())
