Say in a conflict when the change may have taken effect and been forgotten

Cause: held against the specification (forgetful_history_is_no_conflict), a change that took effect, lost its reply and was followed by 32 others was told as a plain conflict, as if it had not run. Change: ForgottenConflictError, a ConflictError that says so, when the history does not reach back to the expected revision. The serve_late move of the state machine finds a clock that goes back. make bench-keys measures grants and keys.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: install test lint format prove demo run generate docs capacity
-.PHONY: bench-operators bench-control bench-policy bench-choose bench-path bench-kill
+.PHONY: bench-operators bench-control bench-policy bench-choose bench-path bench-kill bench-keys
 
 install: $(STAMP)
 
@@ -58,3 +58,6 @@
 
 bench-operators: $(STAMP)
 	$(BIN)/python -m bench.operators
+
+bench-keys: $(STAMP)
+	$(BIN)/python -m bench.keys
--- a/heatherhead/configuration/editor.py
+++ b/heatherhead/configuration/editor.py
@@ -27,13 +27,20 @@
     from heatherhead.configuration.schema import ServiceSchema
     from heatherhead.store.interface import KeyValue, Store, WriteAnswer
 
-__all__ = ["Editor", "create_editor", "service_key"]
+__all__ = ["Editor", "ForgottenConflictError", "create_editor", "service_key"]
 
 MAX_EARLIER_CHANGES = 32
 MAX_SERVICES = 10_000  # tombstones included
 MAX_ATTEMPTS = 4
 
 
+class ForgottenConflictError(ConflictError):
+    """Other changes came since, so many that this one may be among the forgotten ones.
+
+    A plain `ConflictError` says that the change did not take effect; this one can't.
+    """
+
+
 def service_key(prefix: str, name: str) -> str:
     """Name the store's key of a service."""
     return f"{prefix}services/{name}"
@@ -183,6 +190,12 @@
     return ServiceRecord(name, 0, change_id, service, earlier)
 
 
+def _may_have_forgotten(held: ServiceRecord, expected_revision: int) -> bool:
+    """Tell whether a change that replaced `expected_revision` may be missing in the history."""
+    earlier = held.earlier_changes
+    return len(earlier) >= MAX_EARLIER_CHANGES and earlier[0].revision > expected_revision
+
+
 def _conflict(name: str, held: ServiceRecord | None, expected_revision: int) -> ConflictError:
     if held is None:
         return ConflictError(
@@ -191,6 +204,14 @@
             remedy="create it with expected revision 0",
         )
     state = "deleted" if held.service is None else "changed"
+    if _may_have_forgotten(held, expected_revision):
+        return ForgottenConflictError(
+            f"service {name} was {state} by change {held.change_id} at revision {held.revision},"
+            f" and its history no longer reaches back to revision {expected_revision}",
+            revision=held.revision,
+            remedy="this change may have been in force meanwhile: look at the service, then ask"
+            " for a new change with its revision",
+        )
     return ConflictError(
         f"service {name} was {state} by change {held.change_id} at revision {held.revision},"
         f" and revision {expected_revision} was expected",
--- a/heatherhead/tests/admission/keyed_calls_tests.py
+++ b/heatherhead/tests/admission/keyed_calls_tests.py
@@ -216,10 +216,23 @@
     def serve_answered(self, pick: int) -> None:
         self.serve(pick, AttemptState.ANSWERED)
 
+    @precondition(lambda self: self.world.arrivals)
+    @rule(pick=PICK)
+    def serve_late(self, pick: int) -> None:
+        arrival = pick_of(self.world.arrivals, pick)
+        assert arrival is not None
+        if self.world.process_by_id[arrival.instance_id].acts:
+            known = len(self.world.runs)
+            self.world.handle(arrival, reachable=True)
+            self.end_new_run(known, AttemptState.ANSWERED)
+
     def serve(self, pick: int, end: AttemptState) -> None:
         """Make all moves of a call whose only attempt ends in a given way."""
         known = len(self.world.runs)
         self.send_at("entry-1", pick, 1, late=False)
+        self.end_new_run(known, end)
+
+    def end_new_run(self, known: int, end: AttemptState) -> None:
         if len(self.world.runs) == known:
             return
         run = self.world.runs[-1]
--- a/heatherhead/tests/configuration/editor_tests.py
+++ b/heatherhead/tests/configuration/editor_tests.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.configuration import documents
-from heatherhead.configuration.editor import MAX_EARLIER_CHANGES, Editor, create_editor
+from heatherhead.configuration.editor import (
+    MAX_EARLIER_CHANGES,
+    Editor,
+    ForgottenConflictError,
+    create_editor,
+)
 from heatherhead.configuration.replica import create_replica
 from heatherhead.configuration.schema import ServiceSchema, UpstreamSchema
 from heatherhead.exceptions import ConfigurationError, ConflictError, StoreAmbiguousError
@@ -103,12 +108,27 @@
             revision = changed.ok_value.revision
         revision = (await two.delete("orders", revision, "gone")).ok_value.revision
         late = (await two.put(service("orders", 1), 0, "first")).err_value
-        assert isinstance(late, ConflictError)
+        assert isinstance(late, ForgottenConflictError)
         assert (await two.put(service("orders", 1), revision, "new")).is_ok()
 
     _run(scenario)
 
 
+def test_conflict_says_when_the_change_may_have_been_forgotten() -> None:
+    async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
+        first = (await one.put(service("orders", 1), 0, "first")).ok_value.revision
+        revision = (await one.put(service("orders", 2), first, "lost")).ok_value.revision
+        for number in range(MAX_EARLIER_CHANGES + 1):
+            changed = await two.put(service("orders", number + 3), revision, f"c{number}")
+            revision = changed.ok_value.revision
+        late = (await two.put(service("orders", 2), first, "lost")).err_value
+        assert isinstance(late, ForgottenConflictError)
+        plain = (await two.put(service("orders", 2), revision - 1, "other")).err_value
+        assert type(plain) is ConflictError
+
+    _run(scenario)
+
+
 def test_editor_with_an_old_replica_reads_before_it_refuses() -> None:
     async def scenario(one: Editor, two: Editor, way: FaultyStore) -> None:
         created = (await one.put(service("orders", 1), 0, "c1")).ok_value
