--- a/heatherhead/configuration/editor.py
+++ b/heatherhead/configuration/editor.py
@@ -27,20 +27,13 @@
     from heatherhead.configuration.schema import ServiceSchema
     from heatherhead.store.interface import KeyValue, Store, WriteAnswer
 
-__all__ = ["Editor", "ForgottenConflictError", "create_editor", "service_key"]
+__all__ = ["Editor", "create_editor", "service_key"]
 
 MAX_EARLIER_CHANGES = 32
 MAX_SERVICES = 10_000  # tombstones included
 MAX_ATTEMPTS = 4
 
 
-class ForgottenConflictError(ConflictError):
-    """Other changes came since, so many that this one may be among the forgotten ones.
-
-    A plain `ConflictError` says that the change did not take effect; this one can't.
-    """
-
-
 def service_key(prefix: str, name: str) -> str:
     """Name the store's key of a service."""
     return f"{prefix}services/{name}"
@@ -93,7 +86,7 @@
                 return Ok(found)
             if not _may_replace(held, service, expected_revision):
                 if is_fresh:
-                    return Err(_conflict(name, held, expected_revision))
+                    return Err(_refusal(name, held, expected_revision))
                 read = await self._read(name)
                 if isinstance(read, Err):
                     return read
@@ -117,7 +110,7 @@
             if isinstance(current, Err):
                 return current
             held, is_fresh = current.ok_value, True
-        return Err(in_doubt or _conflict(name, held, expected_revision))
+        return Err(in_doubt or _refusal(name, held, expected_revision))
 
     async def _swap(
         self, draft: ServiceRecord, document: bytes, held: ServiceRecord | None
@@ -190,10 +183,22 @@
     return ServiceRecord(name, 0, change_id, service, earlier)
 
 
-def _may_have_forgotten(held: ServiceRecord, expected_revision: int) -> bool:
-    """Tell whether a change that replaced `expected_revision` may be missing in the history."""
-    earlier = held.earlier_changes
-    return len(earlier) >= MAX_EARLIER_CHANGES and earlier[0].revision > expected_revision
+def _refusal(
+    name: str, held: ServiceRecord | None, expected_revision: int
+) -> ConflictError | StoreAmbiguousError:
+    """Tell of a conflict only where the history surely would show the change, had it been made."""
+    if held is None or _remembers_all_since(held, expected_revision):
+        return _conflict(name, held, expected_revision)
+    return StoreAmbiguousError(
+        f"service {name} has changed so often that it no longer shows whether this change was made;"
+        f" it is at revision {held.revision}",
+        remedy=f"look at it, and ask with a new change id and revision {held.revision} if need be",
+    )
+
+
+def _remembers_all_since(held: ServiceRecord, revision: int) -> bool:
+    history = held.earlier_changes
+    return len(history) < MAX_EARLIER_CHANGES or revision >= history[0].revision
 
 
 def _conflict(name: str, held: ServiceRecord | None, expected_revision: int) -> ConflictError:
@@ -204,14 +209,6 @@
             remedy="create it with expected revision 0",
         )
     state = "deleted" if held.service is None else "changed"
-    if _may_have_forgotten(held, expected_revision):
-        return ForgottenConflictError(
-            f"service {name} was {state} by change {held.change_id} at revision {held.revision},"
-            f" and its history no longer reaches back to revision {expected_revision}",
-            revision=held.revision,
-            remedy="this change may have been in force meanwhile: look at the service, then ask"
-            " for a new change with its revision",
-        )
     return ConflictError(
         f"service {name} was {state} by change {held.change_id} at revision {held.revision},"
         f" and revision {expected_revision} was expected",
