--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -22,7 +22,7 @@
 from heatherhead.configuration.service import create_configuration
 from heatherhead.membership.interface import Address
 from heatherhead.membership.service import create_membership
-from heatherhead.operators import Backend, create_operators_server
+from heatherhead.operators import DaemonParts, create_operators_server
 from heatherhead.routing.router import create_router
 from heatherhead.settings.tls import create_client_context, reload_certificate
 from heatherhead.store.factory import create_store
@@ -101,7 +101,7 @@
             self.pauses,
             {"/v1/addresses": self.addresses.addresses, "/v1/ready": self.addresses.ready},
         )
-        backend = Backend(
+        parts = DaemonParts(
             self.replica,
             self.configuration,
             self.configuration,
@@ -109,7 +109,7 @@
             self.router,
             self.telemetry,
         )
-        self.operators = create_operators_server(settings.operators, backend)
+        self.operators = create_operators_server(settings.operators, parts)
         server = create_callers_server(handler.handle, callers)
         self.listener = create_callers_listener(server, callers, bound)
         self.replica.subscribe(self._on_record)
--- a/heatherhead/operators/__init__.py
+++ b/heatherhead/operators/__init__.py
@@ -1,6 +1,6 @@
 """What operators call: the RPC interface, its server and its client."""
 
-from heatherhead.operators.backend import Backend
+from heatherhead.operators.parts import DaemonParts
 from heatherhead.operators.server import OperatorsServer, create_operators_server
 
-__all__ = ["Backend", "OperatorsServer", "create_operators_server"]
+__all__ = ["DaemonParts", "OperatorsServer", "create_operators_server"]
--- a/heatherhead/operators/changes.py
+++ b/heatherhead/operators/changes.py
@@ -24,7 +24,7 @@
     from heatherhead.configuration.model import Service
     from heatherhead.configuration.schema import ServiceSchema
     from heatherhead.exceptions import HeatherheadError
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["Change", "ServiceChanger"]
 
@@ -64,9 +64,9 @@
     `StoreUnavailableError` and `StoreAmbiguousError`.
     """
 
-    def __init__(self, backend: Backend) -> None:
-        self._replica = backend.replica
-        self._editor = backend.editor
+    def __init__(self, parts: DaemonParts) -> None:
+        self._replica = parts.replica
+        self._editor = parts.editor
 
     async def put(self, schema: ServiceSchema, change: Change) -> pb.ChangeReply:
         """Create or replace a service."""
--- a/heatherhead/operators/event_hub.py
+++ b/heatherhead/operators/event_hub.py
@@ -15,7 +15,7 @@
     from collections.abc import Mapping
 
     from heatherhead.configuration.model import ServiceRecord
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["EventHub", "Watcher", "create_event_hub"]
 
@@ -76,14 +76,14 @@
 class EventHub:
     """Collects events of configuration, instances and log, and offers them to all watchers."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._membership = backend.membership
+    def __init__(self, parts: DaemonParts) -> None:
+        self._membership = parts.membership
         self._sequence = 0
         self._watchers: set[Watcher] = set()
         self._state_by_id = self._instance_states()
         self._loop: asyncio.AbstractEventLoop | None = None
-        backend.replica.subscribe(self._service_changed)
-        backend.membership.subscribe(self._instances_changed)
+        parts.replica.subscribe(self._service_changed)
+        parts.membership.subscribe(self._instances_changed)
 
     def open(self) -> None:
         """Begin to collect events, on the running loop."""
@@ -161,6 +161,6 @@
         return {each.id: str(each.state) for each in self._membership.by_id.values()}
 
 
-def create_event_hub(backend: Backend) -> EventHub:
+def create_event_hub(parts: DaemonParts) -> EventHub:
     """Create a hub that follows the parts of a daemon."""
-    return EventHub(backend)
+    return EventHub(parts)
--- a/heatherhead/operators/handlers/__init__.py
+++ b/heatherhead/operators/handlers/__init__.py
@@ -15,20 +15,20 @@
 if TYPE_CHECKING:
     from grpclib._typing import IServable
 
-    from heatherhead.operators.backend import Backend
     from heatherhead.operators.event_hub import EventHub
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["create_handlers"]
 
 
-def create_handlers(backend: Backend, hub: EventHub) -> list[IServable]:
+def create_handlers(parts: DaemonParts, hub: EventHub) -> list[IServable]:
     """Create the handlers of all services."""
     return [
-        ServicesHandler(backend),
-        UpstreamsHandler(backend),
-        QuarantineHandler(backend),
-        InstancesHandler(backend),
-        HistogramsHandler(backend),
-        ConfigurationHandler(backend),
-        EventsHandler(backend, hub),
+        ServicesHandler(parts),
+        UpstreamsHandler(parts),
+        QuarantineHandler(parts),
+        InstancesHandler(parts),
+        HistogramsHandler(parts),
+        ConfigurationHandler(parts),
+        EventsHandler(parts, hub),
     ]
--- a/heatherhead/operators/handlers/configuration.py
+++ b/heatherhead/operators/handlers/configuration.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["ConfigurationHandler"]
 
@@ -29,10 +29,10 @@
 class ConfigurationHandler(ConfigurationBase):
     """Shows what the overlay has gathered, without store calls."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._replica = backend.replica
-        self._status = backend.status
-        self._membership = backend.membership
+    def __init__(self, parts: DaemonParts) -> None:
+        self._replica = parts.replica
+        self._status = parts.status
+        self._membership = parts.membership
 
     async def Status(self, stream: Stream[pb.StatusRequest, pb.StatusReply]) -> None:
         """Tell where a revision is in force."""
--- a/heatherhead/operators/handlers/events.py
+++ b/heatherhead/operators/handlers/events.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from heatherhead.operators.backend import Backend
     from heatherhead.operators.event_hub import EventHub
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["EventsHandler"]
 
@@ -20,8 +20,8 @@
 class EventsHandler(EventsBase):
     """Streams the hub's events."""
 
-    def __init__(self, backend: Backend, hub: EventHub) -> None:
-        self._membership = backend.membership
+    def __init__(self, parts: DaemonParts, hub: EventHub) -> None:
+        self._membership = parts.membership
         self._hub = hub
 
     async def Watch(self, stream: Stream[pb.WatchRequest, pb.Event]) -> None:
--- a/heatherhead/operators/handlers/histograms.py
+++ b/heatherhead/operators/handlers/histograms.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
     from heatherhead.telemetry.interface import HistogramKey
 
 __all__ = ["HistogramsHandler"]
@@ -22,9 +22,9 @@
 class HistogramsHandler(HistogramsBase):
     """Shows what telemetry has recorded on this instance."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._telemetry = backend.telemetry
-        self._membership = backend.membership
+    def __init__(self, parts: DaemonParts) -> None:
+        self._telemetry = parts.telemetry
+        self._membership = parts.membership
 
     async def List(self, stream: Stream[pb.ListHistogramsRequest, pb.ListHistogramsReply]) -> None:
         """List histograms page by page, a service never divided."""
--- a/heatherhead/operators/handlers/instances.py
+++ b/heatherhead/operators/handlers/instances.py
@@ -15,7 +15,7 @@
 
     from heatherhead.configuration.interface import AppliedRevision
     from heatherhead.membership.interface import Instance
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["InstancesHandler", "installed_version"]
 
@@ -23,9 +23,9 @@
 class InstancesHandler(InstancesBase):
     """Shows this instance's view of all instances."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._membership = backend.membership
-        self._status = backend.status
+    def __init__(self, parts: DaemonParts) -> None:
+        self._membership = parts.membership
+        self._status = parts.status
 
     async def List(self, stream: Stream[pb.ListInstancesRequest, pb.ListInstancesReply]) -> None:
         """List the known instances with the revision that each has in force."""
--- a/heatherhead/operators/handlers/quarantine.py
+++ b/heatherhead/operators/handlers/quarantine.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["QuarantineHandler"]
 
@@ -24,9 +24,9 @@
 class QuarantineHandler(QuarantineBase):
     """Shows and releases what routing holds back."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._router = backend.router
-        self._membership = backend.membership
+    def __init__(self, parts: DaemonParts) -> None:
+        self._router = parts.router
+        self._membership = parts.membership
 
     async def List(self, stream: Stream[pb.ListQuarantineRequest, pb.ListQuarantineReply]) -> None:
         """List the entries of one service or of all."""
--- a/heatherhead/operators/handlers/services.py
+++ b/heatherhead/operators/handlers/services.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
 
 __all__ = ["ServicesHandler"]
 
@@ -23,9 +23,9 @@
 class ServicesHandler(ServicesBase):
     """Answers from the replica and changes through the editor."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._replica = backend.replica
-        self._changer = ServiceChanger(backend)
+    def __init__(self, parts: DaemonParts) -> None:
+        self._replica = parts.replica
+        self._changer = ServiceChanger(parts)
 
     async def List(self, stream: Stream[pb.ListServicesRequest, pb.ListServicesReply]) -> None:
         """List services page by page."""
--- a/heatherhead/operators/handlers/upstreams.py
+++ b/heatherhead/operators/handlers/upstreams.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
     from heatherhead.routing.interface import UpstreamEvidence
 
 __all__ = ["UpstreamsHandler"]
@@ -23,14 +23,14 @@
 class UpstreamsHandler(UpstreamsBase):
     """Shows routing's evidence and changes the `draining` of upstreams."""
 
-    def __init__(self, backend: Backend) -> None:
-        self._backend = backend
-        self._changer = ServiceChanger(backend)
+    def __init__(self, parts: DaemonParts) -> None:
+        self._parts = parts
+        self._changer = ServiceChanger(parts)
 
     async def List(self, stream: Stream[pb.ListUpstreamsRequest, pb.ListUpstreamsReply]) -> None:
         """List upstreams page by page, a service never divided."""
         request = await receive(stream)
-        names = [service.name for service in self._backend.replica.services()]
+        names = [service.name for service in self._parts.replica.services()]
         if request.service:
             if request.service not in names:
                 raise UnknownNameError(
@@ -43,7 +43,7 @@
             pb.ListUpstreamsReply(
                 upstreams=upstreams,
                 next_page_token=token,
-                instance_id=self._backend.membership.own.id,
+                instance_id=self._parts.membership.own.id,
             )
         )
 
@@ -71,7 +71,7 @@
         await stream.send_message(reply)
 
     def _statuses(self, service: str) -> list[pb.UpstreamStatus]:
-        evidence = self._backend.router.evidence(service)
+        evidence = self._parts.router.evidence(service)
         return [_status_of(service, each) for each in evidence]
 
 
--- a/heatherhead/operators/backend.py
+++ b/heatherhead/operators/parts.py
@@ -12,11 +12,11 @@
     from heatherhead.routing.interface import Router
     from heatherhead.telemetry.interface import TelemetryReader
 
-__all__ = ["Backend"]
+__all__ = ["DaemonParts"]
 
 
 @dataclass(frozen=True, slots=True)
-class Backend:
+class DaemonParts:
     """What handlers read from and change through."""
 
     replica: Replica
--- a/heatherhead/operators/server.py
+++ b/heatherhead/operators/server.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     import ssl
 
-    from heatherhead.operators.backend import Backend
+    from heatherhead.operators.parts import DaemonParts
     from heatherhead.settings.operators import OperatorsSettings
 
 __all__ = ["OperatorsServer", "create_operators_server"]
@@ -32,10 +32,10 @@
 class OperatorsServer:
     """Listens for operators from `start` to `stop`."""
 
-    def __init__(self, settings: OperatorsSettings, backend: Backend) -> None:
+    def __init__(self, settings: OperatorsSettings, parts: DaemonParts) -> None:
         self._settings = settings
-        self._backend = backend
-        self._hub = create_event_hub(backend)
+        self._parts = parts
+        self._hub = create_event_hub(parts)
         self._server: Server | None = None
         self._socket: socket.socket | None = None
         self.tls_context: ssl.SSLContext | None = None
@@ -54,7 +54,7 @@
             self.tls_context = create_server_context(listen.tls)
             self.tls_context.set_alpn_protocols(["h2"])
         self._server = Server(
-            create_handlers(self._backend, self._hub),
+            create_handlers(self._parts, self._hub),
             status_details_codec=DetailsCodec(),
             config=_transport_configuration(),
         )
@@ -97,6 +97,6 @@
     )
 
 
-def create_operators_server(settings: OperatorsSettings, backend: Backend) -> OperatorsServer:
+def create_operators_server(settings: OperatorsSettings, parts: DaemonParts) -> OperatorsServer:
     """Create the server of the operators' port; `start` makes it listen."""
-    return OperatorsServer(settings, backend)
+    return OperatorsServer(settings, parts)
--- a/heatherhead/tests/operators/fakes.py
+++ b/heatherhead/tests/operators/fakes.py
@@ -14,7 +14,7 @@
 from heatherhead.configuration.replica import create_replica
 from heatherhead.exceptions import StoreAmbiguousError, StoreUnavailableError
 from heatherhead.membership.interface import Address, Instance, InstanceState
-from heatherhead.operators import Backend, create_operators_server
+from heatherhead.operators import DaemonParts, create_operators_server
 from heatherhead.operators.client import create_operators_client
 from heatherhead.routing.interface import QuarantineEntry, UpstreamEvidence
 from heatherhead.settings.instance import ListenSettings
@@ -154,7 +154,7 @@
         self.editor = create_editor(
             self.store, "/test/", self.replica, lambda record, _: self.replica.apply(record)
         )
-        self.backend = Backend(
+        self.parts = DaemonParts(
             self.replica,
             self.editor,
             self.status,
@@ -178,7 +178,7 @@
     """Run operators' servers on free ports of the loopback."""
     site = Site()
     settings = OperatorsSettings(listen=ListenSettings(port=0, tls=tls))
-    running = [create_operators_server(settings, site.backend) for _ in range(servers)]
+    running = [create_operators_server(settings, site.parts) for _ in range(servers)]
     try:
         for server in running:
             await server.start()
