--- a/heatherhead/callers/keyed.py
+++ b/heatherhead/callers/keyed.py
@@ -38,6 +38,7 @@
     from heatherhead.callers.state import CallersState
     from heatherhead.exceptions import CallRefusedError
     from heatherhead.settings.callers import CallersSettings
+    from heatherhead.telemetry.interface import Telemetry
 
 __all__ = ["KeyedCalls", "create_keyed_calls"]
 
@@ -53,6 +54,7 @@
         pass_on: PassOn,
         state: CallersState,
         settings: CallersSettings,
+        telemetry: Telemetry,
     ) -> None:
         self._issuer = issuer
         self._table = table
@@ -60,6 +62,7 @@
         self._pass_on = pass_on
         self._state = state
         self._settings = settings
+        self._telemetry = telemetry
 
     def check(self, inbound: InboundCall) -> None:
         """Read the key of a non-idempotent call, before its body is asked for.
@@ -141,6 +144,7 @@
     async def _first(self, inbound: InboundCall, key_run: KeyRun) -> StreamResponse:
         now = asyncio.get_running_loop().time()
         request = outbound_request(inbound.request, inbound.call, inbound.body, now)
+        request.idle_timeout_s = self._settings.answer_idle_timeout_s
         run = CallRun(inbound.call, inbound.service, request, inbound.body, began_at=now)
         inbound.run = run
         outcome = await self._runner.start(run, key_run).outcome()
@@ -173,6 +177,7 @@
         error = end.error()
         if error is not None:
             raise error
+        self._telemetry.count("keys.replayed")
         assert end.answer is not None
         return await relay_recorded(
             inbound.request, end.answer, close=self._state.closing_connections, replayed=True
@@ -192,6 +197,7 @@
     pass_on: PassOn,
     state: CallersState,
     settings: CallersSettings,
+    telemetry: Telemetry,
 ) -> KeyedCalls:
     """Create the filter of keyed calls."""
-    return KeyedCalls(issuer, table, runner, pass_on, state, settings)
+    return KeyedCalls(issuer, table, runner, pass_on, state, settings, telemetry)
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -8,7 +8,6 @@
 
 from result import Err
 
-from heatherhead.exceptions import NoUpstreamError
 from heatherhead.membership.interface import Traffic
 from heatherhead.routing.dispatcher import create_dispatcher
 from heatherhead.routing.exchange import create_vector_exchange
@@ -22,6 +21,7 @@
     QuarantineRelease,
 )
 from heatherhead.routing.quarantine import DEATHS_TO_QUARANTINE
+from heatherhead.routing.refusals import unknown_service
 from heatherhead.routing.upstream_state import NEVER
 
 if TYPE_CHECKING:
@@ -82,7 +82,7 @@
         """Wait for a slot."""
         dispatcher = self.dispatcher_by_service.get(call.service)
         if dispatcher is None:
-            return Err(_unknown_service(call.service))
+            return Err(unknown_service(call.service))
         return await dispatcher.acquire(call, avoid)
 
     def try_acquire(self, call: Call, avoid: frozenset[str] = NO_AVOIDED) -> Slot | None:
@@ -262,12 +262,6 @@
         return [home for region in regions for home in self._other_homes(service, region)]
 
 
-def _unknown_service(name: str) -> NoUpstreamError:
-    return NoUpstreamError(
-        f"there is no service {name}", remedy="ask for a service that is configured"
-    )
-
-
 def create_router(
     settings: RoutingSettings,
     membership: MembershipView,
