--- a/heatherhead/admission/key_table.py
+++ b/heatherhead/admission/key_table.py
@@ -28,6 +28,7 @@
     KeyUnknownError,
 )
 from heatherhead.calls import AttemptState
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -48,6 +49,7 @@
 
 SWEEP_BUCKET_S = 1.0
 SWEEP_STEPS = 4  # more than one entry goes for each that comes, in bounded time
+FULL_LOG_INTERVAL_S = 10.0
 ANSWER_OVERHEAD_BYTES = 512
 HEADER_OVERHEAD_BYTES = 160
 
@@ -196,6 +198,7 @@
         self.recorded_bytes = 0
         self._issuer = issuer
         self._now = 0.0
+        self._full_logged_at = -FULL_LOG_INTERVAL_S
         self._entry_by_name: dict[str, _Entry] = {}
         self._recorded_names: OrderedDict[str, None] = OrderedDict()
         self._names_by_bucket: dict[int, list[str]] = {}
@@ -259,10 +262,17 @@
         if grant.serial <= self.closed_watermark:
             return GrantClosedError()
         if len(self._entry_by_name) >= self.limits.max_entries:
-            self.closed_watermark = self._issuer.last_serial
+            self._close_grants()
             return KeyTableFullError()
         return None
 
+    def _close_grants(self) -> None:
+        """Close all grants issued so far for new keys, and tell operators now and then."""
+        self.closed_watermark = self._issuer.last_serial
+        if self._now - self._full_logged_at >= FULL_LOG_INTERVAL_S:
+            self._full_logged_at = self._now
+            log_event("key_table_full", level="WARNING", entries=len(self._entry_by_name))
+
     def _finish(self, name: str, state: KeyState, answer: RecordedAnswer | None) -> KeyEnd:
         entry = self._entry_by_name[name]
         end = KeyEnd(state, answer)
--- a/heatherhead/tests/admission/key_table_tests.py
+++ b/heatherhead/tests/admission/key_table_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from heatherhead.admission.grants import Grant, GrantIssuer, create_grant_issuer, parse_key
 from heatherhead.admission.key_errors import (
@@ -156,6 +157,19 @@
     assert len(owner.table) == 1
 
 
+def test_a_full_table_is_logged_now_and_then() -> None:
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    try:
+        owner = Owner(max_entries=1)
+        owner.begin(owner.grant())
+        for after_s in (0, 1, 9, 11):
+            owner.table.begin(owner.grant(NOW + after_s), "k", 1, NOW + after_s)
+    finally:
+        logger.remove(sink)
+    assert lines == ["event=key_table_full entries=1\n"] * 2
+
+
 def test_a_refused_key_stays_refused_when_there_is_room_again() -> None:
     owner = Owner(max_entries=1)
     old = owner.grant()
