--- a/bench/control.py
+++ b/bench/control.py
@@ -112,7 +112,9 @@
             StoreSettings(urls=(self.store_url,), calls_per_s=1_000, calls_burst=10_000)
         )
         replica = create_replica()
-        editor = create_editor(store, "/heatherhead/", replica, replica.apply)
+        editor = create_editor(
+            store, "/heatherhead/", replica, lambda record, _: replica.apply(record)
+        )
         each = upstreams // services
         for number in range(services):
             (await editor.put(_service(number, each), 0, f"load-{number}")).unwrap()
