--- a/bench/choose.py
+++ b/bench/choose.py
@@ -1,4 +1,4 @@
-"""Times the choice of an upstream alone, for services of 12, 100 and 1,000 upstreams.
+"""Times the choice of an upstream alone, for services of 12, 100 and 1,000 upstreams, and of homes.
 
 Usage: python -m bench.choose
 
@@ -18,10 +18,18 @@
 
 from bench.fleet import save_result
 from heatherhead.calls import AttemptResult, AttemptState, Call
+from heatherhead.routing.homes import create_home_sets
 from heatherhead.runtime import create_loop
-from heatherhead.tests.routing.fakes import create_service, create_single_router
+from heatherhead.settings.routing import RoutingSettings
+from heatherhead.tests.routing.fakes import (
+    FakeMembership,
+    create_instance,
+    create_service,
+    create_single_router,
+)
 
 if TYPE_CHECKING:
+    from heatherhead.routing.homes import RendezvousHomes
     from heatherhead.settings.routing import PolicyName
 
 SIZES = (12, 100, 1_000)
@@ -36,6 +44,11 @@
     "random",
 )
 MICROSECONDS = 1_000_000
+INSTANCES = 1_000
+ZONES = 16
+REGIONS = 5
+SERVICES = 510
+HOMES = 3
 
 
 async def time_choice(policy: PolicyName, upstreams: int) -> float:
@@ -61,6 +74,34 @@
     return best * MICROSECONDS
 
 
+def time_homes() -> dict[str, float]:
+    """Time the homes of all services in all regions: cold, cached, and after one instance went."""
+    instances = [
+        create_instance(f"i{index}", f"z{index % ZONES}", f"r{index % ZONES % REGIONS}")
+        for index in range(INSTANCES)
+    ]
+    membership = FakeMembership(instances[0], instances)
+    sets = create_home_sets(membership, settings=RoutingSettings(homes_minimum=HOMES))
+    keys = [(f"s{number}", f"r{region}") for number in range(SERVICES) for region in range(REGIONS)]
+    cold_s, before = _time_all(sets, keys)
+    cached_s, _ = _time_all(sets, keys)
+    membership.replace(instances[1:])
+    changed_s, after = _time_all(sets, keys)
+    moved = sum(len(set(new) - set(old)) for new, old in zip(after, before, strict=True))
+    return {
+        "homes_cold_ms": round(cold_s * 1000, 1),
+        "homes_cached_us": round(cached_s / len(keys) * MICROSECONDS, 2),
+        "homes_after_one_went_ms": round(changed_s * 1000, 1),
+        "homes_moved_share": round(moved / (HOMES * len(keys)), 5),
+    }
+
+
+def _time_all(sets: RendezvousHomes, keys: list[tuple[str, str]]) -> tuple[float, list[list[str]]]:
+    began = time.perf_counter()
+    ids = [sets.home_ids(*key) for key in keys]
+    return time.perf_counter() - began, ids
+
+
 def _call(now: float) -> Call:
     return Call("orders", "GET", "/", now, now + 60, True)
 
@@ -80,6 +121,7 @@
         print(f"{policy:16} {by_size} us, slope {slope:.3f}", flush=True)
         if policy == "late_binding":
             figures = {"choose_us": by_size, "slope": round(slope, 3)}
+    figures.update(time_homes())
     save_result("choose", figures)
 
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -263,7 +263,9 @@
         }
         store = create_store(StoreSettings(urls=(self.store_url,)))
         replica = create_replica()
-        editor = create_editor(store, "/heatherhead/", replica, replica.apply)
+        editor = create_editor(
+            store, "/heatherhead/", replica, lambda record, _: replica.apply(record)
+        )
         (await editor.put(ServiceSchema.model_validate(document), 0, "bench")).unwrap()
         await store.close()
 
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -86,6 +86,8 @@
     def _refused_by_draining(self, state: UpstreamState, result: AttemptResult, now: float) -> None:
         """Take an upstream out; one that can't even be connected to may be back soon."""
         if result.state is AttemptState.NOT_SENT:
+            if not state.draining_until:
+                log_event("upstream_unreachable", upstream=state.upstream.id)
             self._leave_out(state, now + UNREACHABLE_S, "it can't be connected to")
             return
         is_news = not state.draining_until
@@ -102,6 +104,8 @@
 
     def drain(self, state: UpstreamState, now: float) -> None:
         """Give an upstream no new work for a while because it was seen draining."""
+        if not state.draining_until:
+            log_event("upstream_draining", upstream=state.upstream.id)
         until = now + self._settings.draining_ms / 1000
         self._leave_out(state, until, "it refuses calls because it drains")
 
@@ -215,8 +219,6 @@
         self._pause(state, state.ejected_until)
 
     def _leave_out(self, state: UpstreamState, until: float, reason: str) -> None:
-        if not state.draining_until:
-            log_event("upstream_left_out", upstream=state.upstream.id, reason=reason)
         state.draining_until = max(state.draining_until, until)
         state.reason = reason
         self._pause(state, state.draining_until)
--- a/heatherhead/routing/exchange.py
+++ b/heatherhead/routing/exchange.py
@@ -37,6 +37,7 @@
 FORGET_AFTER_S = 2.5
 MAX_PEERS_PER_SERVICE = 64
 MAX_SLOWDOWN = 64.0
+SERVICES_FOLLOWED_A_ROUND = 16
 VECTORS_PER_SERVICE_TIME = 10
 ROW_OVERHEAD_BYTES = 10
 MESSAGE_OVERHEAD_BYTES = 12
@@ -75,6 +76,7 @@
         self._shared_by_service: dict[str, _SharedService] = {}
         self._with_co_homes: list[_SharedService] = []
         self._seen_version = (-1, -1)
+        self._to_follow: list[str] = []
         self._slowdown = 1.0
         network.subscribe(InFlightVectors, self._on_vectors)
 
@@ -195,12 +197,18 @@
                 shared.dispatcher.others_changed(vector.withdraw(shared.states))
 
     def _follow_homes(self) -> None:
+        """Take in new homes, a few services a round so that no round holds up the calls."""
         version = (self._homes.version, self._homes.counts.version)
-        if version == self._seen_version:
+        if version != self._seen_version and not self._to_follow:
+            self._seen_version = version
+            self._to_follow = list(self._shared_by_service)
+        if not self._to_follow:
             return
-        self._seen_version = version
-        for shared in self._shared_by_service.values():
-            self._take_homes(shared)
+        names = self._to_follow[-SERVICES_FOLLOWED_A_ROUND:]
+        del self._to_follow[-SERVICES_FOLLOWED_A_ROUND:]
+        for name in names:
+            if name in self._shared_by_service:
+                self._take_homes(self._shared_by_service[name])
         self._list_co_homes()
 
     def _list_co_homes(self) -> None:
--- a/heatherhead/routing/homes.py
+++ b/heatherhead/routing/homes.py
@@ -23,6 +23,7 @@
 __all__ = ["RendezvousHomes", "create_home_sets"]
 
 FEWEST_RANKED = 8
+MAX_CHANGES_EXAMINED = 4  # ranking anew on demand is cheaper than examining more
 LOWEST_WEIGHT = 0.5
 HIGHEST_WEIGHT = 2.0
 
@@ -89,11 +90,17 @@
         self._zone_by_id_by_region = after
         for region in before.keys() | after.keys():
             changed = set(before.get(region, {}).items()) ^ set(after.get(region, {}).items())
-            if changed:
+            if len(changed) > MAX_CHANGES_EXAMINED:
+                self._drop_all(region)
+            elif changed:
                 self._drop_touched(region, changed)
         for instance_id in self.load_by_id.keys() - self._membership.by_id.keys():
             del self.load_by_id[instance_id]
 
+    def _drop_all(self, region: str) -> None:
+        for key in [each for each in self._ranking_by_key if each[1] == region]:
+            del self._ranking_by_key[key]
+
     def _drop_touched(self, region: str, changed: set[tuple[str, str]]) -> None:
         zone_by_id = self._zone_by_id_by_region.get(region, {})
         for key in [each for each in self._ranking_by_key if each[1] == region]:
