--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -22,7 +22,7 @@
 from heatherhead.configuration.service import create_configuration
 from heatherhead.membership.interface import Address
 from heatherhead.membership.service import create_membership
-from heatherhead.operators import Backend, create_operators_server
+from heatherhead.operators import DaemonParts, create_operators_server
 from heatherhead.routing.router import create_router
 from heatherhead.settings.tls import create_client_context, reload_certificate
 from heatherhead.store.factory import create_store
@@ -72,7 +72,7 @@
         )
         table = create_key_table(issuer, _key_limits(settings.admission))
         self.pauses = create_pause_watch()
-        owner_tls = _owner_tls(settings)
+        self._owner_tls = owner_tls = _owner_tls(settings)
         keyed = create_keyed_calls(
             issuer,
             table,
@@ -101,7 +101,7 @@
             self.pauses,
             {"/v1/addresses": self.addresses.addresses, "/v1/ready": self.addresses.ready},
         )
-        backend = Backend(
+        parts = DaemonParts(
             self.replica,
             self.configuration,
             self.configuration,
@@ -109,7 +109,7 @@
             self.router,
             self.telemetry,
         )
-        self.operators = create_operators_server(settings.operators, backend)
+        self.operators = create_operators_server(settings.operators, parts)
         server = create_callers_server(handler.handle, callers)
         self.listener = create_callers_listener(server, callers, bound)
         self.replica.subscribe(self._on_record)
@@ -140,6 +140,8 @@
     def reload(self) -> None:
         """Read the certificates again; raises `SettingsError`."""
         self.listener.reload_tls()
+        if self._owner_tls is not None and self.settings.callers.listen.tls is not None:
+            reload_certificate(self._owner_tls, self.settings.callers.listen.tls)
         tls = self.settings.operators.listen.tls
         if tls is not None and self.operators.tls_context is not None:
             reload_certificate(self.operators.tls_context, tls)
