Take a run for answered only after an answer, and split the states off the key table

Cause: the specification's finish_answered asks for an answer; the code took the caller's word. Change: finish_answered without an answer ends as unknown; the condition is a guard with a mutant.

--- /dev/null
+++ b/heatherhead/admission/key_states.py
@@ -0,0 +1,83 @@
+"""States of a key, and what a caller is told of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from hashlib import blake2b
+
+from heatherhead.admission.key_errors import (
+    KeyAnswerGoneError,
+    KeyClosedError,
+    KeyedCallError,
+    KeyUnknownError,
+)
+
+__all__ = ["KeyEnd", "KeyState", "KeyWait", "RecordedAnswer", "request_fingerprint"]
+
+ANSWER_OVERHEAD_BYTES = 512
+HEADER_OVERHEAD_BYTES = 160
+FINGERPRINT_BYTES = 7
+
+
+class KeyState(StrEnum):
+    """What is known of a key."""
+
+    ABSENT = "absent"
+    RUNNING = "running"
+    RECORDED = "recorded"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+    CLOSED = "closed"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """An upstream's whole answer, kept for resends."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Estimate the memory that the answer takes."""
+        headers = sum(len(name) + len(value) for name, value in self.headers)
+        overhead = ANSWER_OVERHEAD_BYTES + HEADER_OVERHEAD_BYTES * len(self.headers)
+        return overhead + headers + len(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyEnd:
+    """How the run of a key ended; `answer` is there in state RECORDED only."""
+
+    state: KeyState
+    answer: RecordedAnswer | None = None
+
+    def error(self) -> KeyedCallError | None:
+        """Give the error to tell the caller; `None` if there is an answer."""
+        kind = _error_by_state.get(self.state)
+        return kind() if kind else None
+
+
+_error_by_state: dict[KeyState, type[KeyedCallError]] = {
+    KeyState.RAN: KeyAnswerGoneError,
+    KeyState.UNKNOWN: KeyUnknownError,
+    KeyState.CLOSED: KeyClosedError,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class KeyWait:
+    """The key is running; `KeyTable.wait` gives its end."""
+
+    name: str
+
+
+def request_fingerprint(method: str, target: str, content_length: int | None) -> int:
+    """Condense what must be the same when a request is sent again."""
+    text = f"{method} {content_length} {target}"
+    digest = blake2b(
+        text.encode("utf-8", "surrogateescape"), digest_size=FINGERPRINT_BYTES
+    ).digest()
+    return int.from_bytes(digest, "big")
--- a/heatherhead/admission/key_table.py
+++ b/heatherhead/admission/key_table.py
@@ -10,8 +10,6 @@
 import heapq
 from collections import OrderedDict
 from dataclasses import dataclass
-from enum import StrEnum
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -19,13 +17,17 @@
 from heatherhead.admission.key_errors import (
     GrantClosedError,
     GrantExpiredError,
-    KeyAnswerGoneError,
-    KeyClosedError,
     KeyedCallError,
     KeyForgottenError,
     KeyMismatchError,
     KeyTableFullError,
-    KeyUnknownError,
+)
+from heatherhead.admission.key_states import (
+    KeyEnd,
+    KeyState,
+    KeyWait,
+    RecordedAnswer,
+    request_fingerprint,
 )
 from heatherhead.calls import AttemptState
 from heatherhead.telemetry.logs import log_event
@@ -50,19 +52,6 @@
 SWEEP_BUCKET_S = 1.0
 SWEEP_STEPS = 4  # more than one entry goes for each that comes, in bounded time
 FULL_LOG_INTERVAL_S = 10.0
-ANSWER_OVERHEAD_BYTES = 512
-HEADER_OVERHEAD_BYTES = 160
-
-
-class KeyState(StrEnum):
-    """What is known of a key."""
-
-    ABSENT = "absent"
-    RUNNING = "running"
-    RECORDED = "recorded"
-    RAN = "ran"
-    UNKNOWN = "unknown"
-    CLOSED = "closed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,49 +64,6 @@
     retention_s: float = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class RecordedAnswer:
-    """An upstream's whole answer, kept for resends."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-    @property
-    def size_bytes(self) -> int:
-        """Estimate the memory that the answer takes."""
-        headers = sum(len(name) + len(value) for name, value in self.headers)
-        overhead = ANSWER_OVERHEAD_BYTES + HEADER_OVERHEAD_BYTES * len(self.headers)
-        return overhead + headers + len(self.body)
-
-
-@dataclass(frozen=True, slots=True)
-class KeyEnd:
-    """How the run of a key ended; `answer` is there in state RECORDED only."""
-
-    state: KeyState
-    answer: RecordedAnswer | None = None
-
-    def error(self) -> KeyedCallError | None:
-        """Give the error to tell the caller; `None` if there is an answer."""
-        kind = _error_by_state.get(self.state)
-        return kind() if kind else None
-
-
-_error_by_state: dict[KeyState, type[KeyedCallError]] = {
-    KeyState.RAN: KeyAnswerGoneError,
-    KeyState.UNKNOWN: KeyUnknownError,
-    KeyState.CLOSED: KeyClosedError,
-}
-
-
-@dataclass(frozen=True, slots=True)
-class KeyWait:
-    """The key is running; `KeyTable.wait` gives its end."""
-
-    name: str
-
-
 @dataclass(slots=True)
 class _Entry:
     """What the table holds of a key."""
@@ -156,7 +102,12 @@
             self._attempt = state
 
     def finish_answered(self, answer: RecordedAnswer | None) -> KeyEnd:
-        """End with an upstream's answer, or with `None` for one too large to keep."""
+        """End with an upstream's answer, or with `None` for one too large to keep.
+
+        Gives state UNKNOWN instead if the last attempt had no answer.
+        """
+        if self._attempt is not AttemptState.ANSWERED:
+            return self.finish_unknown()
         return self._finish(KeyState.RECORDED if answer else KeyState.RAN, answer)
 
     def finish_unknown(self) -> KeyEnd:
@@ -337,10 +288,3 @@
 def create_key_table(issuer: GrantIssuer, limits: KeyTableLimits | None = None) -> KeyTable:
     """Create an empty key table for the grants of one issuer."""
     return KeyTable(issuer, limits or KeyTableLimits())
-
-
-def request_fingerprint(method: str, target: str, content_length: int | None) -> int:
-    """Condense what must be the same when a request is sent again."""
-    text = f"{method} {content_length} {target}"
-    digest = blake2b(text.encode("utf-8", "surrogateescape"), digest_size=7).digest()
-    return int.from_bytes(digest, "big")
--- a/heatherhead/tests/admission/key_table_tests.py
+++ b/heatherhead/tests/admission/key_table_tests.py
@@ -129,6 +129,15 @@
     assert run.finish_not_run().state is KeyState.UNKNOWN
 
 
+@pytest.mark.parametrize("state", [AttemptState.UNKNOWN, AttemptState.REFUSED])
+def test_a_call_without_an_answer_is_not_told_as_run(state: AttemptState) -> None:
+    owner = Owner()
+    run = owner.begin(owner.grant())
+    assert run.begin_attempt()
+    run.end_attempt(state)
+    assert run.finish_answered(None).state is KeyState.UNKNOWN
+
+
 def test_a_refused_attempt_may_be_repeated() -> None:
     owner = Owner()
     run = owner.begin(owner.grant())
--- a/spec/keyed_calls/attempts.py
+++ b/spec/keyed_calls/attempts.py
@@ -98,7 +98,7 @@
     return step(
         owner_acts(s),
         s.key.is_(KeyState.RUNNING),
-        s.attempt.is_(AttemptState.ANSWERED),
+        guard("answered_needs_an_answer", s.attempt.is_(AttemptState.ANSWERED)),
         key=choose(kept, KeyState.RECORDED, KeyState.RAN),
         told_ran=True,
         waiting=False,
