--- a/heatherhead/membership/connection.py
+++ b/heatherhead/membership/connection.py
@@ -41,7 +41,7 @@
 class PeerConnection:
     """A greeted stream to `peer`; `dialer_id` names the end that opened it.
 
-    `is_wanted_by_peer` tells that the peer sees the stream as one of the overlay.
+    `wanted_until` tells for how long the peer surely sees the stream as one of the overlay.
     """
 
     def __init__(
@@ -54,10 +54,15 @@
         self.peer = peer
         self.dialer_id = dialer_id
         self.used_at = self.heard_at = asyncio.get_running_loop().time()
-        self.is_wanted_by_peer = False
+        self.wanted_until = 0.0
         self._reader = reader
         self._writer = writer
 
+    @property
+    def is_wanted_by_peer(self) -> bool:
+        """Tell whether the peer sees the stream as one of the overlay."""
+        return asyncio.get_running_loop().time() < self.wanted_until
+
     def has_room_for(self, size: int, limit: int) -> bool:
         """Tell whether `size` more bytes keep the buffer below `limit`."""
         if self._writer.is_closing():
--- a/heatherhead/membership/network.py
+++ b/heatherhead/membership/network.py
@@ -28,6 +28,7 @@
 
 UPKEEP_S = 0.25
 SECOND_DIALER_WAIT_S = 1.0  # the lower id dials first; the higher one only if that fails
+HEARTBEATS_WANTED = 5  # a peer that no longer wants a stream sends no heartbeats on it
 MAX_UNGREETED = 64
 MAX_WAITING = 64  # messages to one instance while its stream is being opened
 MAX_WAITING_INSTANCES = 256
@@ -51,6 +52,7 @@
             settings.control_budget, settings.measuring_budget, settings.budget_burst_s
         )
         self._settings = settings
+        self._wanted_s = HEARTBEATS_WANTED * settings.heartbeat_ms / 1000
         self._table = table
         self._tls = tls
         self._dialer = create_dialer(
@@ -229,7 +231,8 @@
             self.budget.note_received(kind, size)
             connection.heard_at = asyncio.get_running_loop().time()
             if isinstance(message, Heartbeat):
-                connection.is_wanted_by_peer = message.wanted
+                wanted_s = self._wanted_s if message.wanted else 0.0
+                connection.wanted_until = connection.heard_at + wanted_s
             else:
                 connection.used_at = connection.heard_at
             for handler in self._handlers_by_type[type(message)]:
--- a/heatherhead/tests/membership/network_tests.py
+++ b/heatherhead/tests/membership/network_tests.py
@@ -114,6 +114,8 @@
         assert a.send("b", Heartbeat(True, 0), Traffic.CONTROL)
         await beat
         assert (a.neighbours(), b.neighbours()) == (["b"], ["a"])
+        b._connection_by_id["a"].wanted_until -= 5
+        assert b.neighbours() == []
         greeted = _greeting(a)
         b.drop("a")
         assert await greeted == "b"
