--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: install test lint format prove demo run generate docs capacity
-.PHONY: bench-operators bench-control bench-policy bench-choose bench-path bench-kill bench-keys
+.PHONY: bench-health bench-operators bench-control bench-policy bench-choose bench-path bench-kill bench-keys
 
 install: $(STAMP)
 
@@ -56,6 +56,9 @@
 bench-kill: $(STAMP)
 	$(BIN)/python -m bench.kill
 
+bench-health: $(STAMP)
+	$(BIN)/python -m bench.health
+
 bench-operators: $(STAMP)
 	$(BIN)/python -m bench.operators
 
