Let an upstream that stays slow compete less and less often, and count given-up attempts as slow

Change: each time it is still slow when it competes again its pause doubles, up to 16 times; any attempt that ran too long marks its upstream, however it ended.

--- a/bench/policy_trial.py
+++ b/bench/policy_trial.py
@@ -14,7 +14,7 @@
 from random import Random
 from typing import Any
 
-from bench.fake_upstream import SlowSpells
+from bench.fake_upstream import COLD_CALLS, COLD_FACTOR, SlowSpells
 from heatherhead.calls import AttemptResult, AttemptState, Call
 from heatherhead.configuration.model import Service, Upstream
 from heatherhead.routing.homes import create_home_sets
@@ -56,6 +56,7 @@
     slow_s: float = 0.2
     spell_factor: float = 10.0
     failing: int = 0
+    cold: int = 0
     told_speed: bool = False
     service_s: float = 0.010
     jitter_s: float = 0.0003
@@ -76,6 +77,7 @@
             plan.slow_every_s, plan.slow_s, plan.spell_factor, plan.seed * 1000 + index
         )
         self.failing = index < plan.failing
+        self.cold_calls = COLD_CALLS if index >= UPSTREAMS - plan.cold else 0
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.running = 0
         self._random = Random(index)
@@ -100,6 +102,9 @@
             service_s = self._service_s
             if self._exponential:
                 service_s = self._random.expovariate(1 / service_s)
+            if self.cold_calls:
+                self.cold_calls -= 1
+                service_s *= COLD_FACTOR
             await asyncio.sleep(service_s * self.spells.factor(loop.time()))
         finally:
             self._next()
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -31,6 +31,7 @@
 HIGH_FACTOR = 1.2
 MAX_EJECTIONS = 5
 UNREACHABLE_S = 2.0
+MAX_SLOW_ROUNDS = 4
 SLOTS_LIFETIME_S = 0.02
 TRIAL_SERVICE_TIMES = 2
 SLOW_PAUSE_SERVICE_TIMES = 10
@@ -78,6 +79,10 @@
             state.seen_at = now
         if result.report is not None:
             state.report = result.report
+        duration_s = result.duration_s or now - slot.started_at
+        is_late = slot.aged or 0 < self.slow_after_s < duration_s
+        if is_late and not slot.aged:
+            self.overdue(slot, now)
         if result.sign is UpstreamSign.DRAINING:
             self._refused_by_draining(state, result, now)
         elif result.sign is UpstreamSign.SHEDDING:
@@ -85,7 +90,7 @@
         elif result.sign is UpstreamSign.DIED or _failed(result):
             self._failed(state, now, at_once=result.sign is UpstreamSign.DIED)
         elif result.state is AttemptState.ANSWERED:
-            self._answered(slot, result.duration_s or now - slot.started_at, now)
+            self._answered(slot, duration_s, now, is_late=is_late)
 
     def _refused_by_draining(self, state: UpstreamState, result: AttemptResult, now: float) -> None:
         """Take an upstream out; one that can't even be connected to may be back soon."""
@@ -167,7 +172,8 @@
             if state.trial_at and state.trial_at <= now:
                 state.trial_at = 0.0
                 state.on_trial = True
-                state.competes_at = state.slow_since + self._slow_pause_s()
+                pause_s = self._slow_pause_s() * 2**state.slow_rounds
+                state.competes_at = state.slow_since + pause_s
                 self._pause(state, state.competes_at)
             elif state.on_trial and state.competes_at <= now:
                 state.on_trial = False
@@ -192,7 +198,7 @@
         """Count the slots anew when asked next, because the upstreams changed."""
         self._slots_counted_at = float("-inf")
 
-    def _answered(self, slot: RoutedSlot, duration_s: float, now: float) -> None:
+    def _answered(self, slot: RoutedSlot, duration_s: float, now: float, *, is_late: bool) -> None:
         state = slot.state
         self._failing_share *= 1 - FAILING_SHARE_WEIGHT
         state.failures = 0
@@ -202,8 +208,7 @@
         if self._service_time.usual_s:
             self.slow_after_s = self.threshold_s(self._settings.slow_factor)
             self.needed_s = self.threshold_s(1.0)
-        if slot.aged or (self.slow_after_s and duration_s > self.slow_after_s):
-            self._answered_late(slot, now)
+        if is_late:
             return
         state.limit.answered()
         if state.slow and slot.started_at >= state.slow_since:
@@ -215,12 +220,13 @@
             state.ejections = 0
             state.is_trusting_health = True
 
-    def _answered_late(self, slot: RoutedSlot, now: float) -> None:
-        if not slot.aged and not slot.state.slow:
-            self._mark_slow(slot.state, now)
-
     def _mark_slow(self, state: UpstreamState, now: float) -> None:
+        """Pause an upstream; one that is still slow when it competes again pauses twice as long."""
         self._telemetry.count("routing.slow")
+        if not state.slow:
+            state.slow_rounds = 0
+        elif not state.on_trial:
+            state.slow_rounds = min(state.slow_rounds + 1, MAX_SLOW_ROUNDS)
         state.slow = True
         state.slow_since = now
         state.reason = "its calls take far longer than usual"
--- a/heatherhead/routing/upstream_state.py
+++ b/heatherhead/routing/upstream_state.py
@@ -43,6 +43,7 @@
     slow_since: float = 0.0
     trial_at: float = 0.0
     competes_at: float = 0.0
+    slow_rounds: int = 0
     on_trial: bool = False
     failures: int = 0
     ejections: int = 0
--- a/heatherhead/tests/routing/evidence_tests.py
+++ b/heatherhead/tests/routing/evidence_tests.py
@@ -108,6 +108,29 @@
     run_paused(main())
 
 
+def test_an_upstream_that_stays_slow_competes_less_and_less_often() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=2, slots=4))
+        await warm_up(router)
+        tries: list[float] = []
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 3.0
+        while loop.time() < end:
+            (slot,) = await _take(router, 1)
+            if slot.upstream.id == "u0":
+                tries.append(loop.time())
+                await asyncio.sleep(0.1)
+                slot.finish(AttemptResult(AttemptState.UNKNOWN, cancelled=True))
+            else:
+                await asyncio.sleep(0.010)
+                slot.finish(answered())
+        pauses = [later - sooner for sooner, later in zip(tries, tries[1:], strict=False)]
+        assert 3 <= len(pauses) <= 4
+        assert all(later > 1.5 * sooner for sooner, later in zip(pauses, pauses[1:], strict=False))
+
+    run_paused(main())
+
+
 def test_further_old_calls_do_not_prolong_the_pause_of_a_slow_upstream() -> None:
     async def main() -> None:
         router = create_single_router(create_service(upstreams=1, slots=4))
