--- a/heatherhead/tests/callers/deadline_tests.py
+++ b/heatherhead/tests/callers/deadline_tests.py
@@ -104,11 +104,13 @@
                 _advance(31)
                 await original(*arguments)  # type: ignore[arg-type]
 
+            async with here.session.get(here.url) as answer:
+                assert answer.status == 200  # leaves a connection that can be used at once
             client.send = paused_send  # type: ignore[method-assign]
             async with here.session.get(here.url) as answer:
                 assert answer.status == 504
                 assert (await answer.json())["outcome"] == "not-run"
-            assert here.upstreams[0].seen == []
+            assert len(here.upstreams[0].seen) == 1
 
     run_shifted(main())
 
@@ -127,6 +129,78 @@
     run_shifted(main())
 
 
+def test_caller_that_leaves_within_an_answer_closes_the_connection_to_the_upstream() -> None:
+    async def stream(upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"begun")
+        await upstream.go.wait()
+        return response
+
+    async def main() -> None:
+        async with stand(stream) as here:
+            caller = await here.caller()
+            await caller.send(GET + b"\r\n")
+            await caller.head()
+            caller.close()
+            await here.upstreams[0].gone.wait()
+
+    run_shifted(main())
+
+
+def test_default_deadline_spares_streams_that_flow_and_a_named_one_does_not() -> None:
+    async def echo(_upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while chunk := await request.content.readany():
+            await response.write(chunk)
+        return response
+
+    async def slow_echo(named: bytes) -> bytes:
+        async with stand(echo, service={"key_required": False}) as here:
+            caller = await here.caller()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                + named
+                + b"\r\n3\r\nabc\r\n"
+            )
+            await caller.head()
+            for _ in range(4):
+                assert b"abc" in await caller.reader.readuntil(b"abc\r\n")
+                _advance(20)
+                await asyncio.sleep(0)
+                await caller.send(b"3\r\nabc\r\n")
+            await caller.send(b"0\r\n\r\n")
+            return await caller.reader.readuntil(b"0\r\n\r\n")
+
+    async def main() -> None:
+        assert b"abc" in await slow_echo(b"")
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await slow_echo(b"Heatherhead-Deadline-Ms: 50000\r\n")
+
+    run_shifted(main())
+
+
+def test_upload_that_flows_may_take_longer_than_the_default_deadline() -> None:
+    async def main() -> None:
+        async with stand(None, service={"key_required": False}) as here:
+            caller = await here.caller()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+            )
+            await here.upstreams[0].arrived.wait()
+            for _ in range(4):
+                received = here.upstreams[0].received
+                await caller.send(b"3\r\nabc\r\n")
+                while here.upstreams[0].received == received:
+                    await asyncio.sleep(0)
+                _advance(20)
+            await caller.send(b"0\r\n\r\n")
+            assert (await caller.head()).startswith("HTTP/1.1 200 ")
+
+    run_shifted(main())
+
+
 def test_upload_of_a_caller_that_leaves_never_ends_as_whole() -> None:
     async def main() -> None:
         async with stand(None, service={"key_required": False}) as here:
--- a/heatherhead/tests/callers/fakes.py
+++ b/heatherhead/tests/callers/fakes.py
@@ -65,6 +65,7 @@
     headers: list[dict[str, str]] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
     cancelled: int = 0
+    received: int = 0
     arrived: asyncio.Event = field(default_factory=asyncio.Event)
     go: asyncio.Event = field(default_factory=asyncio.Event)
     gone: asyncio.Event = field(default_factory=asyncio.Event)
@@ -77,13 +78,20 @@
         try:
             if self.respond is not None:
                 return await self.respond(self, request)
-            self.bodies.append(await request.read())
+            self.bodies.append(await self._read(request))
             return web.Response(text="hello")
         except asyncio.CancelledError:
             self.cancelled += 1
             self.gone.set()
             raise
 
+    async def _read(self, request: web.BaseRequest) -> bytes:
+        parts = []
+        while part := await request.content.readany():
+            self.received += len(part)
+            parts.append(part)
+        return b"".join(parts)
+
     async def wait_and_answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer once the test sets `go`."""
         self.bodies.append(await request.read())
--- a/heatherhead/tests/callers/keyed_tests.py
+++ b/heatherhead/tests/callers/keyed_tests.py
@@ -110,6 +110,24 @@
     run_shifted(main())
 
 
+def test_deadline_of_a_resend_that_waits_for_the_run_is_unknown() -> None:
+    async def main() -> None:
+        async with stand(hold) as here:
+            key = f"{await here.grant()}.order-1"
+            patient = {"Heatherhead-Deadline-Ms": "90000"}
+            first = asyncio.create_task(post(here, key, headers=patient))
+            await here.upstreams[0].arrived.wait()
+            second = asyncio.create_task(post(here, key))
+            while here.assembly.state.in_progress < 3:
+                await asyncio.sleep(0)
+            asyncio.get_running_loop().advance(31)  # type: ignore[attr-defined]
+            assert (await second)[:2] == (504, "unknown")
+            here.upstreams[0].go.set()
+            assert (await first)[1] == "late"
+
+    run_shifted(main())
+
+
 @pytest.mark.parametrize("leaves", [True, False])
 def test_call_given_up_in_the_queue_closes_its_key(leaves: bool) -> None:
     async def main() -> None:
--- a/heatherhead/tests/callers/leaving_tests.py
+++ b/heatherhead/tests/callers/leaving_tests.py
@@ -70,6 +70,8 @@
 def test_leaving_serves_until_given_answers_run_out_and_finishes_all_calls() -> None:
     async def main() -> None:
         async with stand(hold) as here:
+            view = here.assembly.membership.view
+            view.update([replace(view.own, id="other", callers=Address("127.0.0.9", 1))])
             await here.grant()
             leaving = asyncio.create_task(here.assembly.leave())
             while here.assembly.state.phase is not Phase.LEAVING:
--- a/heatherhead/tests/upstreams/attempts_tests.py
+++ b/heatherhead/tests/upstreams/attempts_tests.py
@@ -21,8 +21,11 @@
     run_shifted,
     stand,
 )
+from heatherhead.upstreams.answers import YOUNG_CONNECTION_CALLS
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from heatherhead.calls import Call
     from heatherhead.configuration.model import Upstream
     from heatherhead.exceptions import CallRefusedError
@@ -118,6 +121,55 @@
     run_shifted(main())
 
 
+def test_body_that_has_begun_is_not_sent_again() -> None:
+    async def refuse_after_body(
+        upstream: FakeUpstream, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        await request.read()
+        return await refuse(upstream, request)
+
+    async def body() -> AsyncIterator[bytes]:
+        yield b"abc"
+
+    async def main() -> None:
+        async with stand(refuse_after_body, None, service=NO_KEYS) as here:
+            _PlainRouter(here)
+            async with here.session.post(here.url, data=body()) as answer:
+                assert answer.status == 503
+                assert (await answer.json())["outcome"] == "not-run"
+            assert here.upstreams[1].seen == []
+
+    run_shifted(main())
+
+
+def test_refusal_after_an_unknown_attempt_stays_unknown() -> None:
+    async def main() -> None:
+        async with (
+            raw_upstream(_read_and_close) as port,
+            stand(refuse, extra_ports=[port]) as here,
+        ):
+            _PlainRouter(here)
+            async with here.session.get(here.url) as answer:
+                assert answer.status == 502
+                assert (await answer.json())["outcome"] == "unknown"
+                assert "Heatherhead-Not-Run" not in answer.headers
+            assert len(here.upstreams[0].seen) == 1
+
+    run_shifted(main())
+
+
+def test_gateway_failures_are_marked_for_layers_above() -> None:
+    async def fail(_upstream: FakeUpstream, _request: web.BaseRequest) -> web.Response:
+        return web.Response(status=502)
+
+    async def main() -> None:
+        async with stand(fail) as here, here.session.get(here.url) as answer:
+            assert answer.status == 502
+            assert answer.headers["Heatherhead-No-Retry"] == "true"
+
+    run_shifted(main())
+
+
 def test_refused_by_all_is_told_as_not_run() -> None:
     async def main() -> None:
         async with (stand(refuse, refuse, service=NO_KEYS) as here,):
@@ -219,6 +271,22 @@
     run_shifted(main())
 
 
+def test_first_attempt_wins_and_the_hedge_is_cancelled() -> None:
+    async def main() -> None:
+        async with stand(hold, hold) as here:
+            router = _PlainRouter(here, 0.0)
+            call = asyncio.create_task(here.session.get(here.url + "/slow"))
+            for upstream in here.upstreams:
+                await upstream.arrived.wait()
+            here.upstreams[0].go.set()
+            async with await call as answer:
+                assert await answer.text() == "late"
+            await here.upstreams[1].gone.wait()
+            assert router.open_slots == 0
+
+    run_shifted(main())
+
+
 @pytest.mark.parametrize(
     ("method", "body", "share"), [("POST", None, 0.5), ("PUT", b"a", 0.5), ("GET", None, 0)]
 )
@@ -272,6 +340,23 @@
     run_shifted(main())
 
 
+def test_close_of_an_old_connection_is_no_sign_of_leaving() -> None:
+    async def close_the_last(upstream: FakeUpstream, _request: web.BaseRequest) -> web.Response:
+        last = len(upstream.seen) > YOUNG_CONNECTION_CALLS
+        return web.Response(headers={"Connection": "close"} if last else {})
+
+    async def main() -> None:
+        async with stand(close_the_last) as here:
+            router = _PlainRouter(here)
+            for _ in range(YOUNG_CONNECTION_CALLS + 2):
+                async with here.session.get(here.url) as answer:
+                    assert answer.status == 200
+            signs = [each.sign for each in router.results]
+            assert signs[-2:] == [UpstreamSign.NONE, UpstreamSign.DRAINING]
+
+    run_shifted(main())
+
+
 def test_upstreams_removed_from_configuration_get_no_new_work_and_finish_theirs() -> None:
     async def main() -> None:
         async with stand(hold, None) as here:
