--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -114,7 +114,7 @@
         if not state.draining_until:
             log_event("upstream_draining", upstream=state.upstream.id)
         until = now + self._settings.draining_ms / 1000
-        self._leave_out(state, until, "it refuses calls because it drains")
+        self._leave_out(state, until, "it was seen draining")
 
     @property
     def draining_s(self) -> float:
--- /dev/null
+++ b/heatherhead/tests/health/wired_tests.py
@@ -0,0 +1,40 @@
+"""Tests of health checks in a whole instance."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from heatherhead.tests.callers.fakes import FakeUpstream, run_shifted, stand
+
+SERVICE = {"health_path": "/health"}
+ROUTING = {"health_interval_ms": 100, "health_timeout_ms": 30_000}
+HANG_S = 30.0  # ends a test whose check never comes
+
+
+async def _draining(_upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(headers={"Heatherhead-Draining": "true"})
+
+
+async def _two_checks(upstream: FakeUpstream) -> None:
+    """Wait for the second check, which is sent after the first one's answer was taken in."""
+    async with asyncio.timeout(HANG_S):
+        for _ in range(2):
+            await upstream.arrived.wait()
+            upstream.arrived.clear()
+
+
+def test_an_idle_upstream_that_drains_gets_no_call() -> None:
+    async def main() -> None:
+        async with stand(_draining, None, service=SERVICE, routing=ROUTING) as here:
+            await _two_checks(here.upstreams[0])
+            for _ in range(20):
+                async with here.session.get(here.url + "/stock") as answer:
+                    assert answer.status == 200
+            assert set(here.upstreams[0].seen) == {"GET /health"}
+            evidence = {each.upstream.id: each for each in here.assembly.router.evidence("orders")}
+            assert evidence["u0"].state == "draining"
+            assert "health check" in evidence["u0"].reason
+
+    run_shifted(main())
