Work out the target's size from the measurements, and list what shows each promise

make capacity copies the benches' results into docs/measurements and computes the tables of docs/CAPACITY.md from them; a test compares page and results.

--- a/Makefile
+++ b/Makefile
@@ -61,3 +61,6 @@
 
 bench-keys: $(STAMP)
 	$(BIN)/python -m bench.keys
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity --take
--- /dev/null
+++ b/heatherhead/tests/capacity_page_tests.py
@@ -0,0 +1,43 @@
+"""Tests that `docs/CAPACITY.md` says what the committed measurements give."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from bench.capacity import PAGE, create_sizing, render, replaced
+
+ROOT = Path(__file__).parents[2]
+
+
+@pytest.fixture(autouse=True)
+def in_repository(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.chdir(ROOT)
+
+
+def test_page_is_current() -> None:
+    page = PAGE.read_text(encoding="utf-8")
+    assert replaced(page, render(create_sizing())) == page, "run `make capacity`"
+
+
+def test_more_calls_need_more_instances() -> None:
+    sizing = create_sizing()
+    doubled = replace(sizing, target=replace(sizing.target, calls_per_s=2_200_000))
+    assert doubled.instances == pytest.approx(2 * sizing.instances, abs=1)
+    assert doubled.control_kb_per_s >= sizing.control_kb_per_s
+
+
+def test_the_marker_keeps_repeats_from_multiplying_by_layers() -> None:
+    sizing = create_sizing()
+    assert sizing.bottom_attempts(marker=True) == pytest.approx(1.1)
+    assert sizing.bottom_attempts(marker=False) == pytest.approx(1.1**23)
+
+
+def test_a_budget_that_does_not_hold_is_told() -> None:
+    sizing = create_sizing()
+    strict = replace(sizing, target=replace(sizing.target, memory_mb=1))
+    assert "| memory a daemon" in render(strict)
+    row = next(line for line in render(strict).splitlines() if line.startswith("| memory a"))
+    assert row.endswith("**no** |")
