--- a/Makefile
+++ b/Makefile
@@ -62,5 +62,8 @@
 bench-keys: $(STAMP)
 	$(BIN)/python -m bench.keys
 
+bench-drain: $(STAMP)
+	$(BIN)/python -m bench.drain
+
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity --take
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -28,7 +28,7 @@
 PAGE = Path("docs/CAPACITY.md")
 BEGIN = "<!-- computed: begin -->"
 END = "<!-- computed: end -->"
-RESULTS = ("path", "kill", "keys", "policy", "choose", "control", "operators")
+RESULTS = ("path", "kill", "keys", "policy", "choose", "control", "drain", "operators")
 SECONDS_PER_DAY = 86_400
 
 
@@ -344,6 +344,8 @@
     return [
         "| failure | what follows |",
         "|---|---|",
+        f"| an upstream leaves | every home of the service knows within "
+        f"{sizing.measured['drain']['drain_known_p99_s']:.2f} s (`make bench-drain`) |",
         f"| the deepest of {target.depth} layers fails | attempts there for one call at the top: "
         f"{sizing.bottom_attempts(marker=True):.2f} with the marker, "
         f"{sizing.bottom_attempts(marker=False):.1f} without it and a retry budget of "
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -191,7 +191,7 @@
     async def switch_faults(self, on: bool) -> None:
         """Give the first upstreams a fault each, or none."""
         for script, fault in zip(self.scripts, FAULTS, strict=False):
-            await self._post(script, "/__fault", {fault: on})
+            await self.post(script, "/__fault", {fault: on})
 
     async def _run_plans(self, plans: list[tuple[str, dict[str, Any]]]) -> RunResult:
         self._runs += 1
@@ -217,10 +217,11 @@
         epoch = time.monotonic() + LEAD_S
         changes = {"epoch": epoch, "slow_every_s": SLOW_EVERY_S if slow else 0.0}
         for script in self.scripts:
-            await self._post(script, "/__spells", changes)
+            await self.post(script, "/__spells", changes)
         return epoch
 
-    async def _post(self, script: UpstreamScript, path: str, changes: dict[str, Any]) -> None:
+    async def post(self, script: UpstreamScript, path: str, changes: dict[str, Any]) -> None:
+        """Switch something at an upstream."""
         url = f"http://{script.host}:{script.port}{path}"
         async with self.session.post(url, json=changes) as answer:
             await answer.read()
@@ -292,7 +293,7 @@
     async def _wait_live(self, daemons: DaemonFleet) -> None:
         deadline = time.monotonic() + 40
         while time.monotonic() < deadline:
-            stats = await self._all_stats(daemons)
+            stats = await self.all_stats(daemons)
             if all(each.get("live") == INSTANCES and each["ready"] for each in stats):
                 return
             await asyncio.sleep(0.2)
@@ -300,7 +301,8 @@
             f"daemons don't know each other; read the logs in {self.fleet.directory}"
         )
 
-    async def _all_stats(self, daemons: DaemonFleet) -> list[dict[str, Any]]:
+    async def all_stats(self, daemons: DaemonFleet) -> list[dict[str, Any]]:
+        """Read the counters of all daemons of a fleet."""
         return await asyncio.gather(*(self._stats_of(port) for port in daemons.admin_ports))
 
     async def _stats_of(self, port: int) -> dict[str, Any]:
@@ -312,7 +314,7 @@
 
     async def _stats(self, daemons: DaemonFleet) -> dict[str, float]:
         total: dict[str, float] = {}
-        for each in await self._all_stats(daemons):
+        for each in await self.all_stats(daemons):
             values = {
                 name: value
                 for name, value in each.items()
--- a/bench/policy_daemon.py
+++ b/bench/policy_daemon.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from heatherhead.assembly import Assembly
 
+DRAINING = "draining"
 LAG_PROBE_S = 0.005
 LAG_BOUNDS_MS = (3, 10, 30)
 
@@ -78,9 +79,15 @@
     async def stats(_: web.Request) -> web.Response:
         return web.json_response(_stats(assembly, counts))
 
+    async def draining(_: web.Request) -> web.Response:
+        names = list(assembly.router.dispatcher_by_service)
+        evidence = [each for name in names for each in assembly.router.evidence(name)]
+        return web.json_response([each.upstream.id for each in evidence if each.state == DRAINING])
+
     lag = asyncio.create_task(_watch_lag(counts))
     app = web.Application()
     app.router.add_get("/stats", stats)
+    app.router.add_get("/draining", draining)
     runner = web.AppRunner(app, handle_signals=False)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", admin_port).start()
