--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: install test lint format prove demo run generate docs capacity
-.PHONY: bench-operators bench-control bench-policy bench-choose bench-path bench-kill bench-keys
+.PHONY: bench-health bench-operators bench-control bench-policy bench-choose bench-path bench-kill bench-keys
 
 install: $(STAMP)
 
@@ -56,8 +56,17 @@
 bench-kill: $(STAMP)
 	$(BIN)/python -m bench.kill
 
+bench-health: $(STAMP)
+	$(BIN)/python -m bench.health
+
 bench-operators: $(STAMP)
 	$(BIN)/python -m bench.operators
 
 bench-keys: $(STAMP)
 	$(BIN)/python -m bench.keys
+
+bench-drain: $(STAMP)
+	$(BIN)/python -m bench.drain
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity --take
