--- a/heatherhead/membership/gossip.py
+++ b/heatherhead/membership/gossip.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from heatherhead.membership.interface import Traffic
+from heatherhead.membership.interface import InstanceState, Traffic
 from heatherhead.membership.member_messages import (
     Heartbeat,
     MemberHashes,
@@ -64,11 +64,13 @@
         return MemberReports([pack_member(each) for each in members]), len(chosen)
 
     def _on_greeting(self, peer: Member) -> None:
+        known = self._table.by_id.get(peer.id)
+        was_gone = known is not None and known.state is InstanceState.DEAD
         self._take_in(peer.id, peer)
         held = self._table.by_id.get(peer.id)
         if held is not None and held.is_newer_than(peer):
             self._outbox.add_for(peer.id, [peer.id])
-        if self._links.is_wanted(peer.id):
+        if was_gone or self._links.is_wanted(peer.id):
             self._compare(peer.id, is_answer=False)
 
     def _on_lost(self, peer_id: str) -> None:
--- a/heatherhead/membership/network.py
+++ b/heatherhead/membership/network.py
@@ -27,7 +27,7 @@
 __all__ = ["Network", "TlsContexts", "create_network"]
 
 UPKEEP_S = 0.25
-SECOND_DIALER_WAIT_S = 1.0  # the lower id dials first; the higher one only if that fails
+SECOND_DIALER_WAIT_S = 0.25  # the lower id dials first; the higher one only if that fails
 HEARTBEATS_WANTED = 5  # a peer that no longer wants a stream sends no heartbeats on it
 MAX_UNGREETED = 64
 MAX_WAITING = 64  # messages to one instance while its stream is being opened
