--- a/bench/health.py
+++ b/bench/health.py
@@ -5,7 +5,8 @@
 Two daemons on the loopback, one with and one without a health path, face the same kind of fake
 upstreams. One idle upstream begins to drain; calls that come later show which daemon knew. Then the
 cost: bytes and processor time of checks of many idle upstreams, under a large and a small budget,
-and checks of upstreams that calls keep busy. The last line is the result.
+and checks of upstreams that calls keep busy. Several daemons show who checks, and what the other homes
+of the service know of a drain. The last line is the result.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 
 from bench.fake_upstream import HEALTH_PATH, UpstreamScript
 from bench.fleet import Fleet, free_ports, save_result
+from bench.health_homes import measure_homes
 
 DRAIN_UPSTREAMS = 4
 DRAINED = 1
@@ -183,6 +185,7 @@
             unchecked = await start("unchecked", fleet, session, DRAIN_UPSTREAMS, None)
             drains = await asyncio.gather(measure_drain(checked), measure_drain(unchecked))
             result = {**drains[0], **drains[1], **await measure_busy(checked)}
+            result.update(await measure_homes(fleet, session))
             budgets: dict[str, tuple[str | None, int]] = {
                 "none": (None, LARGE_BUDGET),
                 "large": (HEALTH_PATH, LARGE_BUDGET),
