--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -191,7 +191,7 @@
     def _watch(self, now: float) -> None:
         """Mark upstreams whose oldest call is far over the usual time, and end pauses."""
         self.evidence.end_pauses(now)
-        after_s = self.evidence.slow_after_s
+        after_s = self.evidence.slow_after_s(now)
         oldest = self._oldest
         while oldest and (
             oldest[0].finished or (after_s and oldest[0].started_at + after_s <= now)
@@ -306,11 +306,11 @@
         wake_at = _earliest(self.queue.next_deadline(), self.isolation.wake_at())
         if wake_at is None:
             return
-        wake_at = _earliest(wake_at, self.evidence.next_pause_end(), self._next_overdue())
+        wake_at = _earliest(wake_at, self.evidence.next_pause_end(), self._next_overdue(now))
         self._timer = self._loop.call_at(max(wake_at or now, now), self.dispatch)
 
-    def _next_overdue(self) -> float | None:
-        after_s = self.evidence.slow_after_s
+    def _next_overdue(self, now: float) -> float | None:
+        after_s = self.evidence.slow_after_s(now)
         return self._oldest[0].started_at + after_s if self._oldest and after_s else None
 
 
--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.calls import AttemptState, UpstreamSign
+from heatherhead.routing.loop_lag import create_loop_lag
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -52,7 +53,8 @@
         state_by_id: Mapping[str, UpstreamState],
         telemetry: Telemetry,
     ) -> None:
-        self.slow_after_s = 0.0
+        self.lag = create_loop_lag()
+        self._slow_after_s = 0.0
         self.needed_s = 0.0
         self.on_draining: Callable[[UpstreamState], None] | None = None
         self.on_hint: Callable[[UpstreamState], None] | None = None
@@ -67,6 +69,13 @@
         self._local_slots = 0
         self._slots_counted_at = float("-inf")
 
+    def slow_after_s(self, now: float) -> float:
+        """Age in seconds at which a call shows its upstream as slow; zero while not known.
+
+        A loop that runs late itself makes calls look older, when it sends and when it receives.
+        """
+        return self._slow_after_s and self._slow_after_s + 2 * self.lag.at(now)
+
     def threshold_s(self, factor: float) -> float:
         """Scale the usual service time, at least to that of the slower usual calls."""
         times = self._service_time
@@ -80,7 +89,7 @@
         if result.report is not None:
             state.report = result.report
         duration_s = result.duration_s or now - slot.started_at
-        is_late = slot.aged or 0 < self.slow_after_s < duration_s
+        is_late = slot.aged or 0 < self.slow_after_s(now) < duration_s
         if is_late and not slot.aged:
             self.overdue(slot, now)
         if result.sign is UpstreamSign.DRAINING:
@@ -206,7 +215,7 @@
         state.let_back_by_health = False
         self._service_time.add(duration_s)
         if self._service_time.usual_s:
-            self.slow_after_s = self.threshold_s(self._settings.slow_factor)
+            self._slow_after_s = self.threshold_s(self._settings.slow_factor)
             self.needed_s = self.threshold_s(1.0)
         if is_late:
             return
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -14,6 +14,7 @@
 from heatherhead.routing.health import note_finding, take_finding, take_hint
 from heatherhead.routing.homes import create_home_sets
 from heatherhead.routing.interface import UpstreamEvidence
+from heatherhead.routing.loop_lag import create_loop_lag
 from heatherhead.routing.messages import (
     CrashRecords,
     DrainSighting,
@@ -68,7 +69,8 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._exchange = create_vector_exchange(settings, membership, network, homes)
-        self._rounds = self._loop.call_later(settings.vector_interval_ms / 1000, self._run_round)
+        self._lag = create_loop_lag()
+        self._rounds = self._schedule_round(settings.vector_interval_ms / 1000)
         self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
         self._next_repair = self._loop.time() + REPAIR_INTERVAL_S * rng.random()
         network.subscribe(DrainSighting, self._on_drain_sighting)
@@ -110,6 +112,7 @@
             dispatcher = create_dispatcher(
                 service, self._membership.own, self._settings, self._telemetry, self._rng
             )
+            dispatcher.evidence.lag = self._lag
             dispatcher.evidence.on_draining = lambda state: self._tell_draining(name, state)
             dispatcher.evidence.on_hint = lambda state: self._tell_hint(name, state)
             dispatcher.quarantine.tell = lambda records: self._tell_crashes(name, records)
@@ -182,8 +185,14 @@
             dispatcher.close()
 
     def _run_round(self) -> None:
+        self._lag.note(self._loop.time())
         delay_s = self._exchange.run_round()
-        self._rounds = self._loop.call_later(delay_s, self._run_round)
+        self._rounds = self._schedule_round(delay_s)
+
+    def _schedule_round(self, delay_s: float) -> asyncio.TimerHandle:
+        due = self._loop.time() + delay_s
+        self._lag.expect(due)
+        return self._loop.call_at(due, self._run_round)
 
     def _tell_demand(self) -> None:
         self._demand = self._loop.call_later(DEMAND_INTERVAL_S, self._tell_demand)
--- a/heatherhead/tests/routing/evidence_tests.py
+++ b/heatherhead/tests/routing/evidence_tests.py
@@ -108,6 +108,21 @@
     run_paused(main())
 
 
+def test_a_pause_of_this_process_makes_no_upstream_slow() -> None:
+    async def main() -> None:
+        router = create_single_router(create_service(upstreams=3, slots=4))
+        await warm_up(router)
+        slots = await _take(router, 6)
+        asyncio.get_running_loop().advance(0.3)  # type: ignore[attr-defined]
+        await asyncio.sleep(0)
+        await _take(router, 1)
+        for slot in slots:
+            slot.finish(answered(0.31))
+        assert {each.state for each in router.evidence("orders")} == {"ready"}
+
+    run_paused(main())
+
+
 def test_an_upstream_that_stays_slow_competes_less_and_less_often() -> None:
     async def main() -> None:
         router = create_single_router(create_service(upstreams=2, slots=4))
