--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -34,8 +34,11 @@
 from heatherhead.upstreams.client import create_upstream_client
 
 if TYPE_CHECKING:
+    import socket
     import ssl
 
+    from heatherhead.admission.grants import GrantIssuer
+    from heatherhead.callers.keyed import KeyedCalls
     from heatherhead.configuration.model import ServiceRecord
     from heatherhead.settings import Settings
     from heatherhead.settings.admission import AdmissionSettings
@@ -51,53 +54,53 @@
 
     def __init__(self, settings: Settings) -> None:
         bound = bind(settings.callers.listen)
-        self.settings = settings = _with_callers_port(settings, bound.getsockname()[1])
-        callers = settings.callers
-        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.settings = _with_callers_port(settings, bound.getsockname()[1])
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.state = CallersState()
         self.telemetry = create_telemetry(settings.telemetry)
+        self._create_control()
+        self._create_routing()
+        self._create_callers(bound)
+        self._create_operators()
+        self.replica.subscribe(self._on_record)
+
+    def _create_control(self) -> None:
+        settings = self.settings
         self.store = create_store(settings.store)
         self.replica = create_replica()
-        self.membership = create_membership(settings, incarnation)
-        view = self.membership.view
+        self.membership = create_membership(settings, self.incarnation)
         self.configuration = create_configuration(
             settings, self.store, self.replica, self.membership
         )
+
+    def _create_routing(self) -> None:
+        settings = self.settings
+        view = self.membership.view
         self.router = create_router(settings.routing, view, self.membership.network, self.telemetry)
-        homes = self.router.homes
         self.client = create_upstream_client(settings.admission)
         self.runner = create_attempt_runner(
             self.router, self.client, settings.admission, self.telemetry
         )
-        routing = settings.routing
         self.health = create_health_checker(
-            routing,
+            settings.routing,
             view.own,
-            homes,
+            self.router.homes,
             self.router,
-            create_health_probe(self.client, routing.health_timeout_ms / 1000),
+            create_health_probe(self.client, settings.routing.health_timeout_ms / 1000),
             self.telemetry,
         )
+
+    def _create_callers(self, bound: socket.socket) -> None:
+        callers = self.settings.callers
         issuer = create_grant_issuer(
-            settings.instance.id, incarnation, callers.addresses_keep_s + GRANT_SLACK_S
+            self.settings.instance.id, self.incarnation, callers.addresses_keep_s + GRANT_SLACK_S
         )
-        table = create_key_table(issuer, _key_limits(settings.admission))
         self.pauses = create_pause_watch()
-        self._owner_tls = owner_tls = _owner_tls(settings)
-        keyed = create_keyed_calls(
-            issuer,
-            table,
-            create_key_runner(self.runner, self.state, table.limits.max_answer_bytes),
-            create_pass_on(view, self.client, callers, self.state, self.telemetry, owner_tls),
-            self.state,
-            callers,
-            self.telemetry,
-        )
         self.addresses = create_address_answers(
             callers,
-            homes,
+            self.router.homes,
             self.replica,
-            view,
+            self.membership.view,
             issuer,
             self.state,
             self.configuration.ready.is_set,
@@ -106,24 +109,37 @@
             callers,
             create_service_choice(self.replica),
             self.runner,
-            keyed,
+            self._create_keyed_calls(issuer),
             self.state,
             self.telemetry,
             self.pauses,
             {"/v1/addresses": self.addresses.addresses, "/v1/ready": self.addresses.ready},
         )
+        server = create_callers_server(handler.handle, callers)
+        self.listener = create_callers_listener(server, callers, bound)
+
+    def _create_keyed_calls(self, issuer: GrantIssuer) -> KeyedCalls:
+        callers = self.settings.callers
+        table = create_key_table(issuer, _key_limits(self.settings.admission))
+        self._owner_tls = _owner_tls(self.settings)
+        pass_on = create_pass_on(
+            self.membership.view, self.client, callers, self.state, self.telemetry, self._owner_tls
+        )
+        runner = create_key_runner(self.runner, self.state, table.limits.max_answer_bytes)
+        return create_keyed_calls(
+            issuer, table, runner, pass_on, self.state, callers, self.telemetry
+        )
+
+    def _create_operators(self) -> None:
         parts = DaemonParts(
             self.replica,
             self.configuration,
             self.configuration,
-            view,
+            self.membership.view,
             self.router,
             self.telemetry,
         )
-        self.operators = create_operators_server(settings.operators, parts)
-        server = create_callers_server(handler.handle, callers)
-        self.listener = create_callers_listener(server, callers, bound)
-        self.replica.subscribe(self._on_record)
+        self.operators = create_operators_server(self.settings.operators, parts)
 
     def _on_record(self, record: ServiceRecord) -> None:
         self.router.update_service(record.name, record.service)
--- a/heatherhead/daemon.py
+++ b/heatherhead/daemon.py
@@ -32,6 +32,7 @@
 
 __all__ = ["main"]
 
+EXIT_START = 1
 EXIT_SETTINGS = 2
 STOP_MARGIN_S = 60.0
 
@@ -96,6 +97,19 @@
             remedy=warning.remedy,
         )
     tune_garbage_collector()
+    try:
+        _serve(settings)
+    except OSError as error:
+        log_event(
+            "start_failed",
+            level="ERROR",
+            error=error,
+            remedy="free the address, or set another one in the listen sections",
+        )
+        sys.exit(EXIT_START)
+
+
+def _serve(settings: Settings) -> None:
     with aiomisc.entrypoint(
         DaemonService(settings=settings),
         loop_factory=create_loop,
--- a/heatherhead/tests/daemon_tests.py
+++ b/heatherhead/tests/daemon_tests.py
@@ -5,6 +5,7 @@
 import json
 import re
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -128,3 +129,19 @@
         if text in line:
             return line
     raise AssertionError(f"the daemon ended before it logged {text}")
+
+
+def test_address_in_use_is_told_with_a_remedy(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        settings = settings_for([1])
+        settings["callers"]["listen"]["port"] = taken.getsockname()[1]
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(settings))
+        ended = subprocess.run(
+            [sys.executable, "-m", "heatherhead.daemon", str(path)], capture_output=True, text=True
+        )
+    assert ended.returncode == 1
+    assert "event=start_failed" in ended.stderr
+    assert "Address already in use" in ended.stderr
