--- a/bench/kill.py
+++ b/bench/kill.py
@@ -8,11 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from collections import Counter
-from contextlib import contextmanager
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -20,6 +17,17 @@
 import uvloop
 
 from bench.fake_upstream import UpstreamScript
+from bench.faults import (
+    KillRun,
+    bring_about,
+    drain_upstream,
+    kill_daemon,
+    kill_upstream,
+    leave_daemon,
+    pause_daemon,
+    pause_upstream,
+    wait_ready,
+)
 from bench.fleet import DaemonPorts, Fleet, free_ports, save_result
 from bench.orders import TIMEOUT_S, Ledger, Order, OrderingCaller, OrderState
 from heatherhead.configuration.editor import create_editor
@@ -29,7 +37,7 @@
 from heatherhead.store import create_store
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterator
+    from collections.abc import Awaitable, Callable
 
 DAEMONS = 4
 UPSTREAMS = 8
@@ -40,48 +48,10 @@
 KEEP_S = 2.0
 LEAVING_PART_S = 16.0
 FAILING_PART_S = 26.0
-DRAIN_S = 2.0
 DEFAULT_SEED = 20_261
-READY_POLL_S = 0.05
 EXIT_BROKEN = 1
 
 
-@dataclass(slots=True)
-class KillRun:
-    """The processes under test and what was done to them."""
-
-    fleet: Fleet
-    session: aiohttp.ClientSession
-    rng: Random
-    daemons: list[DaemonPorts]
-    upstreams: list[UpstreamScript]
-    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
-    faults: Counter[str] = field(default_factory=Counter)
-    down: list[tuple[float, float]] = field(default_factory=list)
-    busy: set[str] = field(default_factory=set)
-
-    @contextmanager
-    def one_daemon(self) -> Iterator[DaemonPorts]:
-        """Choose a daemon to which nothing else is done meanwhile."""
-        daemon = self.rng.choice([each for each in self.daemons if each.id not in self.busy])
-        self.busy.add(daemon.id)
-        try:
-            yield daemon
-        finally:
-            self.busy.discard(daemon.id)
-
-    @contextmanager
-    def one_upstream(self) -> Iterator[tuple[str, UpstreamScript]]:
-        """Choose an upstream to which nothing else is done meanwhile; gives its name too."""
-        names = [f"u{index}" for index in range(UPSTREAMS)]
-        name = self.rng.choice([each for each in names if each not in self.busy])
-        self.busy.add(name)
-        try:
-            yield name, self.upstreams[names.index(name)]
-        finally:
-            self.busy.discard(name)
-
-
 async def _start(fleet: Fleet, session: aiohttp.ClientSession, seed: int) -> KillRun:
     ports = free_ports(3 * DAEMONS + UPSTREAMS)
     daemons = [DaemonPorts(f"d{n}", *ports[3 * n : 3 * n + 3]) for n in range(DAEMONS)]
@@ -109,7 +79,7 @@
         run.settings[daemon.id] = _settings(daemon, store_url, list_url)
         fleet.start_daemon(daemon, run.settings[daemon.id])
     for daemon in daemons:
-        await _ready(run, daemon)
+        await wait_ready(run, daemon)
     return run
 
 
@@ -157,78 +127,6 @@
         answer.raise_for_status()
 
 
-async def _ready(run: KillRun, daemon: DaemonPorts) -> None:
-    while True:
-        try:
-            async with run.session.get(f"http://127.0.0.1:{daemon.callers}/v1/ready") as answer:
-                if answer.status == 200:
-                    return
-        except (aiohttp.ClientError, ConnectionError, TimeoutError):
-            pass
-        await asyncio.sleep(READY_POLL_S)
-
-
-async def _leave_daemon(run: KillRun) -> None:
-    with run.one_daemon() as daemon:
-        code = await asyncio.to_thread(run.fleet.stop, daemon.id)
-        if code != 0:
-            raise RuntimeError(f"{daemon.id} left with exit code {code}")
-        run.fleet.start_daemon(daemon, run.settings[daemon.id])
-        await _ready(run, daemon)
-
-
-async def _kill_daemon(run: KillRun) -> None:
-    loop = asyncio.get_running_loop()
-    with run.one_daemon() as daemon:
-        began = loop.time()
-        run.fleet.kill(daemon.id)
-        await asyncio.sleep(run.rng.uniform(0.2, 2.0))
-        run.fleet.start_daemon(daemon, run.settings[daemon.id])
-        await _ready(run, daemon)
-        run.down.append((began, loop.time()))
-
-
-async def _pause_daemon(run: KillRun) -> None:
-    with run.one_daemon() as daemon:
-        run.fleet.signal(daemon.id, signal.SIGSTOP)
-        await asyncio.sleep(run.rng.uniform(0.3, 4.0))
-        run.fleet.signal(daemon.id, signal.SIGCONT)
-
-
-async def _drain_upstream(run: KillRun) -> None:
-    with run.one_upstream() as (name, script):
-        url = f"http://{script.host}:{script.port}/__fault"
-        async with run.session.post(url, json={"draining": True}) as answer:
-            answer.raise_for_status()
-        await asyncio.sleep(DRAIN_S)
-        await asyncio.to_thread(run.fleet.stop, name)
-        run.fleet.start_upstreams(name, [script])
-
-
-async def _kill_upstream(run: KillRun) -> None:
-    with run.one_upstream() as (name, script):
-        run.fleet.kill(name)
-        await asyncio.sleep(run.rng.uniform(0.1, 1.0))
-        await asyncio.to_thread(run.fleet.start_upstreams, name, [script])
-
-
-async def _pause_upstream(run: KillRun) -> None:
-    with run.one_upstream() as (name, _script):
-        run.fleet.signal(name, signal.SIGSTOP)
-        await asyncio.sleep(run.rng.uniform(0.1, 2.5))
-        run.fleet.signal(name, signal.SIGCONT)
-
-
-async def _faults(run: KillRun, until: float, kinds: list[Callable[..., Any]]) -> None:
-    """Bring about faults one after the other; several of these run side by side."""
-    loop = asyncio.get_running_loop()
-    while loop.time() < until:
-        fault = run.rng.choice(kinds)
-        await fault(run)
-        run.faults[fault.__name__.strip("_")] += 1
-        await asyncio.sleep(run.rng.uniform(0.2, 0.8))
-
-
 async def _part(
     run: KillRun, name: str, duration_s: float, faults: list[list[Callable[..., Awaitable[None]]]]
 ) -> Ledger:
@@ -244,7 +142,7 @@
     ]
     async with asyncio.TaskGroup() as tasks:
         for kinds in faults:
-            tasks.create_task(_faults(run, until - KEEP_S, kinds))
+            tasks.create_task(bring_about(run, until - KEEP_S, kinds))
         for caller in callers:
             tasks.create_task(caller.run(until, CALLER_PAUSE_S))
     return ledger
@@ -300,16 +198,16 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
         run = await _start(fleet, session, seed)
-        leaving = await _part(run, "leaving", LEAVING_PART_S, [[_leave_daemon], [_drain_upstream]])
+        leaving = await _part(run, "leaving", LEAVING_PART_S, [[leave_daemon], [drain_upstream]])
         failing = await _part(
             run,
             "failing",
             FAILING_PART_S,
             [
-                [_kill_daemon],
-                [_pause_daemon, _leave_daemon],
-                [_drain_upstream, _kill_upstream, _pause_upstream],
-                [_kill_upstream, _pause_upstream],
+                [kill_daemon],
+                [pause_daemon, leave_daemon],
+                [drain_upstream, kill_upstream, pause_upstream],
+                [kill_upstream, pause_upstream],
             ],
         )
         return _result(run, seed, leaving, failing)
--- a/heatherhead/callers/problems.py
+++ b/heatherhead/callers/problems.py
@@ -11,7 +11,6 @@
 from heatherhead.admission.key_errors import KeyedCallError
 from heatherhead.callers.headers import NO_RETRY, NOT_RUN
 from heatherhead.exceptions import (
-    AlreadyRanError,
     CallRefusedError,
     HeatherheadError,
     OutcomeUnknownError,
@@ -45,12 +44,11 @@
     return Problem(500, error.reason, error.remedy, ReportedOutcome.UNKNOWN)
 
 
-@problem_of.register(AlreadyRanError)
 @problem_of.register(CallRefusedError)
 @problem_of.register(KeyedCallError)
 @problem_of.register(OutcomeUnknownError)
 def _(
-    error: AlreadyRanError | CallRefusedError | KeyedCallError | OutcomeUnknownError,
+    error: CallRefusedError | KeyedCallError | OutcomeUnknownError,
 ) -> Problem:
     return Problem(error.status, error.reason, error.remedy, error.outcome, kind=_kind(error))
 
--- a/heatherhead/exceptions.py
+++ b/heatherhead/exceptions.py
@@ -6,7 +6,6 @@
 from enum import StrEnum
 
 __all__ = [
-    "AlreadyRanError",
     "BadCallError",
     "CallCutError",
     "CallRefusedError",
@@ -142,13 +141,6 @@
     """The caller's connection or request body ended early."""
 
 
-class AlreadyRanError(HeatherheadError):
-    """The call ran before, and its answer is no longer kept."""
-
-    status = 409
-    outcome = ReportedOutcome.RAN
-
-
 class OutcomeUnknownError(HeatherheadError):
     """The call may or may not have run; `status` is the HTTP status to answer with."""
 
