--- a/heatherhead/tests/callers/deadline_tests.py
+++ b/heatherhead/tests/callers/deadline_tests.py
@@ -181,6 +181,26 @@
     run_shifted(main())
 
 
+def test_streamed_answer_may_take_longer_than_the_default_deadline() -> None:
+    async def stream(upstream: FakeUpstream, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"begun ")
+        await upstream.go.wait()
+        await response.write(b"ended")
+        return response
+
+    async def main() -> None:
+        async with stand(stream) as here, here.session.get(here.url) as answer:
+            assert await answer.content.readany() == b"begun "
+            _advance(40)
+            await asyncio.sleep(0)
+            here.upstreams[0].go.set()
+            assert await answer.content.read() == b"ended"
+
+    run_shifted(main())
+
+
 def test_upload_that_flows_may_take_longer_than_the_default_deadline() -> None:
     async def main() -> None:
         async with stand(None, service={"key_required": False}) as here:
