--- a/heatherhead/membership/failure_detector.py
+++ b/heatherhead/membership/failure_detector.py
@@ -51,6 +51,7 @@
         self._suspected_by_id: dict[str, tuple[int, float]] = {}
         self._forgiven_at = 0.0
         self._cleared_until_by_id: dict[str, float] = {}
+        links.on_greeting(self._on_greeting)
         links.on_lost(self._on_lost)
         links.on_unreachable(self._on_unreachable)
         links.subscribe(ConfirmAnswer, self._on_answer)
@@ -95,6 +96,11 @@
             each: (sequence, now) for each, (sequence, _) in self._suspected_by_id.items()
         }
 
+    def _on_greeting(self, peer: Member) -> None:
+        """Tell at once that the stream is wanted, so that the peer serves what is asked on it."""
+        if self._links.is_wanted(peer.id):
+            self._links.send(peer.id, Heartbeat(True, self._table.total_hash), Traffic.CONTROL)
+
     def _on_lost(self, peer_id: str) -> None:
         member = self._table.by_id.get(peer_id)
         if member is not None and self._links.is_wanted(peer_id):
