Leave services at rest out of the rounds between homes

Change: a service without a reserved upstream, without counts worth telling and with nothing told that must be taken back is left out; zeros are told once and not kept as told.

--- a/heatherhead/routing/exchange.py
+++ b/heatherhead/routing/exchange.py
@@ -110,12 +110,27 @@
         now = asyncio.get_running_loop().time()
         rows_by_peer: dict[str, list[tuple[str, int, bytes, bool]]] = {}
         for shared in self._with_co_homes:
-            self._expire(shared, now)
-            self._add_rows(shared, rows_by_peer, now)
+            if not self._is_quiet(shared):
+                self._expire(shared, now)
+                self._add_rows(shared, rows_by_peer, now)
         size = self._send(rows_by_peer)
         interval_s = self._settings.vector_interval_ms / 1000 * self._slowdown
         return max(interval_s, size / self._settings.vector_bytes_per_second)
 
+    def _is_quiet(self, shared: _SharedService) -> bool:
+        """Tell whether a service has nothing to tell, to take back or to forget."""
+        return not (
+            shared.sent_by_peer
+            or shared.vector_by_peer
+            or shared.dispatcher.isolation.reserved is not None
+            or self._tells_counts(shared)
+        )
+
+    def _tells_counts(self, shared: _SharedService) -> bool:
+        """Tell whether a service's calls last long enough for its counts to be of use."""
+        usual_ms = shared.dispatcher.service_time.usual_s * 1000
+        return usual_ms >= VECTORS_PER_SERVICE_TIME * self._settings.vector_interval_ms
+
     def _add_rows(
         self,
         shared: _SharedService,
@@ -135,15 +150,17 @@
             data, partial = pack_changes(before, octets)
             name = shared.dispatcher.service.name
             rows_by_peer.setdefault(peer_id, []).append((name, shared.signature, data, partial))
-            shared.sent_by_peer[peer_id] = (octets, whole_at)
+            if any(octets):
+                shared.sent_by_peer[peer_id] = (octets, whole_at)
+            else:
+                shared.sent_by_peer.pop(peer_id, None)
 
     def _octets(self, shared: _SharedService, now: float) -> bytes:
         """Pack a service's vector when its counts are due, else repeat the last one."""
-        usual_s = shared.dispatcher.service_time.usual_s
-        counts = usual_s * 1000 >= VECTORS_PER_SERVICE_TIME * self._settings.vector_interval_ms
-        if not counts:
+        if not self._tells_counts(shared):
             return vector_of(shared.states, counts=False)
         if now >= shared.next_counts_at:
+            usual_s = shared.dispatcher.service_time.usual_s
             shared.next_counts_at = now + usual_s / VECTORS_PER_SERVICE_TIME
             shared.octets = vector_of(shared.states, counts=True)
         return shared.octets
--- a/heatherhead/tests/routing/exchange_tests.py
+++ b/heatherhead/tests/routing/exchange_tests.py
@@ -67,6 +67,28 @@
     run_paused(main())
 
 
+def test_a_service_at_rest_is_told_once_and_then_left_alone() -> None:
+    async def main() -> None:
+        routers = _fleet()
+        await _learn(routers, LONG_S)
+        held = [(await routers["a"].acquire(create_call())).unwrap() for _ in range(3)]
+        await asyncio.sleep(ROUND_S)
+        for slot in held:
+            slot.finish(answered(LONG_S))
+        await asyncio.sleep(LONG_S)
+        told = _vectors(routers["a"])
+        others = [
+            state.others_in_flight
+            for state in routers["b"].dispatcher_by_service["orders"].state_by_id.values()
+        ]
+        assert others == [0, 0]
+        await asyncio.sleep(LONG_S)
+        assert _vectors(routers["a"]) == told
+        assert not routers["a"]._exchange._shared_by_service["orders"].sent_by_peer
+
+    run_paused(main())
+
+
 def test_tells_nothing_of_calls_that_end_before_the_vector_arrives() -> None:
     async def main() -> None:
         routers = _fleet()
