Name each home in its share of the address answers; stop the router's rounds

Cause: an answer holds three addresses and took the nearest homes in the order of the ranking, so with more homes than that in a zone the rest were never named. Change: homes of the zone first, in an order drawn by weight. The assembly also stops the router. Tests count who is named: with six equal homes each is, and a home of a tenth of the weight less than a third as often.

--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -205,6 +205,7 @@
         self.pauses.stop()
         await self.operators.stop()
         await self.health.stop()
+        self.router.close()
         await self.configuration.stop()
         await self.membership.stop()
         await self.client.close()
--- a/heatherhead/callers/addresses.py
+++ b/heatherhead/callers/addresses.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -25,6 +26,8 @@
 
 __all__ = ["AddressAnswers", "create_address_answers"]
 
+LEAST_WEIGHT = 0.01
+
 
 @dataclass(frozen=True, slots=True)
 class _Place:
@@ -46,8 +49,10 @@
         issuer: GrantIssuer,
         state: CallersState,
         configured: Callable[[], bool],
+        rng: Random,
     ) -> None:
         self.given_until = 0.0
+        self._random = rng
         self._settings = settings
         self._homes = homes
         self._replica = replica
@@ -104,12 +109,10 @@
 
     def _answer(self, service: str, place: _Place, homes: list[Home]) -> web.Response:
         now = asyncio.get_running_loop().time()
-        nearest = sorted(
-            homes, key=lambda home: home.instance.availability_zone != place.availability_zone
-        )
+        chosen = self._choose(homes, place)
         document = {
             "service": service,
-            "addresses": [_entry(home) for home in nearest[: self._settings.addresses_count]],
+            "addresses": [_entry(home) for home in chosen],
             "keep_s": self._settings.addresses_keep_s,
             "grant": self._issuer.issue(now),
             "grant_address": str(self._view.own.callers),
@@ -121,6 +124,21 @@
             headers={"Cache-Control": "no-store"},
         )
 
+    def _choose(self, homes: list[Home], place: _Place) -> list[Home]:
+        """Choose homes for one answer: the zone's own first, at random by weight among equals.
+
+        So each home is named in its share of the answers, also where there are more homes than an
+        answer holds. The order is that of weighted random sampling without replacement
+        (Efraimidis and Spirakis, 2006).
+        """
+
+        def order(home: Home) -> tuple[bool, float]:
+            is_far = home.instance.availability_zone != place.availability_zone
+            weight = max(home.weight, LEAST_WEIGHT)
+            return is_far, -(self._random.random() ** (1 / weight))
+
+        return sorted(homes, key=order)[: self._settings.addresses_count]
+
 
 def _entry(home: Home) -> dict[str, object]:
     instance: Instance = home.instance
@@ -141,6 +159,9 @@
     issuer: GrantIssuer,
     state: CallersState,
     configured: Callable[[], bool],
+    rng: Random | None = None,
 ) -> AddressAnswers:
     """Create the answers; `configured` tells whether the configuration can be used."""
-    return AddressAnswers(settings, homes, replica, view, issuer, state, configured)
+    return AddressAnswers(
+        settings, homes, replica, view, issuer, state, configured, rng or Random()
+    )
