--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -28,6 +28,7 @@
 from heatherhead.routing.router import create_router
 from heatherhead.settings.tls import create_client_context, reload_certificate
 from heatherhead.store.factory import create_store
+from heatherhead.telemetry.instance_gauges import create_instance_gauges
 from heatherhead.telemetry.logs import log_event
 from heatherhead.telemetry.recorder import create_telemetry
 from heatherhead.upstreams.attempts import create_attempt_runner
@@ -121,6 +122,9 @@
     def _create_keyed_calls(self, issuer: GrantIssuer) -> KeyedCalls:
         callers = self.settings.callers
         table = create_key_table(issuer, _key_limits(self.settings.admission))
+        self.gauges = create_instance_gauges(
+            self.telemetry, self.membership.network.budget, table, self.state
+        )
         self._owner_tls = _owner_tls(self.settings)
         pass_on = create_pass_on(
             self.membership.view, self.client, callers, self.state, self.telemetry, self._owner_tls
@@ -150,6 +154,7 @@
     async def start(self) -> None:
         """Start all parts; addresses are offered once there is a configuration."""
         self.telemetry.start()
+        self.gauges.start()
         await self.listener.start()
         await self.operators.start()
         self._advertise()
@@ -210,6 +215,7 @@
         await self.membership.stop()
         await self.client.close()
         await self.store.close()
+        await self.gauges.close()
         await self.telemetry.close()
         log_event("stopped")
 
