--- a/heatherhead/routing/evidence.py
+++ b/heatherhead/routing/evidence.py
@@ -1,8 +1,8 @@
 """Turns ended and overdue attempts into the states of a service's upstreams.
 
 An upstream is slow while its oldest call in flight is far over the usual time, and then pauses
-until a single trial call shows that it is quick again. One whose calls fail in a row is ejected for
-a while, as long as only a bounded share is out. One that refuses because it drains gets no work.
+until a single trial call shows that it is quick again. What takes an upstream out for a while, its
+failures or its draining, is judged in `exclusions`.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.calls import AttemptState, UpstreamSign
+from heatherhead.routing.exclusions import create_exclusions
 from heatherhead.routing.loop_lag import create_loop_lag
-from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -30,15 +30,10 @@
 
 AGE_SLACK_S = 0.002  # jitter of the network and of busy event loops
 HIGH_FACTOR = 1.2
-MAX_EJECTIONS = 5
-UNREACHABLE_S = 2.0
 MAX_SLOW_ROUNDS = 4
 SLOTS_LIFETIME_S = 0.02
 TRIAL_SERVICE_TIMES = 2
 SLOW_PAUSE_SERVICE_TIMES = 10
-HINTED_SHARE = 0.5  # of the upstreams may be out when health checks leave out one more
-FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
-FAILING_SHARE_WEIGHT = 0.02
 FIRST_FAILING_STATUS = 500
 
 
@@ -59,13 +54,13 @@
         self.on_draining: Callable[[UpstreamState], None] | None = None
         self.on_hint: Callable[[UpstreamState], None] | None = None
         self._settings = settings
+        self.exclusions = create_exclusions(settings, state_by_id, telemetry, self._pause)
         self._policy = policy
         self._service_time = service_time
         self._state_by_id = state_by_id
         self._telemetry = telemetry
         self._pauses: list[tuple[float, int, UpstreamState]] = []
         self._serial = count()
-        self._failing_share = 0.0
         self._local_slots = 0
         self._slots_counted_at = float("-inf")
 
@@ -97,17 +92,17 @@
         elif result.sign is UpstreamSign.SHEDDING:
             state.limit.shed(state.in_flight + 1)
         elif result.sign is UpstreamSign.DIED or _failed(result):
-            self._failed(state, now, at_once=result.sign is UpstreamSign.DIED)
+            self.exclusions.failed(state, now, at_once=result.sign is UpstreamSign.DIED)
         elif result.state is AttemptState.ANSWERED:
             self._answered(slot, duration_s, now, is_late=is_late)
 
     def _refused_by_draining(self, state: UpstreamState, result: AttemptResult, now: float) -> None:
         """Take an upstream out; one that can't even be connected to may be back soon."""
         if result.state is AttemptState.NOT_SENT:
-            self.leave_out_unreachable(state, now)
+            self.exclusions.leave_out_unreachable(state, now)
             return
         is_news = not state.draining_until
-        self.drain(state, now)
+        self.exclusions.drain(state, now)
         if is_news and self.on_draining is not None:
             self.on_draining(state)
 
@@ -118,52 +113,6 @@
             return
         self._mark_slow(state, now)
 
-    def drain(self, state: UpstreamState, now: float) -> None:
-        """Give an upstream no new work for a while because it was seen draining."""
-        if not state.draining_until:
-            log_event("upstream_draining", upstream=state.upstream.id)
-        until = now + self._settings.draining_ms / 1000
-        self._leave_out(state, until, "it was seen draining")
-
-    @property
-    def draining_s(self) -> float:
-        """How long a sighting of draining holds, in seconds."""
-        return self._settings.draining_ms / 1000
-
-    def own_calls_succeed(self, state: UpstreamState, now: float) -> bool:
-        """Tell whether own calls were answered well so lately that health checks count less."""
-        return now - state.good_at < self._settings.health_interval_ms / 1000
-
-    def may_leave_out_by_hint(self) -> bool:
-        """Tell whether one more upstream may be left out for what health checks alone say."""
-        out = sum(1 for each in self._state_by_id.values() if not each.usable)
-        return out + 1 <= HINTED_SHARE * len(self._state_by_id)
-
-    def leave_out_unreachable(self, state: UpstreamState, now: float) -> None:
-        """Give no work for a short time to an upstream that can't be connected to."""
-        if not state.draining_until:
-            log_event("upstream_unreachable", upstream=state.upstream.id)
-        self._leave_out(state, now + UNREACHABLE_S, "it can't be connected to")
-
-    def eject_silent(self, state: UpstreamState, now: float) -> None:
-        """Eject an upstream that leaves health checks without an answer."""
-        if not state.ejected_until and self._may_eject():
-            self._eject(state, now, f"{state.silences} health checks in a row had no answer")
-
-    def allow_trial(self, state: UpstreamState, now: float) -> None:
-        """End the wait of an ejected upstream after its first part, for the trial that ends it.
-
-        A trial that fails shows that the health checks mislead; then the whole wait counts until
-        the upstream has answered calls again.
-        """
-        if not state.ejected_until or not state.is_trusting_health:
-            return
-        first_part_ends = state.ejected_at + self._settings.ejection_ms / 1000
-        if first_part_ends < state.ejected_until:
-            state.let_back_by_health = True
-            state.ejected_until = max(now, first_part_ends)
-            self._pause(state, state.ejected_until)
-
     def end_pauses(self, now: float) -> None:
         """Let upstreams back, one trial call first, whose pause is over."""
         while self._pauses and self._pauses[0][0] <= now:
@@ -171,13 +120,7 @@
             self.forget_slots()
             if state.removed:
                 continue
-            if state.draining_until and state.draining_until <= now:
-                state.draining_until = 0.0
-                state.limit.restart()
-            if state.ejected_until and state.ejected_until <= now:
-                state.ejected_until = 0.0
-                state.failures = self._settings.eject_failures - 1
-                state.limit.restart()
+            self.exclusions.end_due(state, now)
             if state.trial_at and state.trial_at <= now:
                 state.trial_at = 0.0
                 state.on_trial = True
@@ -209,10 +152,7 @@
 
     def _answered(self, slot: RoutedSlot, duration_s: float, now: float, *, is_late: bool) -> None:
         state = slot.state
-        self._failing_share *= 1 - FAILING_SHARE_WEIGHT
-        state.failures = 0
-        state.good_at = now
-        state.let_back_by_health = False
+        self.exclusions.answered(state, now)
         self._service_time.add(duration_s)
         if self._service_time.usual_s:
             self._slow_after_s = self.threshold_s(self._settings.slow_factor)
@@ -253,39 +193,6 @@
             SLOW_PAUSE_SERVICE_TIMES * self._service_time.usual_s,
         )
 
-    def _failed(self, state: UpstreamState, now: float, *, at_once: bool) -> None:
-        self._failing_share += (1 - self._failing_share) * FAILING_SHARE_WEIGHT
-        state.failures += 1
-        limit = self._settings.eject_failures
-        if state.ejected_until or (state.failures < limit and not at_once):
-            return
-        if not at_once and self._failing_share > FAILING_SHARE_OF_SERVICE:
-            return
-        if self._may_eject():
-            self._eject(state, now, f"{state.failures} calls failed in a row")
-
-    def _may_eject(self) -> bool:
-        ejected = sum(1 for each in self._state_by_id.values() if each.ejected_until)
-        return ejected + 1 <= self._settings.ejected_share * len(self._state_by_id)
-
-    def _eject(self, state: UpstreamState, now: float, reason: str) -> None:
-        if state.let_back_by_health:
-            state.let_back_by_health = False
-            state.is_trusting_health = False
-        pause_s = self._settings.ejection_ms / 1000 * 2 ** min(state.ejections, MAX_EJECTIONS)
-        state.ejections += 1
-        state.ejected_at = now
-        state.ejected_until = now + pause_s
-        state.reason = reason
-        self._telemetry.count("routing.ejected")
-        log_event("upstream_ejected", upstream=state.upstream.id, seconds=pause_s)
-        self._pause(state, state.ejected_until)
-
-    def _leave_out(self, state: UpstreamState, until: float, reason: str) -> None:
-        state.draining_until = max(state.draining_until, until)
-        state.reason = reason
-        self._pause(state, state.draining_until)
-
     def _pause(self, state: UpstreamState, until: float) -> None:
         self.forget_slots()
         heappush(self._pauses, (until, next(self._serial), state))
--- /dev/null
+++ b/heatherhead/routing/exclusions.py
@@ -0,0 +1,150 @@
+"""Takes upstreams out for a while: those that drain, can't be reached, or fail call after call.
+
+One whose calls fail in a row is ejected, as long as only a bounded share is out. One that refuses
+because it drains, or can't be connected to, gets no work for a time.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from heatherhead.routing.upstream_state import UpstreamState
+    from heatherhead.settings.routing import RoutingSettings
+    from heatherhead.telemetry.interface import Telemetry
+
+__all__ = ["Exclusions", "create_exclusions"]
+
+MAX_EJECTIONS = 5
+UNREACHABLE_S = 2.0
+HINTED_SHARE = 0.5  # of the upstreams may be out when health checks leave out one more
+FAILING_SHARE_OF_SERVICE = 0.25  # above it the calls are to blame, not single upstreams
+FAILING_SHARE_WEIGHT = 0.02
+
+
+class Exclusions:
+    """Which upstreams of one service are out, and until when."""
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        state_by_id: Mapping[str, UpstreamState],
+        telemetry: Telemetry,
+        pause: Callable[[UpstreamState, float], None],
+    ) -> None:
+        self._settings = settings
+        self._state_by_id = state_by_id
+        self._telemetry = telemetry
+        self._pause = pause
+        self._failing_share = 0.0
+
+    def answered(self, state: UpstreamState, now: float) -> None:
+        """Take in a call that the upstream answered well."""
+        self._failing_share *= 1 - FAILING_SHARE_WEIGHT
+        state.failures = 0
+        state.good_at = now
+        state.let_back_by_health = False
+
+    def failed(self, state: UpstreamState, now: float, *, at_once: bool) -> None:
+        """Take in a failed call; eject the upstream after several in a row, or `at_once`."""
+        self._failing_share += (1 - self._failing_share) * FAILING_SHARE_WEIGHT
+        state.failures += 1
+        limit = self._settings.eject_failures
+        if state.ejected_until or (state.failures < limit and not at_once):
+            return
+        if not at_once and self._failing_share > FAILING_SHARE_OF_SERVICE:
+            return
+        if self._may_eject():
+            self._eject(state, now, f"{state.failures} calls failed in a row")
+
+    def drain(self, state: UpstreamState, now: float) -> None:
+        """Give an upstream no new work for a while because it was seen draining."""
+        if not state.draining_until:
+            log_event("upstream_draining", upstream=state.upstream.id)
+        until = now + self._settings.draining_ms / 1000
+        self._leave_out(state, until, "it was seen draining")
+
+    def leave_out_unreachable(self, state: UpstreamState, now: float) -> None:
+        """Give no work for a short time to an upstream that can't be connected to."""
+        if not state.draining_until:
+            log_event("upstream_unreachable", upstream=state.upstream.id)
+        self._leave_out(state, now + UNREACHABLE_S, "it can't be connected to")
+
+    def eject_silent(self, state: UpstreamState, now: float) -> None:
+        """Eject an upstream that leaves health checks without an answer."""
+        if not state.ejected_until and self._may_eject():
+            self._eject(state, now, f"{state.silences} health checks in a row had no answer")
+
+    def allow_trial(self, state: UpstreamState, now: float) -> None:
+        """End the wait of an ejected upstream after its first part, for the trial that ends it.
+
+        A trial that fails shows that the health checks mislead; then the whole wait counts until
+        the upstream has answered calls again.
+        """
+        if not state.ejected_until or not state.is_trusting_health:
+            return
+        first_part_ends = state.ejected_at + self._settings.ejection_ms / 1000
+        if first_part_ends < state.ejected_until:
+            state.let_back_by_health = True
+            state.ejected_until = max(now, first_part_ends)
+            self._pause(state, state.ejected_until)
+
+    def end_due(self, state: UpstreamState, now: float) -> None:
+        """Let an upstream back whose time out is over; it starts again with one call."""
+        if state.draining_until and state.draining_until <= now:
+            state.draining_until = 0.0
+            state.limit.restart()
+        if state.ejected_until and state.ejected_until <= now:
+            state.ejected_until = 0.0
+            state.failures = self._settings.eject_failures - 1
+            state.limit.restart()
+
+    def may_leave_out_by_hint(self) -> bool:
+        """Tell whether one more upstream may be left out for what health checks alone say."""
+        out = sum(1 for each in self._state_by_id.values() if not each.usable)
+        return out + 1 <= HINTED_SHARE * len(self._state_by_id)
+
+    def own_calls_succeed(self, state: UpstreamState, now: float) -> bool:
+        """Tell whether own calls were answered well so lately that health checks count less."""
+        return now - state.good_at < self._settings.health_interval_ms / 1000
+
+    @property
+    def draining_s(self) -> float:
+        """How long a sighting of draining holds, in seconds."""
+        return self._settings.draining_ms / 1000
+
+    def _may_eject(self) -> bool:
+        ejected = sum(1 for each in self._state_by_id.values() if each.ejected_until)
+        return ejected + 1 <= self._settings.ejected_share * len(self._state_by_id)
+
+    def _eject(self, state: UpstreamState, now: float, reason: str) -> None:
+        if state.let_back_by_health:
+            state.let_back_by_health = False
+            state.is_trusting_health = False
+        pause_s = self._settings.ejection_ms / 1000 * 2 ** min(state.ejections, MAX_EJECTIONS)
+        state.ejections += 1
+        state.ejected_at = now
+        state.ejected_until = now + pause_s
+        state.reason = reason
+        self._telemetry.count("routing.ejected")
+        log_event("upstream_ejected", upstream=state.upstream.id, seconds=pause_s)
+        self._pause(state, state.ejected_until)
+
+    def _leave_out(self, state: UpstreamState, until: float, reason: str) -> None:
+        state.draining_until = max(state.draining_until, until)
+        state.reason = reason
+        self._pause(state, state.draining_until)
+
+
+def create_exclusions(
+    settings: RoutingSettings,
+    state_by_id: Mapping[str, UpstreamState],
+    telemetry: Telemetry,
+    pause: Callable[[UpstreamState, float], None],
+) -> Exclusions:
+    """Create exclusions of no upstream; `pause` wakes the service up at a time."""
+    return Exclusions(settings, state_by_id, telemetry, pause)
--- a/heatherhead/routing/health.py
+++ b/heatherhead/routing/health.py
@@ -103,7 +103,7 @@
 def _(finding: HealthFine, evidence: Evidence, state: UpstreamState, now: float) -> None:
     state.silences = 0
     _take_report(state, finding.report)
-    evidence.allow_trial(state, now)
+    evidence.exclusions.allow_trial(state, now)
 
 
 @take_finding.register(HealthDraining)
@@ -111,7 +111,7 @@
     state.silences = 0
     _take_report(state, finding.report)
     if finding.announced:
-        evidence.drain(state, now)
+        evidence.exclusions.drain(state, now)
         _tell(evidence.on_draining, evidence, state, now)
     elif take_hint(evidence, state, now):
         _tell(evidence.on_hint, evidence, state, now)
@@ -121,7 +121,7 @@
 def _(finding: HealthGone, evidence: Evidence, state: UpstreamState, now: float) -> None:
     state.silences = 0
     if _may_leave_out(evidence, state, now):
-        evidence.leave_out_unreachable(state, now)
+        evidence.exclusions.leave_out_unreachable(state, now)
 
 
 @take_finding.register(HealthSilent)
@@ -129,8 +129,8 @@
     state.silences += 1
     if state.silences < SILENCES_TO_EJECT or state.in_flight:
         return
-    if not evidence.own_calls_succeed(state, now):
-        evidence.eject_silent(state, now)
+    if not evidence.exclusions.own_calls_succeed(state, now):
+        evidence.exclusions.eject_silent(state, now)
 
 
 @take_finding.register(HealthUnclear)
@@ -148,15 +148,15 @@
     """Leave out an upstream that seems to drain, unless own calls say otherwise; tell whether."""
     if not _may_leave_out(evidence, state, now):
         return False
-    evidence.drain(state, now)
+    evidence.exclusions.drain(state, now)
     return True
 
 
 def _may_leave_out(evidence: Evidence, state: UpstreamState, now: float) -> bool:
     """Tell whether a hint may leave out an upstream, or keep it out."""
-    if evidence.own_calls_succeed(state, now):
+    if evidence.exclusions.own_calls_succeed(state, now):
         return False
-    return bool(state.draining_until) or evidence.may_leave_out_by_hint()
+    return bool(state.draining_until) or evidence.exclusions.may_leave_out_by_hint()
 
 
 def _take_report(state: UpstreamState, report: LoadReport | None) -> None:
@@ -174,5 +174,5 @@
 ) -> None:
     """Tell the other homes at once, and again before the sighting they were told of ends."""
     if now >= state.tell_at and tell is not None:
-        state.tell_at = now + RETELL_SHARE * evidence.draining_s
+        state.tell_at = now + RETELL_SHARE * evidence.exclusions.draining_s
         tell(state)
--- a/heatherhead/routing/router.py
+++ b/heatherhead/routing/router.py
@@ -233,7 +233,7 @@
         dispatcher = self.dispatcher_by_service.get(message.service)
         state = dispatcher.state_by_id.get(message.upstream_id) if dispatcher else None
         if dispatcher is not None and state is not None:
-            dispatcher.evidence.drain(state, self._loop.time())
+            dispatcher.evidence.exclusions.drain(state, self._loop.time())
 
     def _on_health_hint(self, _sender_id: str, message: HealthHint) -> None:
         dispatcher = self.dispatcher_by_service.get(message.service)
