--- a/heatherhead/tests/configuration/fleet.py
+++ b/heatherhead/tests/configuration/fleet.py
@@ -10,7 +10,7 @@
 from heatherhead.settings import Settings
 from heatherhead.store.memory import create_memory_store
 from heatherhead.tests.faulty_store import FaultyStore, create_faulty_store
-from heatherhead.tests.membership.fleet import create_member_fleet, wait_until
+from heatherhead.tests.membership.fleet import create_member_fleet, places, wait_until
 
 if TYPE_CHECKING:
     from heatherhead.configuration.replica import Replica
@@ -47,11 +47,8 @@
 
     async def start_all(self, regions: int, zones: int, per_zone: int) -> list[str]:
         """Start a fleet and wait until all are ready."""
-        for region in range(regions):
-            for zone in range(zones):
-                for number in range(per_zone):
-                    place = (f"r{region}", f"r{region}z{zone}")
-                    await self.start(f"i{region}-{zone}-{number}", *place)
+        for instance_id, region, zone in places(regions, zones, per_zone):
+            await self.start(instance_id, region, zone)
         ids = list(self.configuration_by_id)
         await wait_until(lambda: self.members.all_see(ids) and all(map(self.is_ready, ids)))
         return ids
--- a/heatherhead/tests/membership/fleet.py
+++ b/heatherhead/tests/membership/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import product
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -14,13 +15,19 @@
 from heatherhead.tests.fake_links import create_fake_hub
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
-__all__ = ["MemberFleet", "create_member_fleet", "wait_until"]
+__all__ = ["MemberFleet", "create_member_fleet", "places", "wait_until"]
 
 WAIT_STEP_S = 0.1
 
 
+def places(regions: int, zones: int, per_zone: int) -> Iterator[tuple[str, str, str]]:
+    """Name the instances of a fleet: id, region and availability zone."""
+    for region, zone, number in product(range(regions), range(zones), range(per_zone)):
+        yield f"i{region}-{zone}-{number}", f"r{region}", f"r{region}z{zone}"
+
+
 class MemberFleet:
     """Starts, crashes, pauses and parts the memberships of several instances."""
 
@@ -48,11 +55,8 @@
 
     async def start_all(self, regions: int, zones: int, per_zone: int) -> list[str]:
         """Start a fleet and wait until all know all; return the ids."""
-        for region in range(regions):
-            for zone in range(zones):
-                for number in range(per_zone):
-                    place = (f"r{region}", f"r{region}z{zone}")
-                    await self.start(f"i{region}-{zone}-{number}", *place)
+        for instance_id, region, zone in places(regions, zones, per_zone):
+            await self.start(instance_id, region, zone)
         await wait_until(lambda: all(self.sees(each, self.by_id) for each in self.by_id))
         return list(self.by_id)
 
