--- a/heatherhead/callers/addresses.py
+++ b/heatherhead/callers/addresses.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from heatherhead.callers.headers import SERVER_NAME
 from heatherhead.callers.problems import problem_of, problem_response
 from heatherhead.callers.state import Phase
 from heatherhead.exceptions import BadCallError, CallRefusedError
@@ -84,7 +85,10 @@
     async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer 200 while this instance has a configuration and offers addresses."""
         offering = self._offering
-        return web.Response(status=200 if offering else 503, text="ready\n" if offering else "no\n")
+        text = "ready\n" if offering else "no\n"
+        return web.Response(
+            status=200 if offering else 503, text=text, headers={"Server": SERVER_NAME}
+        )
 
     @property
     def _offering(self) -> bool:
@@ -121,7 +125,7 @@
         return web.Response(
             body=json.dumps(document).encode(),
             content_type="application/json",
-            headers={"Cache-Control": "no-store"},
+            headers={"Cache-Control": "no-store", "Server": SERVER_NAME},
         )
 
     def _choose(self, homes: list[Home], place: _Place) -> list[Home]:
--- a/heatherhead/callers/headers.py
+++ b/heatherhead/callers/headers.py
@@ -19,6 +19,7 @@
     "NOT_RUN",
     "PASSED_ON",
     "REPLAYED",
+    "SERVER_NAME",
     "SERVICE",
     "TENANT",
     "end_to_end_headers",
@@ -35,6 +36,7 @@
 LOAD = istr("Heatherhead-Load")  # calls in flight, as the upstream says
 REPLAYED = istr("Heatherhead-Replayed")  # "true": the recorded answer of an earlier send
 IDEMPOTENCY_KEY = istr("Idempotency-Key")
+SERVER_NAME = "heatherhead"  # without a Server header the library would tell its own version
 
 _HOP_BY_HOP = (
     istr("Connection"),
--- a/heatherhead/callers/problems.py
+++ b/heatherhead/callers/problems.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from heatherhead.admission.key_errors import KeyedCallError
-from heatherhead.callers.headers import NO_RETRY, NOT_RUN
+from heatherhead.callers.headers import NO_RETRY, NOT_RUN, SERVER_NAME
 from heatherhead.exceptions import (
     CallRefusedError,
     HeatherheadError,
@@ -72,6 +72,7 @@
         status=problem.status,
         body=json.dumps(document).encode(),
         content_type=CONTENT_TYPE,
+        headers={"Server": SERVER_NAME},
     )
     if problem.outcome is ReportedOutcome.NOT_RUN:
         response.headers[NOT_RUN] = "true"
--- a/heatherhead/callers/relay.py
+++ b/heatherhead/callers/relay.py
@@ -17,6 +17,7 @@
     NO_RETRY,
     NOT_RUN,
     REPLAYED,
+    SERVER_NAME,
     end_to_end_headers,
 )
 from heatherhead.exceptions import OutcomeUnknownError
@@ -53,6 +54,7 @@
     if keep_promise and answer.headers.get(NOT_RUN) == "true":
         headers[NOT_RUN] = "true"
     headers.add("Via", "1.1 heatherhead")
+    headers.setdefault("Server", SERVER_NAME)
     if answer.status in _GATEWAY_STATUSES:
         headers[NO_RETRY] = "true"
     return headers
--- a/heatherhead/tests/callers/path_tests.py
+++ b/heatherhead/tests/callers/path_tests.py
@@ -197,3 +197,13 @@
         assert upstream.seen == []
 
     run_shifted(main())
+
+
+def test_own_answers_do_not_tell_the_versions_of_libraries() -> None:
+    async def main() -> None:
+        async with stand(None) as here:
+            for path in ("/v1/ready", "/v1/addresses?service=orders", "/v1/addresses"):
+                async with here.session.get(here.url + path) as answer:
+                    assert answer.headers["Server"] == "heatherhead"
+
+    run_shifted(main())
