--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,7 +21,7 @@
 from docopt import docopt
 
 from bench.fleet import OUT_DIRECTORY
-from heatherhead.admission.key_states import KeyTableLimits
+from heatherhead.admission.key_table import KeyTableLimits
 
 __all__ = ["Row", "Sizing", "Target", "create_sizing", "main", "render"]
 
