Write three repeated pieces once

Two measurements wrote the same settings of a lone daemon: bench.fleet.lone_daemon_settings. Two verbs chose in the same lines between one instance and all: commands.fleet.ask_one_or_all. Two tables folded their hashes in a loop: functools.reduce.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -17,7 +17,7 @@
 import uvloop
 
 from bench.fake_upstream import RUN_ID_HEADER, UpstreamScript
-from bench.fleet import DaemonPorts, Fleet, free_ports
+from bench.fleet import DaemonPorts, Fleet, free_ports, lone_daemon_settings
 
 SECONDS = 8
 READS_PER_S = 150
@@ -74,14 +74,7 @@
         for index, script in enumerate(scripts)
     ]
     service = {"name": "stock", "path_prefixes": ["/"], "upstreams": upstreams}
-    return {
-        "instance": {"id": daemon.id},
-        "callers": {"listen": {"port": daemon.callers}},
-        "operators": {"listen": {"port": daemon.operators}},
-        "membership": {"listen": {"port": daemon.peers}},
-        "telemetry": {"log_level": "WARNING"},
-        "services": [service],
-    }
+    return lone_daemon_settings(daemon, service)
 
 
 async def run_demo(demo: Demo) -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,7 +23,15 @@
 
     from bench.fake_upstream import UpstreamScript
 
-__all__ = ["DaemonPorts", "Fleet", "cpu_seconds", "free_ports", "rss_mb", "save_result"]
+__all__ = [
+    "DaemonPorts",
+    "Fleet",
+    "cpu_seconds",
+    "free_ports",
+    "lone_daemon_settings",
+    "rss_mb",
+    "save_result",
+]
 
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15.0
@@ -137,6 +145,18 @@
         self.process_by_name.clear()
 
 
+def lone_daemon_settings(daemon: DaemonPorts, service: dict[str, Any]) -> dict[str, Any]:
+    """Write the settings of a daemon on its own, with the embedded store and one service."""
+    return {
+        "instance": {"id": daemon.id},
+        "callers": {"listen": {"port": daemon.callers}},
+        "operators": {"listen": {"port": daemon.operators}},
+        "membership": {"listen": {"port": daemon.peers}},
+        "telemetry": {"log_level": "WARNING"},
+        "services": [service],
+    }
+
+
 def free_ports(count: int) -> list[int]:
     """Find loopback ports that are free now, below those that the system gives to clients."""
     sockets: list[socket.socket] = []
--- a/bench/path.py
+++ b/bench/path.py
@@ -15,7 +15,15 @@
 
 from bench.closed_loop import WARM_UP_S as CLOSED_WARM_UP_S
 from bench.fake_upstream import UpstreamScript
-from bench.fleet import DaemonPorts, Fleet, cpu_seconds, free_ports, rss_mb, save_result
+from bench.fleet import (
+    DaemonPorts,
+    Fleet,
+    cpu_seconds,
+    free_ports,
+    lone_daemon_settings,
+    rss_mb,
+    save_result,
+)
 from bench.load import LoadPlan
 
 if TYPE_CHECKING:
@@ -49,14 +57,7 @@
         "upstreams": upstreams,
         "key_required": False,
     }
-    return {
-        "instance": {"id": daemon.id},
-        "callers": {"listen": {"port": daemon.callers}},
-        "operators": {"listen": {"port": daemon.operators}},
-        "membership": {"listen": {"port": daemon.peers}},
-        "telemetry": {"log_level": "WARNING"},
-        "services": [service],
-    }
+    return lone_daemon_settings(daemon, service)
 
 
 def _start(fleet: Fleet) -> tuple[dict[str, int], DaemonPorts]:
--- a/heatherhead/commands/fleet.py
+++ b/heatherhead/commands/fleet.py
@@ -16,7 +16,7 @@
 
     from heatherhead.commands.session import Session
 
-__all__ = ["ask_instances"]
+__all__ = ["ask_instances", "ask_one_or_all"]
 
 MAX_ASKED_AT_ONCE = 16
 STATES_ASKED = ("live", "suspected", "leaving")
@@ -24,6 +24,15 @@
 ReplyT = TypeVar("ReplyT")
 
 
+async def ask_one_or_all(
+    session: Session, call: Callable[[Session], Awaitable[ReplyT]], *, is_all: bool
+) -> list[ReplyT]:
+    """Gather the reply of the answering instance, or those of all as `ask_instances` does."""
+    if is_all:
+        return await ask_instances(session, call)
+    return [await call(session)]
+
+
 async def ask_instances(
     session: Session, call: Callable[[Session], Awaitable[ReplyT]]
 ) -> list[ReplyT]:
--- a/heatherhead/commands/upstreams_list.py
+++ b/heatherhead/commands/upstreams_list.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from heatherhead.commands.exit_codes import ExitCode
-from heatherhead.commands.fleet import ask_instances
+from heatherhead.commands.fleet import ask_one_or_all
 from heatherhead.commands.output import document_of
 from heatherhead.commands.paging import read_pages
 from heatherhead.operators import heatherhead_pb2 as pb
@@ -34,10 +34,9 @@
 async def run(session: Session, arguments: Mapping[str, Any]) -> ExitCode:
     """Print a row for each upstream, and for each instance with --all."""
     service = arguments["SERVICE"] or ""
-    if arguments["--all"]:
-        replies = await ask_instances(session, lambda there: _read(there, service))
-    else:
-        replies = [await _read(session, service)]
+    replies = await ask_one_or_all(
+        session, lambda there: _read(there, service), is_all=arguments["--all"]
+    )
     states = arguments["--state"]
     rows = [
         (reply.instance_id, status)
--- a/heatherhead/configuration/record_table.py
+++ b/heatherhead/configuration/record_table.py
@@ -5,7 +5,9 @@
 import zlib
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import reduce
 from hashlib import blake2b
+from operator import xor
 from typing import TYPE_CHECKING
 
 from heatherhead.configuration.documents import encode_record
@@ -114,10 +116,7 @@
     @property
     def total_hash(self) -> int:
         """Return one hash over all records."""
-        total = 0
-        for each in self.hashes:
-            total ^= each
-        return total
+        return reduce(xor, self.hashes)
 
     def revision_of(self, name: str) -> int:
         """Return the revision held of a service, 0 for an unknown one."""
--- a/heatherhead/membership/member_table.py
+++ b/heatherhead/membership/member_table.py
@@ -4,7 +4,9 @@
 
 import zlib
 from dataclasses import dataclass, replace
+from functools import reduce
 from hashlib import blake2b
+from operator import xor
 from typing import TYPE_CHECKING
 
 from heatherhead.membership.interface import Instance, InstanceState
@@ -116,10 +118,7 @@
     @property
     def total_hash(self) -> int:
         """Return one hash over all entries that somebody has reached."""
-        total = 0
-        for each in self.hashes:
-            total ^= each
-        return total
+        return reduce(xor, self.hashes)
 
     def subscribe(self, listener: Callable[[Member], None]) -> None:
         """Call `listener` with each changed entry."""
