--- /dev/null
+++ b/heatherhead/dispatch/crashes.py
@@ -0,0 +1,56 @@
+"""Holds back requests that crash the upstreams that run them.
+
+Load pattern answered: one request crashes each upstream that begins it and is sent again, at any
+instance. After three crashes without an answer it is refused for a while, unsent.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+__all__ = ["CRASHES_TO_QUARANTINE", "CrashTable", "create_crash_table"]
+
+CRASHES_TO_QUARANTINE = 3
+KEPT_S = 60.0  # callers send such requests again within seconds
+MAX_FINGERPRINTS = 1024
+
+
+@dataclass(slots=True)
+class _Suspect:
+    crashes: int
+    last_at: float
+
+
+class CrashTable:
+    """Crashes by the fingerprint of the request; bounded, oldest first out."""
+
+    def __init__(self) -> None:
+        self._suspects_by_fingerprint: OrderedDict[int, _Suspect] = OrderedDict()
+
+    def note_crash(self, fingerprint: int, now: float, crashes: int | None = None) -> int:
+        """Count a crash, or take in the count of a peer; gives the count."""
+        suspect = self._suspects_by_fingerprint.pop(fingerprint, None)
+        held = suspect.crashes if suspect and now - suspect.last_at < KEPT_S else 0
+        count = held + 1 if crashes is None else max(held, crashes)
+        self._suspects_by_fingerprint[fingerprint] = _Suspect(count, now)
+        if len(self._suspects_by_fingerprint) > MAX_FINGERPRINTS:
+            self._suspects_by_fingerprint.popitem(last=False)
+        return count
+
+    def note_answer(self, fingerprint: int) -> None:
+        """Clear a request that an upstream answered."""
+        if self._suspects_by_fingerprint:
+            self._suspects_by_fingerprint.pop(fingerprint, None)
+
+    def quarantined(self, fingerprint: int, now: float) -> bool:
+        """Tell whether a request is held back."""
+        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        if suspect is None or now - suspect.last_at >= KEPT_S:
+            return False
+        return suspect.crashes >= CRASHES_TO_QUARANTINE
+
+
+def create_crash_table() -> CrashTable:
+    """Create an empty table."""
+    return CrashTable()
--- /dev/null
+++ b/heatherhead/dispatch/dispatcher.py
@@ -0,0 +1,316 @@
+"""Hands out the slots of upstreams to calls, and keeps what is believed of each upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING
+
+from heatherhead.dispatch.budget import RepeatBudget, create_repeat_budget
+from heatherhead.dispatch.estimates import UsualSlowdown
+from heatherhead.dispatch.placement import expected_s, place
+from heatherhead.dispatch.returning import ReturnSchedule
+from heatherhead.dispatch.upstream_state import UpstreamState
+from heatherhead.dispatch.waiting import WaitingCall, WaitingCalls, wait_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from heatherhead.dispatch.demand import Demand
+    from heatherhead.dispatch.upstream_state import LoadReading
+    from heatherhead.registry.entries import UpstreamEntry
+
+__all__ = ["Dispatcher", "RejectedError", "Slot", "create_dispatcher"]
+
+TICK_S = 0.02  # waiting calls are placed anew, as beliefs age without an event
+SAME_ZONE_TRANSIT_S = 0.001
+SAME_REGION_TRANSIT_S = 0.003
+OTHER_REGION_TRANSIT_S = 0.045
+MAX_SLACK_INSTANCES = 10_000
+
+
+class RejectedError(Exception):
+    """A call that can't be served in time; it was not sent anywhere."""
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    """A slot of an upstream, held by one attempt."""
+
+    number: int
+    state: UpstreamState
+    expected_s: float
+    slowdown: float
+    taken_at: float
+
+
+@dataclass(slots=True, eq=False)
+class _Service:
+    """What is kept of one service."""
+
+    name: str
+    budget: RepeatBudget
+    state_by_id: dict[str, UpstreamState] = field(default_factory=dict)
+    waiting: WaitingCalls = field(default_factory=WaitingCalls)
+    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+    usual: UsualSlowdown = field(default_factory=UsualSlowdown)
+
+    def slots(self, now: float) -> float:
+        """Estimate how many slots of usual speed the upstreams offer."""
+        total = 0.0
+        for state in self.state_by_id.values():
+            if now < state.ejected_until or state.misdirected:
+                continue
+            total += state.entry.slots / max(1.0, state.slowdown_now(now, self.usual.value))
+        return total
+
+
+class Dispatcher:
+    """Places calls of all services."""
+
+    def __init__(
+        self,
+        zone: str,
+        region_by_zone: dict[str, str],
+        create_budget: Callable[[], RepeatBudget],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._zone = zone
+        self._region = region_by_zone.get(zone, "")
+        self._region_by_zone = region_by_zone
+        self._create_budget = create_budget
+        self._service_by_name: dict[str, _Service] = {}
+        self._state_by_id: dict[str, UpstreamState] = {}
+        self._transit_by_zone: dict[str, float] = {}
+        self._numbers = count(1)
+        self._tick: asyncio.TimerHandle | None = None
+
+    @property
+    def states(self) -> Collection[UpstreamState]:
+        """List all upstreams that may get calls."""
+        return self._state_by_id.values()
+
+    def state(self, upstream_id: str) -> UpstreamState | None:
+        """Find an upstream that may get calls."""
+        return self._state_by_id.get(upstream_id)
+
+    def region_of(self, zone: str) -> str | None:
+        """Tell the region of a zone."""
+        return self._region_by_zone.get(zone)
+
+    def set_instances(self, instances: int, slack: float) -> None:
+        """Divide the slack of the repeat budgets anew."""
+        for service in self._service_by_name.values():
+            service.budget.slack = slack / max(1, instances)
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Give the repeat budget of a service."""
+        return self._service(service).budget
+
+    def usual_slowdown(self, service: str) -> float:
+        """Tell the average slowdown of a service's upstreams."""
+        return self._service(service).usual.value
+
+    def on_entry(self, previous: UpstreamEntry | None, current: UpstreamEntry | None) -> None:
+        """Take in a change of the registry; calls in flight are left alone."""
+        entry = current or previous
+        assert entry is not None
+        held = self._state_by_id.get(entry.id)
+        if held is not None and (
+            current is None or current.draining or not current.same_start(held.entry)
+        ):
+            self._drop(held)
+            held = None
+        if current is None or current.draining:
+            return
+        if held is not None:
+            held.entry = current
+        else:
+            held = self._add(current)
+        if current.warmup_left_s > 0:
+            held.cold_until = self._loop.time() + current.warmup_left_s
+        self._place_waiting(self._service(current.service))
+
+    def _add(self, entry: UpstreamEntry) -> UpstreamState:
+        zone = entry.availability_zone
+        local_region = self._region_by_zone.get(zone) == self._region
+        state = UpstreamState(entry, self._transit_s(zone), zone == self._zone, local_region)
+        self._state_by_id[entry.id] = state
+        self._service(entry.service).state_by_id[entry.id] = state
+        return state
+
+    def _drop(self, state: UpstreamState) -> None:
+        del self._state_by_id[state.entry.id]
+        self._service(state.entry.service).state_by_id.pop(state.entry.id, None)
+
+    def _transit_s(self, zone: str) -> float:
+        measured = self._transit_by_zone.get(zone)
+        if measured is not None:
+            return measured
+        if zone == self._zone:
+            return SAME_ZONE_TRANSIT_S
+        if self._region_by_zone.get(zone) == self._region:
+            return SAME_REGION_TRANSIT_S
+        return OTHER_REGION_TRANSIT_S
+
+    def note_round_trip(self, zone: str, round_trip_s: float) -> None:
+        """Take in how long a connection took to open; the shortest one counts."""
+        known = self._transit_by_zone.get(zone)
+        if known is None or round_trip_s < known:
+            self._transit_by_zone[zone] = round_trip_s
+            for state in self._state_by_id.values():
+                if state.entry.availability_zone == zone:
+                    state.transit_s = round_trip_s
+
+    def note_reading(self, state: UpstreamState, reading: LoadReading) -> None:
+        """Take in an upstream's load."""
+        state.note_reading(reading)
+        service = self._service(state.entry.service)
+        if reading.slowdown is not None:
+            service.usual.note(reading.slowdown)
+        if service.waiting.calls:
+            self._place_waiting(service)
+
+    async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
+        """Wait for a slot; raises `RejectedError` as soon as the call can't be served in time."""
+        slot = self.try_acquire(demand, avoid)
+        if slot is not None:
+            return slot
+        service = self._service(demand.service)
+        now = self._loop.time()
+        self._check_hopeful(service, demand, now)
+        call = WaitingCall(demand, avoid, self._loop.create_future(), now)
+        service.waiting.add(call)
+        if self._tick is None:
+            self._tick = self._loop.call_later(TICK_S, self._on_tick)
+        try:
+            slot = await call.future
+        except asyncio.CancelledError:
+            service.waiting.discard(call)
+            if call.future.done() and not call.future.cancelled() and not call.future.exception():
+                self.release(call.future.result())
+            raise
+        assert isinstance(slot, Slot)
+        return slot
+
+    def try_acquire(self, demand: Demand, avoid: Collection[str]) -> Slot | None:
+        """Take a slot if there is one now."""
+        service = self._service(demand.service)
+        if service.waiting.calls and service.waiting.ahead_of(demand):
+            return None
+        return self._take(service, demand, avoid)
+
+    def expected_elsewhere_s(self, demand: Demand, avoid: Collection[str]) -> float | None:
+        """Estimate the time of an attempt on the best other upstream with a free slot."""
+        service = self._service(demand.service)
+        if service.waiting.calls:
+            return None
+        now = self._loop.time()
+        states = service.state_by_id.values()
+        placement = place(states, demand, avoid, now, service.usual.value)
+        return placement.expected_s if placement.upstream is not None else None
+
+    def _take(self, service: _Service, demand: Demand, avoid: Collection[str]) -> Slot | None:
+        now = self._loop.time()
+        usual = service.usual.value
+        placement = place(service.state_by_id.values(), demand, avoid, now, usual)
+        state = placement.upstream
+        if state is None:
+            return None
+        state.own_in_flight += 1
+        slot = Slot(
+            next(self._numbers),
+            state,
+            expected_s(state, demand, now, usual),
+            state.slowdown_now(now, usual) * state.cold_factor(now),
+            now,
+        )
+        state.dispatched_at_by_call[slot.number] = (now, slot.expected_s * 1.5)
+        return slot
+
+    def release(self, slot: Slot) -> None:
+        """Give a slot back."""
+        state = slot.state
+        if state.dispatched_at_by_call.pop(slot.number, None) is None:
+            return
+        state.own_in_flight -= 1
+        service = self._service(state.entry.service)
+        if service.waiting.calls:
+            self._place_waiting(service)
+
+    def _check_hopeful(self, service: _Service, demand: Demand, now: float) -> None:
+        slots = service.slots(now)
+        ahead = service.waiting.ahead_of(demand)
+        waiting_s = wait_s(ahead, slots, demand.work_s)
+        if not service.state_by_id:
+            raise RejectedError("no upstream", self._retry_after_s(service, demand, 0.5, now))
+        if service.waiting.full:
+            raise RejectedError(
+                "too many calls wait", self._retry_after_s(service, demand, waiting_s, now)
+            )
+        if now + waiting_s + demand.work_s > demand.give_up_at:
+            raise RejectedError(
+                "the wait is longer than the time left",
+                self._retry_after_s(service, demand, waiting_s, now),
+            )
+
+    def _retry_after_s(
+        self, service: _Service, demand: Demand, waiting_s: float, now: float
+    ) -> float:
+        interval_s = demand.work_s / max(1.0, service.slots(now))
+        return service.returns.next_return_s(now, waiting_s, interval_s)
+
+    def _on_tick(self) -> None:
+        self._tick = None
+        for service in self._service_by_name.values():
+            if service.waiting.calls:
+                self._place_waiting(service)
+        if any(service.waiting.calls for service in self._service_by_name.values()):
+            self._tick = self._loop.call_later(TICK_S, self._on_tick)
+
+    def _place_waiting(self, service: _Service) -> None:
+        now = self._loop.time()
+        for call in service.waiting.hopeless(now):
+            service.waiting.discard(call)
+            if not call.future.done():
+                retry_s = self._retry_after_s(service, call.demand, 0.0, now)
+                call.future.set_exception(RejectedError("no slot in time", retry_s))
+        for call in service.waiting.in_order(now):
+            slot = self._take(service, call.demand, call.avoid)
+            if slot is None:
+                if not call.avoid:
+                    break
+                continue
+            service.waiting.discard(call)
+            if call.future.done():
+                self.release(slot)
+            else:
+                call.future.set_result(slot)
+
+    def _service(self, name: str) -> _Service:
+        service = self._service_by_name.get(name)
+        if service is None:
+            service = self._service_by_name[name] = _Service(name, self._create_budget())
+        return service
+
+
+def create_dispatcher(
+    zone: str,
+    region_by_zone: dict[str, str],
+    ratio: float,
+    window_s: float,
+    slack: float,
+    instances: int,
+) -> Dispatcher:
+    """Create a dispatcher without upstreams; must be called inside the running loop."""
+    return Dispatcher(
+        zone,
+        region_by_zone,
+        lambda: create_repeat_budget(ratio, window_s, slack, instances),
+    )
--- /dev/null
+++ b/heatherhead/dispatch/upstream_state.py
@@ -0,0 +1,113 @@
+"""What an instance believes of one upstream, with the age of each belief.
+
+Load pattern answered: neighbours on an upstream's machine slow it down sevenfold for about half a
+second. Only a speed that is younger than such a spell says anything, so old readings fade into
+the average of the service.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from heatherhead.registry.entries import UpstreamEntry
+
+__all__ = ["LoadReading", "UpstreamState"]
+
+SPEED_FRESH_S = 0.12  # between two readings of a home
+SPEED_HALF_LIFE_S = 0.4  # spells of slowness last about half a second
+OTHERS_FRESH_S = 0.6  # calls of other instances are done after that
+FAILURE_HALF_LIFE_S = 2.5  # failing upstreams are tried again every few seconds
+FAILURE_WEIGHT = 0.3  # of the latest outcome
+COLD_FACTOR = 2.0  # how much longer work takes on an upstream that has just started
+FIRST_EJECTION_S = 0.3
+LONGEST_EJECTION_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReading:
+    """What an upstream said of its load; `slowdown` is 1.0 for usual speed, None if untold."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None
+    read_at: float
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamState:
+    """One upstream of a service."""
+
+    entry: UpstreamEntry
+    transit_s: float  # there and back
+    local_zone: bool
+    local_region: bool
+    cold_until: float = 0.0
+    own_in_flight: int = 0
+    others_in_flight: int = 0
+    others_at: float = -1.0
+    slowdown: float | None = None
+    slowdown_at: float = -1.0
+    failure_share: float = 0.0
+    failure_at: float = 0.0
+    ejected_until: float = 0.0
+    ejections: int = 0
+    misdirected: bool = False  # another upstream answers at its address
+    dispatched_at_by_call: dict[int, tuple[float, float]] = field(default_factory=dict)
+
+    def note_reading(self, reading: LoadReading) -> None:
+        """Take in a load reading, unless a newer one is held."""
+        if reading.slowdown is not None and reading.read_at > self.slowdown_at:
+            self.slowdown = reading.slowdown
+            self.slowdown_at = reading.read_at
+        if reading.read_at > self.others_at:
+            self.others_in_flight = max(0, reading.running + reading.waiting - self.own_in_flight)
+            self.others_at = reading.read_at
+
+    def occupancy(self, now: float) -> int:
+        """Count the calls that it is believed to hold."""
+        others = self.others_in_flight if now - self.others_at < OTHERS_FRESH_S else 0
+        return self.own_in_flight + others
+
+    def slowdown_now(self, now: float, usual: float) -> float:
+        """Estimate how much longer than usual work takes; `usual` is the service's average."""
+        if self.slowdown is None:
+            return usual
+        age_s = now - self.slowdown_at - SPEED_FRESH_S
+        if age_s <= 0:
+            return self.slowdown
+        return usual + (self.slowdown - usual) * 0.5 ** (age_s / SPEED_HALF_LIFE_S)
+
+    def cold_factor(self, now: float) -> float:
+        """Tell how much longer work takes because the upstream has just started."""
+        return COLD_FACTOR if now < self.cold_until else 1.0
+
+    def failing(self, now: float) -> float:
+        """Estimate the share of calls that fail now."""
+        if self.failure_share < 0.01:
+            return 0.0
+        return self.failure_share * 0.5 ** ((now - self.failure_at) / FAILURE_HALF_LIFE_S)
+
+    def note_outcome(self, failed: bool, now: float) -> None:
+        """Take in how a call ended."""
+        share = self.failing(now)
+        self.failure_share = share + FAILURE_WEIGHT * ((1.0 if failed else 0.0) - share)
+        self.failure_at = now
+        if not failed:
+            self.ejections = 0
+
+    def eject(self, now: float) -> None:
+        """Keep calls away for a while, longer each time in a row."""
+        duration_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**self.ejections)
+        self.ejections += 1
+        self.ejected_until = now + duration_s
+
+    def oldest_overdue_s(self, now: float) -> float:
+        """Tell how far the most overdue call in flight is past its expected end."""
+        if not self.dispatched_at_by_call:
+            return 0.0
+        return max(
+            0.0, *(now - at - expected for at, expected in self.dispatched_at_by_call.values())
+        )
--- /dev/null
+++ b/heatherhead/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: one process on each instance, between callers and upstreams."""
--- /dev/null
+++ b/heatherhead/entry/pages.py
@@ -0,0 +1,19 @@
+"""What handles requests for addresses, readiness and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from heatherhead.proxy.caller_connection import Exchange
+    from heatherhead.proxy.messages import Answer
+
+__all__ = ["PageHandlers"]
+
+
+class PageHandlers(Protocol):
+    """Answers requests that are not forwarded."""
+
+    async def handle(self, exchange: Exchange) -> Answer:
+        """Answer one request."""
+        ...
--- /dev/null
+++ b/heatherhead/entry/service.py
@@ -0,0 +1,188 @@
+"""Builds the parts of an entry instance, starts them and leaves without cutting calls off."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from heatherhead.dispatch.crashes import create_crash_table
+from heatherhead.dispatch.dispatcher import create_dispatcher
+from heatherhead.entry.addresses import create_address_book
+from heatherhead.entry.store_view import create_entry_view
+from heatherhead.fleet.announcement import create_announcement
+from heatherhead.fleet.members import create_member_table, own_member
+from heatherhead.fleet.store_follower import create_store_follower
+from heatherhead.proxy.caller_connection import create_caller_connections
+from heatherhead.proxy.forwarder import create_forwarder
+from heatherhead.proxy.load_reader import create_load_reader
+from heatherhead.proxy.upstream_pool import create_upstream_pool
+from heatherhead.registry.registry import create_upstream_registry
+from heatherhead.routes.table import create_route_table
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from heatherhead.dispatch.upstream_state import LoadReading, UpstreamState
+    from heatherhead.entry.pages import PageHandlers
+    from heatherhead.entry.settings import EntrySettings, HostPort
+    from heatherhead.entry.store_view import Decoder
+    from heatherhead.proxy.dialect import Dialect
+    from heatherhead.registry.entries import UpstreamEntry
+    from heatherhead.store.interface import Store
+
+__all__ = ["EntryService", "create_entry_service"]
+
+READ_INTERVAL_S = 0.2
+REFUSE_AFTER_S = 3.0  # callers have asked for addresses again by then
+LAST_ANSWERS_S = 0.5  # before the process is killed, answers in progress end
+QUIET_S = 0.6  # without a request for that long, a leaving instance ends early
+EARLIEST_END_S = 2.5
+POLL_S = 0.1
+EXPIRE_S = 0.2
+BACKLOG = 1024
+
+
+class EntryService:
+    """One entry instance; must be created inside the running loop."""
+
+    def __init__(
+        self, settings: EntrySettings, store: Store, decoder: Decoder, dialect: Dialect
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.incarnation = secrets.token_hex(4)
+        self.table = create_route_table()
+        self.registry = create_upstream_registry()
+        self.members = create_member_table(own_member(settings, self.incarnation))
+        self.dispatcher = create_dispatcher(
+            settings.availability_zone,
+            settings.region_by_zone,
+            settings.retry_ratio,
+            settings.retry_window_s,
+            settings.retry_slack,
+            instances=8,
+        )
+        self.pool = create_upstream_pool()
+        self._store = store
+        self.view = create_entry_view(decoder, self.table, self.registry, self.members)
+        self.follower = create_store_follower(store, "", self.view)
+        self.announcement = create_announcement(store, self.members.own)
+        self.forwarder = create_forwarder(
+            self.table, self.dispatcher, self.pool, dialect, create_crash_table(), self._tell_crash
+        )
+        self.reader = create_load_reader(
+            self.table,
+            self.dispatcher,
+            self.pool,
+            dialect,
+            self._reads,
+            lambda: READ_INTERVAL_S,
+            self._on_reading,
+        )
+        self.addresses = create_address_book(self.members, settings.address_ttl_max_s)
+        self.callers = create_caller_connections(
+            self.forwarder.handle, lambda: self.table.configuration.limits
+        )
+        self.leaving = False
+        self._servers: list[asyncio.Server] = []
+        self._expiry: asyncio.TimerHandle | None = None
+        self.registry.subscribe(self._on_entry)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers may come."""
+        return self.table.loaded and not self.leaving
+
+    async def start(self, pages: PageHandlers) -> None:
+        """Listen and follow the store; addresses are given once there is a configuration."""
+        settings = self.settings
+        log_event("starting", instance=settings.instance, incarnation=self.incarnation)
+        self.pages = create_caller_connections(
+            pages.handle, lambda: self.table.configuration.limits
+        )
+        await self._listen(settings.callers, self.callers.create_connection)
+        for address in {settings.readiness, settings.addresses, settings.control}:
+            if address is not None:
+                await self._listen(address, self.pages.create_connection)
+        self.follower.start()
+        self.announcement.start()
+        self._expire()
+        log_event("started", callers=settings.callers)
+
+    async def _listen(self, address: HostPort, factory: object) -> None:
+        server = await self._loop.create_server(
+            factory, address.host, address.port, backlog=BACKLOG, reuse_address=True
+        )
+        self._servers.append(server)
+
+    def _expire(self) -> None:
+        for upstream_id in self.registry.expire(self._loop.time()):
+            log_event("upstream_lapsed", upstream=upstream_id)
+        self._expiry = self._loop.call_later(EXPIRE_S, self._expire)
+
+    def _on_entry(self, previous: UpstreamEntry | None, current: UpstreamEntry | None) -> None:
+        self.dispatcher.on_entry(previous, current)
+        self.reader.update()
+        entry = current or previous
+        assert entry is not None
+        state = "gone" if current is None else "draining" if current.draining else "ready"
+        log_event(
+            "upstream",
+            upstream=entry.id,
+            service=entry.service,
+            state=state,
+            revision=entry.revision,
+        )
+
+    def _reads(self, state: UpstreamState) -> bool:
+        return state.local_region
+
+    def _on_reading(self, state: UpstreamState, reading: LoadReading) -> None:
+        pass
+
+    def _tell_crash(self, fingerprint: int, crashes: int) -> None:
+        pass
+
+    async def leave(self) -> None:
+        """Stop taking new callers, finish what is under way and end within the grace."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.callers.leaving = True
+        began = self._loop.time()
+        log_event("leaving", in_progress=self.callers.in_progress())
+        leave = self._loop.create_task(self.announcement.leave())
+        end = began + self.settings.grace_s - LAST_ANSWERS_S
+        quiet_since = began
+        while (now := self._loop.time()) < end:
+            if now - began >= min(REFUSE_AFTER_S, self.settings.grace_s / 2):
+                self.forwarder.refuses = True
+            if self.callers.in_progress():
+                quiet_since = now
+            if now - began >= EARLIEST_END_S and now - quiet_since >= QUIET_S:
+                break
+            await asyncio.sleep(POLL_S)
+        for server in self._servers:
+            server.close()
+        self.callers.close_idle()
+        leave.cancel()
+        log_event("left", in_progress=self.callers.in_progress())
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self.reader.stop()
+        self.callers.stop()
+        self.pages.stop()
+        self.pool.close()
+        await self.follower.stop()
+        await self._store.close()
+        log_event("stopped")
+
+
+def create_entry_service(
+    settings: EntrySettings, store: Store, decoder: Decoder, dialect: Dialect
+) -> EntryService:
+    """Create an entry instance; must be called inside the running loop."""
+    return EntryService(settings, store, decoder, dialect)
--- /dev/null
+++ b/heatherhead/entry/settings.py
@@ -0,0 +1,51 @@
+"""The settings of an entry instance, whatever file they come from."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from pydantic import BaseModel, ConfigDict, Field
+
+__all__ = ["EntrySettings", "HostPort"]
+
+
+class HostPort(NamedTuple):
+    """An address of the network."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class EntrySettings(BaseModel):
+    """Checked settings; times in seconds."""
+
+    model_config = ConfigDict(frozen=True)
+
+    instance: str = Field(min_length=1, description="Name of this instance.")
+    host: str = Field(description="IP number of this instance.")
+    availability_zone: str = Field(description="Where this instance stands.")
+    region: str = Field(description="Region of the zone.")
+    region_by_zone: dict[str, str] = Field(description="All zones with their regions.")
+    callers: HostPort = Field(description="Where callers connect.")
+    readiness: HostPort = Field(description="Where the platform asks for readiness.")
+    addresses: HostPort = Field(description="Where callers ask for addresses.")
+    control: HostPort | None = Field(description="Where instances that start ask for state.")
+    peer_port: int = Field(ge=1, le=65535, description="Port for peers, the same everywhere.")
+    metrics_port: int = Field(ge=1, le=65535, description="Port of the metrics page.")
+    seeds: tuple[HostPort, ...] = Field(default=(), description="Instances to ask at the start.")
+    store: HostPort = Field(description="Address of the platform's store.")
+    min_lease_s: float = Field(gt=0, description="Shortest lease of the store, seconds.")
+    cpu_cores: float = Field(gt=0, description="Share of a core.")
+    link_mbps: float = Field(gt=0, description="Bandwidth of this instance.")
+    memory_mb: float = Field(gt=0, description="Memory of the process.")
+    max_descriptors: int = Field(gt=0, description="Descriptors of the process.")
+    drain_s: float = Field(gt=0, description="A leaving upstream gets no call after this time.")
+    grace_s: float = Field(gt=0, description="From SIGTERM to SIGKILL.")
+    address_ttl_max_s: float = Field(gt=0, description="Longest life of an address answer.")
+    retry_ratio: float = Field(ge=0, description="Repeats a call, over all instances.")
+    retry_window_s: float = Field(gt=0, description="Window in which repeats are counted.")
+    retry_slack: float = Field(ge=0, description="Repeats a window beyond the ratio.")
+    probes_per_s: float = Field(gt=0, description="Health reads an upstream, all instances.")
--- /dev/null
+++ b/heatherhead/entry/store_view.py
@@ -0,0 +1,133 @@
+"""Takes the store's keys into the route table, the upstream registry and the member table."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from heatherhead.fleet.members import MEMBER_PREFIX, decode_member
+from heatherhead.registry.registry import LAPSE_GRACE_S
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from heatherhead.exceptions import HeatherheadError
+    from heatherhead.fleet.members import MemberTable
+    from heatherhead.registry.entries import UpstreamEntry
+    from heatherhead.registry.registry import UpstreamRegistry
+    from heatherhead.routes.model import RouteConfiguration
+    from heatherhead.routes.table import RouteTable
+    from heatherhead.store.interface import KeyValue, WatchEvent
+
+__all__ = ["Decoder", "EntryView", "create_entry_view"]
+
+
+class Decoder(Protocol):
+    """Knows the keys and documents of the platform."""
+
+    configuration_key: str
+    upstream_prefix: str
+
+    def configuration(self, value: bytes) -> Result[RouteConfiguration, HeatherheadError]:
+        """Decode the configuration."""
+        ...
+
+    def upstream(
+        self, key: str, value: bytes, revision: int
+    ) -> Result[UpstreamEntry, HeatherheadError]:
+        """Decode an upstream's entry."""
+        ...
+
+
+class EntryView:
+    """The keys of the store, decoded."""
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        table: RouteTable,
+        registry: UpstreamRegistry,
+        members: MemberTable,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._decoder = decoder
+        self._table = table
+        self._registry = registry
+        self._members = members
+
+    def take_listing(
+        self, by_key: dict[str, KeyValue], revision: int, *, after_outage: bool
+    ) -> None:
+        """Take in all keys, as of a revision."""
+        prefix = self._decoder.upstream_prefix
+        entries = []
+        for item in by_key.values():
+            if item.key.startswith(prefix):
+                entry = self._decode_upstream(item.key, item.value, item.mod_revision)
+                if entry is not None:
+                    entries.append(entry)
+            else:
+                self._take_item(item.key, item.value, item.mod_revision)
+        self._registry.replace(entries, revision, self._lapses_at(after_outage))
+        for member_id in list(self._members.by_id):
+            if MEMBER_PREFIX + member_id not in by_key:
+                self._members.remove(member_id, revision)
+        log_event("store_read", revision=revision, keys=len(by_key), after_outage=after_outage)
+
+    def take_event(self, event: WatchEvent, *, after_outage: bool) -> None:
+        """Take in one change."""
+        prefix = self._decoder.upstream_prefix
+        key = event.key
+        if event.value is not None:
+            if key.startswith(prefix):
+                entry = self._decode_upstream(key, event.value, event.mod_revision)
+                if entry is not None:
+                    self._registry.put(entry)
+            else:
+                self._take_item(key, event.value, event.mod_revision)
+        elif key.startswith(prefix):
+            upstream_id = key.removeprefix(prefix)
+            self._registry.remove(upstream_id, event.mod_revision, self._lapses_at(after_outage))
+        elif key.startswith(MEMBER_PREFIX):
+            self._members.remove(key.removeprefix(MEMBER_PREFIX), event.mod_revision)
+
+    def _lapses_at(self, after_outage: bool) -> float | None:
+        return self._loop.time() + LAPSE_GRACE_S if after_outage else None
+
+    def _take_item(self, key: str, value: bytes, revision: int) -> None:
+        if key == self._decoder.configuration_key:
+            self.take_configuration(value)
+        elif key.startswith(MEMBER_PREFIX):
+            member = decode_member(value)
+            if member is not None:
+                self._members.put(member, revision)
+
+    def take_configuration(self, value: bytes) -> None:
+        """Put a configuration in force if it is newer."""
+        decoded = self._decoder.configuration(value)
+        if decoded.is_err():
+            log_event("configuration_refused", level="ERROR", reason=decoded.err_value.reason)
+            return
+        configuration = decoded.ok_value
+        if self._table.take(configuration):
+            log_event(
+                "configuration",
+                version=configuration.version,
+                routes=len(configuration.route_by_name),
+            )
+
+    def _decode_upstream(self, key: str, value: bytes, revision: int) -> UpstreamEntry | None:
+        decoded = self._decoder.upstream(key, value, revision)
+        if decoded.is_err():
+            log_event("upstream_entry_refused", key=key, reason=decoded.err_value.reason[:120])
+            return None
+        entry: UpstreamEntry = decoded.ok_value
+        return entry
+
+
+def create_entry_view(
+    decoder: Decoder, table: RouteTable, registry: UpstreamRegistry, members: MemberTable
+) -> EntryView:
+    """Create a view; must be called inside the running loop."""
+    return EntryView(decoder, table, registry, members)
--- /dev/null
+++ b/heatherhead/fleet/announcement.py
@@ -0,0 +1,96 @@
+"""Keeps this instance's announcement in the store under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+
+from heatherhead.backoff import create_backoff
+from heatherhead.fleet.members import MEMBER_PREFIX
+from heatherhead.store.errors import LeaseLapsedError
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from heatherhead.exceptions import HeatherheadError
+    from heatherhead.fleet.members import Member
+    from heatherhead.store.interface import Store
+
+__all__ = ["Announcement", "create_announcement"]
+
+LEASE_S = 8.0  # a lost instance is out of the address answers by then, whatever else fails
+RENEW_S = 2.5  # three renewals may fail
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 2.0
+LEAVE_TIMEOUT_S = 1.0
+
+
+class Announcement:
+    """Writes, renews and removes the announcement."""
+
+    def __init__(self, store: Store, member: Member) -> None:
+        self._store = store
+        self._member = member
+        self._key = MEMBER_PREFIX + member.id
+        self._lease_id: int | None = None
+        self._revision = 0
+        self._backoff = create_backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Announce the instance and keep the announcement."""
+        self._task = asyncio.get_running_loop().create_task(self._keep())
+
+    async def _keep(self) -> None:
+        while True:
+            done = await (self._announce() if self._lease_id is None else self._renew())
+            if isinstance(done, Err):
+                if isinstance(done.err_value, LeaseLapsedError):
+                    self._lease_id = None
+                log_event("announcement_failed", reason=done.err_value.reason)
+                await asyncio.sleep(self._backoff.next_s())
+            else:
+                self._backoff.reset()
+                await asyncio.sleep(RENEW_S)
+
+    async def _announce(self) -> Result[None, HeatherheadError]:
+        granted = await self._store.grant_lease(LEASE_S)
+        if isinstance(granted, Err):
+            return granted
+        lease_id = granted.ok_value.id
+        value = self._member.encode()
+        for _ in range(2):  # the key of an earlier start may still be there
+            written = await self._store.compare_and_swap(self._key, self._revision, value, lease_id)
+            if isinstance(written, Err):
+                return written
+            self._revision = written.ok_value.revision
+            if written.ok_value.succeeded:
+                self._lease_id = lease_id
+                log_event("announced", revision=self._revision)
+                return Ok(None)
+        return Ok(None)
+
+    async def _renew(self) -> Result[None, HeatherheadError]:
+        assert self._lease_id is not None
+        kept = await self._store.keep_lease(self._lease_id)
+        return kept if isinstance(kept, Err) else Ok(None)
+
+    async def leave(self) -> None:
+        """Remove the announcement, as far as the store can be reached."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._lease_id is None:
+            return
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._store.revoke_lease(self._lease_id)
+        except TimeoutError:
+            log_event("leave_not_stored", remedy="the lease lapses by itself")
+
+
+def create_announcement(store: Store, member: Member) -> Announcement:
+    """Create the announcement of an instance."""
+    return Announcement(store, member)
--- /dev/null
+++ b/heatherhead/fleet/members.py
@@ -0,0 +1,112 @@
+"""The instances that serve callers, as they announced themselves in the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgpack
+
+from heatherhead.entry.settings import HostPort
+
+if TYPE_CHECKING:
+    from heatherhead.entry.settings import EntrySettings
+
+__all__ = ["MEMBER_PREFIX", "Member", "MemberTable", "create_member_table", "own_member"]
+
+MEMBER_PREFIX = "heatherhead/instances/"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One instance; `incarnation` tells its restarts apart."""
+
+    id: str
+    incarnation: str
+    availability_zone: str
+    region: str
+    callers: HostPort
+    peer_port: int
+    cpu_cores: float
+    link_mbps: float
+    ready: bool = True
+
+    def encode(self) -> bytes:
+        """Encode for the store and for peers."""
+        packed: bytes = msgpack.packb(
+            [
+                self.id,
+                self.incarnation,
+                self.availability_zone,
+                self.region,
+                self.callers.host,
+                self.callers.port,
+                self.peer_port,
+                self.cpu_cores,
+                self.link_mbps,
+                self.ready,
+            ]
+        )
+        return packed
+
+
+def decode_member(value: bytes) -> Member | None:
+    """Decode an announcement; None for one that another version wrote."""
+    try:
+        row = msgpack.unpackb(value)
+        name, incarnation, zone, region, host, port, peer_port, cores, mbps, ready = row
+        return Member(
+            str(name),
+            str(incarnation),
+            str(zone),
+            str(region),
+            HostPort(str(host), int(port)),
+            int(peer_port),
+            float(cores),
+            float(mbps),
+            bool(ready),
+        )
+    except (ValueError, TypeError, msgpack.UnpackException):
+        return None
+
+
+class MemberTable:
+    """Members by id, each at the newest revision of its key."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.by_id: dict[str, Member] = {own.id: own}
+        self._revision_by_id: dict[str, int] = {}
+
+    def put(self, member: Member, revision: int) -> None:
+        """Take in an announcement; the own one is known better here."""
+        if member.id == self.own.id or revision < self._revision_by_id.get(member.id, 0):
+            return
+        self._revision_by_id[member.id] = revision
+        self.by_id[member.id] = member
+
+    def remove(self, member_id: str, revision: int) -> None:
+        """Forget an instance whose announcement is gone."""
+        if member_id == self.own.id or revision < self._revision_by_id.get(member_id, 0):
+            return
+        self._revision_by_id[member_id] = revision
+        self.by_id.pop(member_id, None)
+
+
+def own_member(settings: EntrySettings, incarnation: str) -> Member:
+    """Describe this instance."""
+    return Member(
+        settings.instance,
+        incarnation,
+        settings.availability_zone,
+        settings.region,
+        settings.callers,
+        settings.peer_port,
+        settings.cpu_cores,
+        settings.link_mbps,
+    )
+
+
+def create_member_table(own: Member) -> MemberTable:
+    """Create a table that holds this instance."""
+    return MemberTable(own)
--- /dev/null
+++ b/heatherhead/platform/documents.py
@@ -0,0 +1,177 @@
+"""Decodes the documents that the operator and the upstreams keep in the store."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from result import Err, Ok
+
+from heatherhead.exceptions import ConfigurationError
+from heatherhead.registry.entries import UpstreamEntry
+from heatherhead.routes.model import (
+    CallerLimits,
+    RepeatRule,
+    Route,
+    RouteConfiguration,
+    ServiceRules,
+    TrafficPart,
+)
+
+if TYPE_CHECKING:
+    from result import Result
+
+__all__ = ["CONFIGURATION_KEY", "UPSTREAM_PREFIX", "decode_configuration", "decode_upstream"]
+
+CONFIGURATION_KEY = "op/config"
+UPSTREAM_PREFIX = "servers/"
+
+_REPEAT_BY_WORD = {
+    "idempotent": RepeatRule.IDEMPOTENT,
+    "non_idempotent": RepeatRule.NON_IDEMPOTENT,
+    "upload": RepeatRule.UPLOAD,
+}
+
+
+class _Document(BaseModel):
+    """Unknown fields are ignored: the platform adds some over time."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Part(_Document):
+    service: str = Field(alias="Service")
+    weight: float = Field(alias="Weight", ge=0)
+
+
+class _Route(_Document):
+    host: str = Field(alias="Hostname")
+    prefix: str = Field(alias="Prefix")
+    repeat: str = Field(alias="RouteType")
+    service: str | None = Field(default=None, alias="Service")
+    split: tuple[_Part, ...] = Field(default=(), alias="TrafficSplit")
+    max_attempts: int = Field(default=1, alias="MaxAttempts")
+    timeout_s: float | None = Field(default=None, alias="TimeoutS")
+    target_latency_s: float | None = Field(default=None, alias="TargetLatencyS")
+    priority: int = Field(default=0, alias="Priority")
+
+
+class _Service(_Document):
+    health_path: str | None = Field(default=None, alias="HealthCheck")
+    max_connections: int = Field(default=0, alias="MaxConnections")
+
+
+class _Limits(_Document):
+    max_header_bytes: int = Field(default=16384, alias="MaxHeaderBytes")
+    max_body_bytes: int = Field(default=64 * 1024 * 1024, alias="MaxBodyBytes")
+    header_timeout_s: float = Field(default=5.0, alias="HeaderTimeoutS")
+    idle_timeout_s: float = Field(default=15.0, alias="IdleTimeoutS")
+
+
+class _Configuration(_Document):
+    version: int = Field(alias="ConfigVersion")
+    routes: dict[str, _Route] = Field(default_factory=dict, alias="Routes")
+    services: dict[str, _Service] = Field(default_factory=dict, alias="Services")
+    limits: _Limits = Field(default_factory=_Limits, alias="Limits")
+
+
+class _Upstream(_Document):
+    service: Annotated[str, Field(alias="Service", min_length=1, strict=True)]
+    address: str = Field(alias="Address", strict=True)
+    zone: str = Field(alias="Zone", strict=True)
+    slots: int = Field(alias="Slots", ge=1, le=100_000, strict=True)
+    state: str = Field(alias="State", strict=True)
+    warmup_left_s: float = Field(default=0.0, alias="WarmupLeftS", ge=0)
+    started_ms: int = Field(default=0, alias="born")  # of the upstream process
+
+    @field_validator("state")
+    @classmethod
+    def _known_state(cls, state: str) -> str:
+        if state not in ("ready", "draining"):
+            raise ValueError("is neither ready nor draining")
+        return state
+
+
+def decode_configuration(value: bytes) -> Result[RouteConfiguration, ConfigurationError]:
+    """Decode the operator's configuration."""
+    try:
+        document = _Configuration.model_validate(json.loads(value))
+        routes = {name: _route(name, route) for name, route in document.routes.items()}
+    except (ValidationError, ValueError, KeyError) as error:
+        return Err(
+            ConfigurationError(
+                CONFIGURATION_KEY, f"can't be read: {error}", remedy="write a valid configuration"
+            )
+        )
+    services = {
+        name: ServiceRules(name, service.health_path, service.max_connections)
+        for name, service in document.services.items()
+    }
+    limits = document.limits
+    return Ok(
+        RouteConfiguration(
+            document.version,
+            routes,
+            services,
+            CallerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            ),
+        )
+    )
+
+
+def _route(name: str, route: _Route) -> Route:
+    if route.split:
+        parts = tuple(TrafficPart(part.service, part.weight) for part in route.split)
+    elif route.service is not None:
+        parts = (TrafficPart(route.service, 1.0),)
+    else:
+        raise ValueError(f"route {name} names no service")
+    return Route(
+        name=name,
+        host=route.host,
+        prefix=route.prefix,
+        repeat=_REPEAT_BY_WORD[route.repeat],
+        parts=parts,
+        max_attempts=max(1, route.max_attempts),
+        timeout_s=route.timeout_s,
+        target_latency_s=route.target_latency_s,
+        priority=route.priority,
+    )
+
+
+def decode_upstream(
+    key: str, value: bytes, revision: int
+) -> Result[UpstreamEntry, ConfigurationError]:
+    """Decode what an upstream says of itself."""
+    try:
+        document = _Upstream.model_validate(_json_object(value))
+        host, _, port = document.address.rpartition(":")
+        entry = UpstreamEntry(
+            id=key.removeprefix(UPSTREAM_PREFIX),
+            service=document.service,
+            host=host,
+            port=int(port),
+            availability_zone=document.zone,
+            slots=document.slots,
+            draining=document.state == "draining",
+            warmup_left_s=document.warmup_left_s,
+            started_ms=document.started_ms,
+            revision=revision,
+        )
+    except (ValidationError, ValueError) as error:
+        return Err(
+            ConfigurationError(key, f"can't be read: {error}", remedy="look who wrote the entry")
+        )
+    return Ok(entry)
+
+
+def _json_object(value: bytes) -> dict[str, Any]:
+    document = json.loads(value)
+    if not isinstance(document, dict):
+        raise ValueError("is no object")
+    return document
--- /dev/null
+++ b/heatherhead/platform/pages.py
@@ -0,0 +1,45 @@
+"""The platform's questions to an instance: where to connect, and whether it is ready."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from multidict import CIMultiDict
+
+from heatherhead.proxy.messages import Answer, own_answer
+
+if TYPE_CHECKING:
+    from heatherhead.entry.service import EntryService
+    from heatherhead.proxy.caller_connection import Exchange
+
+__all__ = ["PlatformPages"]
+
+
+class PlatformPages:
+    """Implements `PageHandlers`."""
+
+    def __init__(self, service: EntryService) -> None:
+        self._service = service
+
+    async def handle(self, exchange: Exchange) -> Answer:
+        """Answer one request."""
+        url = exchange.message.url
+        if url.path == "/readyz":
+            ready = self._service.ready
+            return own_answer(200 if ready else 503, "ready" if ready else "not ready")
+        if url.path == "/resolve":
+            return self._resolve(url.query.get("Region", ""), url.query.get("Zone", ""))
+        return own_answer(404, "no such page")
+
+    def _resolve(self, region: str, zone: str) -> Answer:
+        if not self._service.ready:
+            return own_answer(503, "not ready")
+        book = self._service.addresses
+        body = json.dumps(
+            {
+                "Addresses": [str(address) for address in book.addresses(region, zone)],
+                "TtlS": book.ttl_s,
+            }
+        ).encode()
+        return Answer(200, CIMultiDict({"Content-Type": "application/json"}), body, "OK")
--- /dev/null
+++ b/heatherhead/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Carries calls between callers' connections and upstreams' connections."""
--- /dev/null
+++ b/heatherhead/proxy/load_reader.py
@@ -0,0 +1,130 @@
+"""Reads the load of upstreams from their health path, each on a connection of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from heatherhead.entry.settings import HostPort
+from heatherhead.proxy.upstream_connection import BrokenAnswerError
+from heatherhead.proxy.upstream_pool import ConnectError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.dispatch.dispatcher import Dispatcher
+    from heatherhead.dispatch.upstream_state import LoadReading, UpstreamState
+    from heatherhead.proxy.dialect import Dialect
+    from heatherhead.proxy.upstream_connection import UpstreamConnection
+    from heatherhead.proxy.upstream_pool import UpstreamPool
+    from heatherhead.routes.table import RouteTable
+
+__all__ = ["LoadReader", "create_load_reader"]
+
+READ_TIMEOUT_S = 0.25  # a reading that comes later than this says nothing any more
+RECONNECT_S = 0.5
+FAILURES_TO_EJECT = 2
+
+
+class LoadReader:
+    """Reads the upstreams that are assigned to this instance, in turn."""
+
+    def __init__(
+        self,
+        table: RouteTable,
+        dispatcher: Dispatcher,
+        pool: UpstreamPool,
+        dialect: Dialect,
+        assigned: Callable[[UpstreamState], bool],
+        interval_s: Callable[[], float],
+        on_reading: Callable[[UpstreamState, LoadReading], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._table = table
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._dialect = dialect
+        self._assigned = assigned
+        self._interval_s = interval_s
+        self._on_reading = on_reading
+        self._task_by_id: dict[str, asyncio.Task[None]] = {}
+
+    def update(self) -> None:
+        """Start and end readings after a change of upstreams or of the assignment."""
+        for upstream_id, task in list(self._task_by_id.items()):
+            state = self._dispatcher.state(upstream_id)
+            if state is None or not self._assigned(state):
+                task.cancel()
+                del self._task_by_id[upstream_id]
+        for state in self._dispatcher.states:
+            upstream_id = state.entry.id
+            if upstream_id not in self._task_by_id and self._assigned(state):
+                task = self._loop.create_task(self._read_forever(state))
+                self._task_by_id[upstream_id] = task
+
+    async def _read_forever(self, state: UpstreamState) -> None:
+        loop = self._loop
+        connection: UpstreamConnection | None = None
+        failures = 0
+        due = loop.time()
+        try:
+            while True:
+                due = max(due + self._interval_s(), loop.time())
+                await asyncio.sleep(due - loop.time())
+                rules = self._table.configuration.service_by_name.get(state.entry.service)
+                if rules is None or rules.health_path is None:
+                    continue
+                try:
+                    if connection is None or not connection.usable:
+                        connection = await self._connect(state)
+                    await self._read(state, connection, rules.health_path)
+                except (ConnectError, BrokenAnswerError, TimeoutError):
+                    connection = None
+                    failures += 1
+                    if failures >= FAILURES_TO_EJECT:
+                        state.eject(loop.time())
+                    due = loop.time() + RECONNECT_S - self._interval_s()
+                else:
+                    failures = 0
+        finally:
+            if connection is not None:
+                connection.close()
+
+    async def _connect(self, state: UpstreamState) -> UpstreamConnection:
+        began = self._loop.time()
+        connection = await self._pool.acquire(HostPort(state.entry.host, state.entry.port))
+        if connection.calls == 0:
+            zone = state.entry.availability_zone
+            self._dispatcher.note_round_trip(zone, self._loop.time() - began)
+        return connection
+
+    async def _read(self, state: UpstreamState, connection: UpstreamConnection, path: str) -> None:
+        host = f"{state.entry.host}:{state.entry.port}"
+        data = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+        began = self._loop.time()
+        async with asyncio.timeout(READ_TIMEOUT_S + state.transit_s):
+            answer = await connection.exchange(data, "GET", lambda _: True)
+        now = self._loop.time()
+        reading = self._dialect.load_reading(answer.message.headers, (began + now) / 2)
+        if reading is not None:
+            self._dispatcher.note_reading(state, reading)
+            self._on_reading(state, reading)
+
+    def stop(self) -> None:
+        """End all readings."""
+        for task in self._task_by_id.values():
+            task.cancel()
+        self._task_by_id.clear()
+
+
+def create_load_reader(
+    table: RouteTable,
+    dispatcher: Dispatcher,
+    pool: UpstreamPool,
+    dialect: Dialect,
+    assigned: Callable[[UpstreamState], bool],
+    interval_s: Callable[[], float],
+    on_reading: Callable[[UpstreamState, LoadReading], None],
+) -> LoadReader:
+    """Create a reader; must be called inside the running loop."""
+    return LoadReader(table, dispatcher, pool, dialect, assigned, interval_s, on_reading)
--- /dev/null
+++ b/heatherhead/proxy/upstream_pool.py
@@ -0,0 +1,105 @@
+"""Kept connections to upstreams, by address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from heatherhead.proxy.upstream_connection import UpstreamConnection
+
+if TYPE_CHECKING:
+    from heatherhead.entry.settings import HostPort
+
+__all__ = ["ConnectError", "UpstreamPool", "create_upstream_pool"]
+
+CONNECT_TIMEOUT_S = 1.0  # several times the longest round trip between regions
+IDLE_MARGIN_S = 1.2  # a connection rests this much shorter than the upstream keeps it
+DEFAULT_IDLE_S = 4.0  # where an upstream names no time
+SWEEP_S = 1.0
+
+
+class ConnectError(Exception):
+    """No connection; nothing was sent."""
+
+
+class UpstreamPool:
+    """Gives the most recently used connection of an upstream, or opens one."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._idle_by_address: dict[HostPort, deque[UpstreamConnection]] = {}
+        self.opened = 0
+        self._sweeps = self._loop.call_later(SWEEP_S, self._sweep)
+
+    async def acquire(
+        self, address: HostPort, max_idle_s: float | None = None
+    ) -> UpstreamConnection:
+        """Give a connection; raises `ConnectError`.
+
+        `max_idle_s` bounds how long a kept one may have rested: upstreams may forget such
+        connections, and what is sent on them is then lost.
+        """
+        idle = self._idle_by_address.get(address)
+        now = self._loop.time()
+        while idle:
+            connection = idle[-1]
+            if not connection.usable or _rested(connection, now) > _longest_rest_s(connection):
+                idle.pop()
+                connection.close()
+                continue
+            if max_idle_s is not None and _rested(connection, now) > max_idle_s:
+                break
+            return idle.pop()
+        return await self._open(address)
+
+    async def _open(self, address: HostPort) -> UpstreamConnection:
+        loop = self._loop
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(loop), address.host, address.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectError(f"{type(error).__name__}: {error}") from error
+        self.opened += 1
+        return connection
+
+    def release(self, address: HostPort, connection: UpstreamConnection) -> None:
+        """Keep a connection for the next request, if it may carry one."""
+        if connection.usable:
+            self._idle_by_address.setdefault(address, deque()).append(connection)
+
+    def forget(self, address: HostPort) -> None:
+        """Close the idle connections of an address that changed hands."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    def _sweep(self) -> None:
+        self._sweeps = self._loop.call_later(SWEEP_S, self._sweep)
+        now = self._loop.time()
+        for address, idle in list(self._idle_by_address.items()):
+            while idle and (not idle[0].usable or _rested(idle[0], now) > _longest_rest_s(idle[0])):
+                idle.popleft().close()
+            if not idle:
+                del self._idle_by_address[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._sweeps.cancel()
+        for address in list(self._idle_by_address):
+            self.forget(address)
+
+
+def _rested(connection: UpstreamConnection, now: float) -> float:
+    return now - connection.idle_since
+
+
+def _longest_rest_s(connection: UpstreamConnection) -> float:
+    timeout_s = connection.idle_timeout_s
+    return DEFAULT_IDLE_S if timeout_s is None else max(0.0, timeout_s - IDLE_MARGIN_S)
+
+
+def create_upstream_pool() -> UpstreamPool:
+    """Create an empty pool; must be called inside the running loop."""
+    return UpstreamPool()
--- /dev/null
+++ b/heatherhead/registry/__init__.py
@@ -0,0 +1,6 @@
+"""The upstreams that announced themselves, with what each said of itself."""
+
+from heatherhead.registry.entries import UpstreamEntry
+from heatherhead.registry.registry import UpstreamRegistry, create_upstream_registry
+
+__all__ = ["UpstreamEntry", "UpstreamRegistry", "create_upstream_registry"]
--- /dev/null
+++ b/heatherhead/registry/entries.py
@@ -0,0 +1,32 @@
+"""What one upstream says of itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["UpstreamEntry"]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """An announced upstream; a restart under the same id has another `started_ms`."""
+
+    id: str
+    service: str
+    host: str
+    port: int
+    availability_zone: str
+    slots: int
+    draining: bool = False
+    warmup_left_s: float = 0.0
+    started_ms: int = 0  # Unix milliseconds
+    revision: int = 0  # of the store's key
+
+    def same_start(self, other: UpstreamEntry) -> bool:
+        """Tell whether both describe one process at one address."""
+        return (self.started_ms, self.host, self.port, self.service) == (
+            other.started_ms,
+            other.host,
+            other.port,
+            other.service,
+        )
--- /dev/null
+++ b/heatherhead/routes/__init__.py
@@ -0,0 +1,22 @@
+"""Routes: which service a call goes to, and the rules it is handled by."""
+
+from heatherhead.routes.model import (
+    CallerLimits,
+    RepeatRule,
+    Route,
+    RouteConfiguration,
+    ServiceRules,
+    TrafficPart,
+)
+from heatherhead.routes.table import RouteTable, create_route_table
+
+__all__ = [
+    "CallerLimits",
+    "RepeatRule",
+    "Route",
+    "RouteConfiguration",
+    "RouteTable",
+    "ServiceRules",
+    "TrafficPart",
+    "create_route_table",
+]
--- /dev/null
+++ b/heatherhead/routes/model.py
@@ -0,0 +1,80 @@
+"""The configuration of routes: taken whole by version, never changed in place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+__all__ = [
+    "CallerLimits",
+    "RepeatRule",
+    "Route",
+    "RouteConfiguration",
+    "ServiceRules",
+    "TrafficPart",
+]
+
+
+class RepeatRule(StrEnum):
+    """Whether a call of a route may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    UPLOAD = "upload"  # a large body, repeated as little as a non-idempotent call
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficPart:
+    """A service's share of a route; weights are relative."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Rules for the calls of one host below one path prefix."""
+
+    name: str
+    host: str
+    prefix: str
+    repeat: RepeatRule
+    parts: tuple[TrafficPart, ...]
+    max_attempts: int = 1
+    timeout_s: float | None = None
+    target_latency_s: float | None = None
+    priority: int = 0  # 0 is the highest
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether calls may run more than once."""
+        return self.repeat is RepeatRule.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRules:
+    """What holds for all upstreams of a service."""
+
+    name: str
+    health_path: str | None = None
+    max_connections: int = 0  # of one upstream, from all instances together; 0: not limited
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers send."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteConfiguration:
+    """One version of all routes, services and limits."""
+
+    version: int
+    route_by_name: dict[str, Route] = field(default_factory=dict)
+    service_by_name: dict[str, ServiceRules] = field(default_factory=dict)
+    limits: CallerLimits = field(default_factory=CallerLimits)
--- /dev/null
+++ b/heatherhead/routes/table.py
@@ -0,0 +1,86 @@
+"""Finds the route of a call, and deals the calls of a split route out by weight."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.routes.model import RouteConfiguration
+
+if TYPE_CHECKING:
+    from heatherhead.routes.model import Route
+
+__all__ = ["RouteTable", "create_route_table"]
+
+
+class RouteTable:
+    """The configuration in force; an older version never replaces a newer one."""
+
+    def __init__(self) -> None:
+        self.configuration = RouteConfiguration(version=0)
+        self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        self._credits_by_route: dict[str, dict[str, float]] = {}
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether any version has been taken."""
+        return self.configuration.version > 0
+
+    def take(self, configuration: RouteConfiguration) -> bool:
+        """Put a version in force; tell whether it was newer than the one held."""
+        if configuration.version <= self.configuration.version:
+            return False
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.route_by_name.values():
+            by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        previous = self.configuration.route_by_name
+        for name in list(self._credits_by_route):
+            route = configuration.route_by_name.get(name)
+            if route is None or route.parts != previous[name].parts:
+                del self._credits_by_route[name]
+        self.configuration = configuration
+        self._route_by_prefix_by_host = by_host
+        return True
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Find the route with the longest prefix of a call's path."""
+        by_prefix = self._route_by_prefix_by_host.get(_host_name(host))
+        if by_prefix is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def hosts(self) -> set[str]:
+        """List the host names that have routes."""
+        return set(self._route_by_prefix_by_host)
+
+    def service_of(self, route: Route) -> str:
+        """Choose the service of the next call by smooth weighted round robin."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        credit_by_service = self._credits_by_route.setdefault(
+            route.name, {part.service: 0.0 for part in route.parts}
+        )
+        total = 0.0
+        for part in route.parts:
+            credit_by_service[part.service] += part.weight
+            total += part.weight
+        chosen = max(route.parts, key=lambda part: credit_by_service[part.service]).service
+        credit_by_service[chosen] -= total
+        return chosen
+
+
+def _host_name(host: str) -> str:
+    """Strip the port of a Host header."""
+    name, colon, port = host.rpartition(":")
+    return (name if colon and port.isdigit() else host).lower()
+
+
+def create_route_table() -> RouteTable:
+    """Create a table without routes."""
+    return RouteTable()
--- a/heatherhead/store/__init__.py
+++ b/heatherhead/store/__init__.py
@@ -1,7 +1,6 @@
-"""The platform's configuration store behind a small interface."""
+"""The platform's configuration store behind a small interface; adapters are imported from their modules."""
 
 from heatherhead.store.errors import CompactedError, LeaseLapsedError
-from heatherhead.store.factory import create_store
 from heatherhead.store.interface import Store
 
-__all__ = ["CompactedError", "LeaseLapsedError", "Store", "create_store"]
+__all__ = ["CompactedError", "LeaseLapsedError", "Store"]
--- a/heatherhead/telemetry/__init__.py
+++ b/heatherhead/telemetry/__init__.py
@@ -1,4 +1,4 @@
-"""Logs, metrics and histograms."""
+"""Logs, metrics and histograms; the recorder is imported from its module, as it loads much."""
 
 from heatherhead.telemetry.interface import (
     CallOutcome,
@@ -10,7 +10,6 @@
     TelemetryReader,
 )
 from heatherhead.telemetry.logs import configure_logs, log_event
-from heatherhead.telemetry.recorder import TelemetryRecorder, create_telemetry
 
 __all__ = [
     "CallOutcome",
@@ -20,8 +19,6 @@
     "OutcomeReading",
     "Telemetry",
     "TelemetryReader",
-    "TelemetryRecorder",
     "configure_logs",
-    "create_telemetry",
     "log_event",
 ]
--- a/heatherhead/tests/configuration/service_tests.py
+++ b/heatherhead/tests/configuration/service_tests.py
@@ -11,7 +11,7 @@
 from heatherhead.exceptions import ConflictError, SettingsError
 from heatherhead.membership import create_membership
 from heatherhead.settings import Settings, parse_settings
-from heatherhead.store import create_store
+from heatherhead.store.factory import create_store
 from heatherhead.tests.base import run_paused
 
 
--- a/heatherhead/tests/store/etcd_tests.py
+++ b/heatherhead/tests/store/etcd_tests.py
@@ -10,7 +10,8 @@
 
 from heatherhead.exceptions import StoreAmbiguousError, StoreUnavailableError
 from heatherhead.settings.store import StoreSettings
-from heatherhead.store import CompactedError, LeaseLapsedError, create_store
+from heatherhead.store import CompactedError, LeaseLapsedError
+from heatherhead.store.factory import create_store
 from heatherhead.tests.fake_store import FakeStore, create_fake_store
 
 if TYPE_CHECKING:
--- a/heatherhead/tests/telemetry/recorder_tests.py
+++ b/heatherhead/tests/telemetry/recorder_tests.py
@@ -9,8 +9,13 @@
 import pytest
 
 from heatherhead.settings.telemetry import TelemetrySettings
-from heatherhead.telemetry import CallOutcome, HistogramKind, create_telemetry
-from heatherhead.telemetry.recorder import MAX_NAMES, WINDOW_FLUSHES, TelemetryRecorder
+from heatherhead.telemetry import CallOutcome, HistogramKind
+from heatherhead.telemetry.recorder import (
+    MAX_NAMES,
+    WINDOW_FLUSHES,
+    TelemetryRecorder,
+    create_telemetry,
+)
 from heatherhead.telemetry.reporter import MetricsReporter
 from heatherhead.tests.base import run_paused
 
