Send callers to few homes a region, and pass the store's changes on to the others

Cause: each of 14 instances read all upstreams of its region, watched the store by itself, and knew only its own calls in flight. Homes (weighted rendezvous, best of each zone) now take the callers of a region, watch the store and read the upstreams of their zone; they tell readings to each other by datagram and changes to the rest over streams.

--- a/heatherhead/entry/addresses.py
+++ b/heatherhead/entry/addresses.py
@@ -1,4 +1,4 @@
-"""Tells callers which instances to use."""
+"""Tells callers which instances to use: the homes of their region."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from heatherhead.entry.settings import HostPort
+    from heatherhead.fleet.home_view import HomeView
     from heatherhead.fleet.members import MemberTable
 
 __all__ = ["AddressBook", "create_address_book"]
@@ -14,19 +15,24 @@
 
 
 class AddressBook:
-    """Answers with the instances of the caller's region."""
+    """Answers with the homes of the caller's region."""
 
-    def __init__(self, members: MemberTable, ttl_max_s: float) -> None:
+    def __init__(self, members: MemberTable, homes: HomeView, ttl_max_s: float) -> None:
         self._members = members
+        self._homes = homes
         self.ttl_s = min(TTL_S, ttl_max_s)
 
-    def addresses(self, region: str, zone: str) -> list[HostPort]:
-        """List the addresses for a caller."""
-        members = [each for each in self._members.by_id.values() if each.ready]
-        near = [each for each in members if each.region == region]
-        return [each.callers for each in near or members]
+    def addresses(self, region: str) -> list[HostPort]:
+        """List the addresses for a caller; there is at least one."""
+        own = self._members.own
+        if region == own.region or not region:
+            homes = self._homes.homes()
+        else:
+            # Whoever asks here got no answer in its region, so the own homes stand beside.
+            homes = [*self._homes.far_homes(region), *self._homes.homes()[:1]]
+        return [home.callers for home in homes] or [own.callers]
 
 
-def create_address_book(members: MemberTable, ttl_max_s: float) -> AddressBook:
+def create_address_book(members: MemberTable, homes: HomeView, ttl_max_s: float) -> AddressBook:
     """Create the address book of an instance."""
-    return AddressBook(members, ttl_max_s)
+    return AddressBook(members, homes, ttl_max_s)
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -8,10 +8,18 @@
 
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
+from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.entry.addresses import create_address_book
+from heatherhead.entry.settings import HostPort
 from heatherhead.entry.store_view import create_entry_view
 from heatherhead.fleet.announcement import create_announcement
+from heatherhead.fleet.exchange import create_fleet_exchange
+from heatherhead.fleet.home_view import create_home_view
 from heatherhead.fleet.members import create_member_table, own_member
+from heatherhead.fleet.peer_channel import create_peer_channel
+from heatherhead.fleet.peer_messages import CrashNotice, HomeStatus, LeaveNotice, LoadReport
+from heatherhead.fleet.relay import create_relay_server
+from heatherhead.fleet.replica import create_store_replica
 from heatherhead.fleet.store_follower import create_store_follower
 from heatherhead.proxy.caller_connection import create_caller_connections
 from heatherhead.proxy.forwarder import create_forwarder
@@ -22,17 +30,18 @@
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from heatherhead.dispatch.upstream_state import LoadReading, UpstreamState
+    from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.entry.pages import PageHandlers
-    from heatherhead.entry.settings import EntrySettings, HostPort
+    from heatherhead.entry.settings import EntrySettings
     from heatherhead.entry.store_view import Decoder
+    from heatherhead.fleet.peer_messages import PeerMessage
     from heatherhead.proxy.dialect import Dialect
     from heatherhead.registry.entries import UpstreamEntry
     from heatherhead.store.interface import Store
 
 __all__ = ["EntryService", "create_entry_service"]
 
-READ_INTERVAL_S = 0.2
+READ_INTERVAL_S = 0.1  # a spell of slowness lasts about half a second
 REFUSE_AFTER_S = 3.0  # callers have asked for addresses again by then
 LAST_ANSWERS_S = 0.5  # before the process is killed, answers in progress end
 QUIET_S = 0.6  # without a request for that long, a leaving instance ends early
@@ -64,11 +73,20 @@
         )
         self.pool = create_upstream_pool()
         self._store = store
-        self.view = create_entry_view(decoder, self.table, self.registry, self.members)
-        self.follower = create_store_follower(store, "", self.view)
-        self.announcement = create_announcement(store, self.members.own)
+        self.homes = create_home_view(self.members, self._loop.time)
+        self.replica = create_store_replica()
+        view = create_entry_view(decoder, self.table, self.registry, self.members)
+        self.replica.subscribe(view.take_event)
+        self.relay = create_relay_server(self.replica)
+        self.follower = create_store_follower(
+            store, "", self.replica, self._watches_store, self._relay_peers
+        )
+        self.announcement = create_announcement(
+            store, self.members.own, self.homes.is_home, self.follower.note_store_failure
+        )
+        self.crashes = create_crash_table()
         self.forwarder = create_forwarder(
-            self.table, self.dispatcher, self.pool, dialect, create_crash_table(), self._tell_crash
+            self.table, self.dispatcher, self.pool, dialect, self.crashes, self._tell_crash
         )
         self.reader = create_load_reader(
             self.table,
@@ -79,7 +97,7 @@
             lambda: READ_INTERVAL_S,
             self._on_reading,
         )
-        self.addresses = create_address_book(self.members, settings.address_ttl_max_s)
+        self.addresses = create_address_book(self.members, self.homes, settings.address_ttl_max_s)
         self.callers = create_caller_connections(
             self.forwarder.handle, lambda: self.table.configuration.limits
         )
@@ -104,6 +122,12 @@
         for address in {settings.readiness, settings.addresses, settings.control}:
             if address is not None:
                 await self._listen(address, self.pages.create_connection)
+        channel = await create_peer_channel(settings.host, settings.peer_port, self._on_message)
+        self.exchange = create_fleet_exchange(self.members, self.homes, self.replica, channel)
+        self.exchange.on_tick = self._on_tick
+        relay = await asyncio.start_server(self.relay.serve, settings.host, settings.peer_port)
+        self._servers.append(relay)
+        self.exchange.start()
         self.follower.start()
         self.announcement.start()
         self._expire()
@@ -134,14 +158,59 @@
             revision=entry.revision,
         )
 
+    def _on_tick(self) -> None:
+        self.homes.own_ready = self.ready
+        self.reader.update()
+        self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
+
+    def _watches_store(self) -> bool:
+        return self.homes.is_home() or len(self.members.by_id) == 1
+
+    def _relay_peers(self) -> list[HostPort]:
+        """List where changes can be followed: the homes, and at the start the seeds."""
+        own_id = self.members.own.id
+        homes = [home for home in self.homes.homes() if home.id != own_id]
+        peers = [HostPort(home.callers.host, home.peer_port) for home in homes]
+        if peers:
+            return peers
+        seeds = [seed.host for seed in self.settings.seeds if seed.host != self.settings.host]
+        return [HostPort(host, self.settings.peer_port) for host in seeds]
+
     def _reads(self, state: UpstreamState) -> bool:
-        return state.local_region
+        """Tell whether this home reads an upstream: the best home of its zone, or of the region."""
+        if not state.local_region or not self.homes.is_home():
+            return False
+        homes = self.homes.homes()
+        zone = state.entry.availability_zone
+        near = [home for home in homes if home.availability_zone == zone] or homes
+        return bool(near) and near[0].id == self.members.own.id
 
     def _on_reading(self, state: UpstreamState, reading: LoadReading) -> None:
-        pass
+        self.exchange.add_reading(state.entry.id, reading)
 
     def _tell_crash(self, fingerprint: int, crashes: int) -> None:
-        pass
+        self.exchange.tell_crash(fingerprint, crashes)
+
+    def _on_message(self, message: PeerMessage) -> None:
+        if isinstance(message, HomeStatus):
+            self.homes.take_status(message)
+            self.follower.note_revision(message.revision)
+        elif isinstance(message, LoadReport):
+            self._take_loads(message)
+        elif isinstance(message, CrashNotice):
+            self.crashes.note_crash(message.fingerprint, self._loop.time(), message.crashes)
+            log_event("crash_told", fingerprint=message.fingerprint, crashes=message.crashes)
+        elif isinstance(message, LeaveNotice):
+            self.homes.take_leave(message)
+            log_event("peer_leaves", peer=message.sender)
+
+    def _take_loads(self, report: LoadReport) -> None:
+        now = self._loop.time()
+        for upstream_id, running, waiting, slots, slowdown, age_s in report.rows:
+            state = self.dispatcher.state(upstream_id)
+            if state is not None:
+                reading = LoadReading(running, waiting, slots, slowdown, now - age_s)
+                self.dispatcher.note_reading(state, reading)
 
     async def leave(self) -> None:
         """Stop taking new callers, finish what is under way and end within the grace."""
@@ -149,6 +218,8 @@
             return
         self.leaving = True
         self.callers.leaving = True
+        self.homes.own_leaving = True
+        self.exchange.tell_leaving()
         began = self._loop.time()
         log_event("leaving", in_progress=self.callers.in_progress())
         leave = self._loop.create_task(self.announcement.leave())
@@ -176,6 +247,7 @@
         self.callers.stop()
         self.pages.stop()
         self.pool.close()
+        self.exchange.stop()
         await self.follower.stop()
         await self._store.close()
         log_event("stopped")
--- a/heatherhead/entry/store_view.py
+++ b/heatherhead/entry/store_view.py
@@ -18,7 +18,7 @@
     from heatherhead.registry.registry import UpstreamRegistry
     from heatherhead.routes.model import RouteConfiguration
     from heatherhead.routes.table import RouteTable
-    from heatherhead.store.interface import KeyValue, WatchEvent
+    from heatherhead.store.interface import WatchEvent
 
 __all__ = ["Decoder", "EntryView", "create_entry_view"]
 
@@ -56,26 +56,7 @@
         self._registry = registry
         self._members = members
 
-    def take_listing(
-        self, by_key: dict[str, KeyValue], revision: int, *, after_outage: bool
-    ) -> None:
-        """Take in all keys, as of a revision."""
-        prefix = self._decoder.upstream_prefix
-        entries = []
-        for item in by_key.values():
-            if item.key.startswith(prefix):
-                entry = self._decode_upstream(item.key, item.value, item.mod_revision)
-                if entry is not None:
-                    entries.append(entry)
-            else:
-                self._take_item(item.key, item.value, item.mod_revision)
-        self._registry.replace(entries, revision, self._lapses_at(after_outage))
-        for member_id in list(self._members.by_id):
-            if MEMBER_PREFIX + member_id not in by_key:
-                self._members.remove(member_id, revision)
-        log_event("store_read", revision=revision, keys=len(by_key), after_outage=after_outage)
-
-    def take_event(self, event: WatchEvent, *, after_outage: bool) -> None:
+    def take_event(self, event: WatchEvent, after_outage: bool) -> None:
         """Take in one change."""
         prefix = self._decoder.upstream_prefix
         key = event.key
--- a/heatherhead/fleet/announcement.py
+++ b/heatherhead/fleet/announcement.py
@@ -13,6 +13,8 @@
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from heatherhead.exceptions import HeatherheadError
@@ -23,6 +25,7 @@
 
 LEASE_S = 8.0  # a lost instance is out of the address answers by then, whatever else fails
 RENEW_S = 2.5  # three renewals may fail
+HOME_RENEW_S = 1.0  # a home's renewals also tell that the store is away while its watch waits
 FIRST_RETRY_S = 0.2
 LONGEST_RETRY_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
@@ -31,8 +34,16 @@
 class Announcement:
     """Writes, renews and removes the announcement."""
 
-    def __init__(self, store: Store, member: Member) -> None:
+    def __init__(
+        self,
+        store: Store,
+        member: Member,
+        is_home: Callable[[], bool],
+        on_failure: Callable[[str], None],
+    ) -> None:
         self._store = store
+        self._is_home = is_home
+        self._on_failure = on_failure
         self._member = member
         self._key = MEMBER_PREFIX + member.id
         self._lease_id: int | None = None
@@ -50,11 +61,13 @@
             if isinstance(done, Err):
                 if isinstance(done.err_value, LeaseLapsedError):
                     self._lease_id = None
+                else:
+                    self._on_failure(done.err_value.reason)
                 log_event("announcement_failed", reason=done.err_value.reason)
                 await asyncio.sleep(self._backoff.next_s())
             else:
                 self._backoff.reset()
-                await asyncio.sleep(RENEW_S)
+                await asyncio.sleep(HOME_RENEW_S if self._is_home() else RENEW_S)
 
     async def _announce(self) -> Result[None, HeatherheadError]:
         granted = await self._store.grant_lease(LEASE_S)
@@ -91,6 +104,8 @@
             log_event("leave_not_stored", remedy="the lease lapses by itself")
 
 
-def create_announcement(store: Store, member: Member) -> Announcement:
-    """Create the announcement of an instance."""
-    return Announcement(store, member)
+def create_announcement(
+    store: Store, member: Member, is_home: Callable[[], bool], on_failure: Callable[[str], None]
+) -> Announcement:
+    """Create the announcement of an instance; `on_failure` hears of failed calls."""
+    return Announcement(store, member, is_home, on_failure)
--- /dev/null
+++ b/heatherhead/fleet/exchange.py
@@ -0,0 +1,121 @@
+"""Tells peers what they need to know: that a home lives, what it read, crashes and leaving."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from heatherhead.fleet.home_view import STATUS_S
+from heatherhead.fleet.peer_messages import (
+    CrashNotice,
+    HomeStatus,
+    LeaveNotice,
+    LoadReport,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.dispatch.upstream_state import LoadReading
+    from heatherhead.fleet.home_view import HomeView
+    from heatherhead.fleet.members import Member, MemberTable
+    from heatherhead.fleet.peer_channel import PeerChannel
+    from heatherhead.fleet.replica import StoreReplica
+
+__all__ = ["FleetExchange", "create_fleet_exchange"]
+
+REPORT_S = 0.04  # readings of that time go out in one datagram
+MAX_ROWS = 40  # of a datagram; fits one packet
+
+
+class FleetExchange:
+    """Sends this instance's messages and hands on those of others."""
+
+    def __init__(
+        self,
+        members: MemberTable,
+        homes: HomeView,
+        replica: StoreReplica,
+        channel: PeerChannel,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._members = members
+        self._homes = homes
+        self._replica = replica
+        self._channel = channel
+        self._reading_by_id: dict[str, LoadReading] = {}
+        self._report: asyncio.TimerHandle | None = None
+        self._status: asyncio.TimerHandle | None = None
+        self.on_tick: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        """Begin to tell."""
+        self._tell_status()
+
+    def stop(self) -> None:
+        """Stop telling."""
+        for timer in (self._report, self._status):
+            if timer is not None:
+                timer.cancel()
+        self._channel.close()
+
+    def add_reading(self, upstream_id: str, reading: LoadReading) -> None:
+        """Tell a reading to the other homes of the region."""
+        self._reading_by_id[upstream_id] = reading
+        if self._report is None:
+            self._report = self._loop.call_later(REPORT_S, self._tell_loads)
+
+    def tell_crash(self, fingerprint: int, crashes: int) -> None:
+        """Tell all instances of a request that crashes upstreams."""
+        notice = CrashNotice(self._members.own.id, fingerprint, crashes)
+        self._channel.send(self._others(None), notice)
+
+    def tell_leaving(self) -> None:
+        """Tell the region that this instance leaves."""
+        own = self._members.own
+        self._channel.send(self._others(own.region), LeaveNotice(own.id, own.incarnation))
+
+    def _others(self, region: str | None) -> list[Member]:
+        own_id = self._members.own.id
+        return [
+            each
+            for each in self._members.by_id.values()
+            if each.id != own_id and (region is None or each.region == region)
+        ]
+
+    def _tell_status(self) -> None:
+        self._status = self._loop.call_later(STATUS_S, self._tell_status)
+        self._homes.homes()
+        self.on_tick()
+        if not self._homes.is_home():
+            return
+        own = self._members.own
+        status = HomeStatus(own.id, own.incarnation, self._homes.own_ready, self._replica.revision)
+        self._channel.send(self._others(own.region), status)
+        self._channel.send(self._far_homes(), status)
+
+    def _far_homes(self) -> list[Member]:
+        own_region = self._members.own.region
+        regions = {each.region for each in self._members.by_id.values()} - {own_region}
+        return [home for region in regions for home in self._homes.far_homes(region)]
+
+    def _tell_loads(self) -> None:
+        self._report = None
+        own_id = self._members.own.id
+        peers = [home for home in self._homes.homes() if home.id != own_id]
+        now = self._loop.time()
+        rows = [
+            (upstream_id, each.running, each.waiting, each.slots, each.slowdown, now - each.read_at)
+            for upstream_id, each in self._reading_by_id.items()
+        ]
+        self._reading_by_id.clear()
+        for first in range(0, len(rows), MAX_ROWS):
+            report = LoadReport(own_id, tuple(rows[first : first + MAX_ROWS]))
+            self._channel.send(peers, report)
+
+
+def create_fleet_exchange(
+    members: MemberTable, homes: HomeView, replica: StoreReplica, channel: PeerChannel
+) -> FleetExchange:
+    """Create an exchange; must be called inside the running loop."""
+    return FleetExchange(members, homes, replica, channel)
--- /dev/null
+++ b/heatherhead/fleet/home_view.py
@@ -0,0 +1,129 @@
+"""Which instances are the homes of the own region, by what is heard of them.
+
+Homes tell their region each `STATUS_S` that they live. A home that falls silent, or says that it
+leaves, is left out, so that the next one of the ranking takes its place.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from heatherhead.fleet.homes import choose_homes, rank_members
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.fleet.members import Member, MemberTable
+    from heatherhead.fleet.peer_messages import HomeStatus, LeaveNotice
+
+__all__ = ["STATUS_S", "HomeView", "create_home_view"]
+
+STATUS_S = 0.25
+SILENCE_S = 1.0  # four statuses; datagrams are lost now and then
+FIRST_WAIT_S = 1.5  # for the first status of an instance that becomes a home
+RETRY_SILENT_S = 6.0  # a silent member is given another chance after that
+FAR_HOMES = 2  # of a region whose homes are not heard
+
+
+@dataclass(slots=True)
+class _Heard:
+    """What was last heard of a member."""
+
+    at: float
+    incarnation: str
+    ready: bool
+
+
+class HomeView:
+    """The homes of the own region."""
+
+    def __init__(self, members: MemberTable, now: Callable[[], float]) -> None:
+        self._members = members
+        self._now = now
+        self._heard_by_id: dict[str, _Heard] = {}
+        self._left_by_id: dict[str, str] = {}  # incarnation that left
+        self._expected_since_by_id: dict[str, float] = {}
+        self._silent_until_by_id: dict[str, float] = {}
+        self._zones = 1
+        self.own_ready = False
+        self.own_leaving = False
+        self._home_ids: tuple[str, ...] = ()
+
+    def take_status(self, status: HomeStatus) -> None:
+        """Take in that a home lives."""
+        now = self._now()
+        self._heard_by_id[status.sender] = _Heard(now, status.incarnation, status.ready)
+        self._silent_until_by_id.pop(status.sender, None)
+
+    def take_leave(self, notice: LeaveNotice) -> None:
+        """Take in that an instance leaves."""
+        self._left_by_id[notice.sender] = notice.incarnation
+
+    def homes(self) -> list[Member]:
+        """List the homes of the own region."""
+        own = self._members.own
+        now = self._now()
+        members = [each for each in self._members.by_id.values() if each.region == own.region]
+        self._zones = len({each.availability_zone for each in members})
+        homes = choose_homes(members, own.region, self._unusable(members, now), self._zones)
+        self._watch_silence(homes, now)
+        ids = tuple(each.id for each in homes)
+        if ids != self._home_ids:
+            self._home_ids = ids
+            log_event("homes", region=own.region, homes=",".join(ids), members=len(members))
+        return homes
+
+    def is_home(self) -> bool:
+        """Tell whether this instance is a home."""
+        return self._members.own.id in self._home_ids
+
+    def far_homes(self, region: str) -> list[Member]:
+        """List the probable homes of another region."""
+        ranked = rank_members(self._members.by_id.values(), region)
+        return ranked[:FAR_HOMES]
+
+    def heard_since(self, member_id: str, since: float) -> bool:
+        """Tell whether a member was heard after a moment."""
+        heard = self._heard_by_id.get(member_id)
+        return heard is not None and heard.at >= since
+
+    def _unusable(self, members: list[Member], now: float) -> set[str]:
+        own_id = self._members.own.id
+        unusable = set()
+        for member in members:
+            if member.id == own_id:
+                if self.own_leaving or not self.own_ready:
+                    unusable.add(own_id)
+            elif not self._usable(member, now):
+                unusable.add(member.id)
+        return unusable
+
+    def _usable(self, member: Member, now: float) -> bool:
+        heard = self._heard_by_id.get(member.id)
+        if self._left_by_id.get(member.id) == (heard.incarnation if heard else member.incarnation):
+            return False
+        if now < self._silent_until_by_id.get(member.id, 0.0):
+            return False
+        return heard is None or heard.ready or now - heard.at > SILENCE_S
+
+    def _watch_silence(self, homes: list[Member], now: float) -> None:
+        """Set homes aside that should be heard and are not."""
+        expected = {}
+        for home in homes:
+            if home.id == self._members.own.id:
+                continue
+            since = self._expected_since_by_id.get(home.id, now)
+            expected[home.id] = since
+            heard = self._heard_by_id.get(home.id)
+            heard_at = heard.at if heard else -1e9
+            if now - heard_at > SILENCE_S and now - since > FIRST_WAIT_S:
+                self._silent_until_by_id[home.id] = now + RETRY_SILENT_S
+                log_event("home_silent", home=home.id, heard_s=f"{min(99, now - heard_at):.2f}")
+        self._expected_since_by_id = expected
+
+
+def create_home_view(members: MemberTable, now: Callable[[], float]) -> HomeView:
+    """Create a view; `now` gives the loop's clock."""
+    return HomeView(members, now)
--- /dev/null
+++ b/heatherhead/fleet/homes.py
@@ -0,0 +1,57 @@
+"""Chooses the few instances of a region that its callers are sent to.
+
+Few instances that see all calls of a region count its upstreams nearly exactly, read their loads
+once for all, and keep few connections. Callers are spread over them by the address answers. Any
+other instance serves what reaches it all the same, so differing views cost performance only.
+
+The ranking is weighted rendezvous hashing (Thaler and Ravishankar, 1998), best of each zone first.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from heatherhead.fleet.members import Member
+
+__all__ = ["HOMES_PER_REGION", "choose_homes", "rank_members"]
+
+HOMES_PER_REGION = 3  # one may be lost, and another one be leaving
+FULL_CORES = 1.0  # a larger instance is not preferred any further
+FULL_LINK_MBPS = 50.0  # carries the uploads of a region
+HASH_RANGE = 2.0**64
+
+
+def rank_members(members: Iterable[Member], region: str) -> list[Member]:
+    """Order a region's members: the best of each zone in turn."""
+    by_zone: dict[str, list[Member]] = {}
+    for member in members:
+        if member.region == region:
+            by_zone.setdefault(member.availability_zone, []).append(member)
+    for zone_members in by_zone.values():
+        zone_members.sort(key=_score, reverse=True)
+    ranked = []
+    depth = max((len(each) for each in by_zone.values()), default=0)
+    for place in range(depth):
+        row = [each[place] for each in by_zone.values() if place < len(each)]
+        ranked.extend(sorted(row, key=_score, reverse=True))
+    return ranked
+
+
+def choose_homes(
+    members: Iterable[Member], region: str, unusable: Collection[str], zones: int
+) -> list[Member]:
+    """Give the homes of a region, leaving out the members that can't serve now."""
+    ranked = [each for each in rank_members(members, region) if each.id not in unusable]
+    return ranked[: max(HOMES_PER_REGION, zones)]
+
+
+def _score(member: Member) -> float:
+    digest = hashlib.blake2b(member.id.encode(), digest_size=8).digest()
+    drawn = (int.from_bytes(digest, "big") + 1) / (HASH_RANGE + 2)
+    size = min(1.0, member.cpu_cores / FULL_CORES, member.link_mbps / FULL_LINK_MBPS)
+    return -(size**2) / math.log(drawn)
--- /dev/null
+++ b/heatherhead/fleet/peer_messages.py
@@ -0,0 +1,133 @@
+"""Datagrams between instances: versioned msgpack arrays."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any
+
+import msgpack
+
+__all__ = [
+    "CrashNotice",
+    "HomeStatus",
+    "LeaveNotice",
+    "LoadReport",
+    "PeerMessage",
+    "decode_message",
+    "encode_message",
+]
+
+VERSION = 1
+_STATUS, _LOADS, _CRASH, _LEAVE = range(4)
+
+
+@dataclass(frozen=True, slots=True)
+class HomeStatus:
+    """A home lives, at a revision of the store; it names the other homes that it hears."""
+
+    sender: str
+    incarnation: str
+    ready: bool
+    revision: int
+    heard: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Loads that a home read: (upstream id, running, waiting, slots, slowdown, age in s)."""
+
+    sender: str
+    rows: tuple[tuple[str, int, int, int, float | None, float], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """A request has crashed upstreams so often."""
+
+    sender: str
+    fingerprint: int
+    crashes: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveNotice:
+    """An instance leaves; callers are no longer sent to this incarnation."""
+
+    sender: str
+    incarnation: str
+
+
+PeerMessage = HomeStatus | LoadReport | CrashNotice | LeaveNotice
+
+
+@singledispatch
+def _row_of(message: object) -> list[Any]:
+    raise TypeError(f"no datagram for {type(message).__name__}")
+
+
+@_row_of.register
+def _(message: HomeStatus) -> list[Any]:
+    return [
+        _STATUS,
+        message.sender,
+        message.incarnation,
+        message.ready,
+        message.revision,
+        list(message.heard),
+    ]
+
+
+@_row_of.register
+def _(message: LoadReport) -> list[Any]:
+    rows = [
+        [name, running, waiting, slots, _percent(slowdown), round(age_s * 1000)]
+        for name, running, waiting, slots, slowdown, age_s in message.rows
+    ]
+    return [_LOADS, message.sender, rows]
+
+
+@_row_of.register
+def _(message: CrashNotice) -> list[Any]:
+    return [_CRASH, message.sender, message.fingerprint, message.crashes]
+
+
+@_row_of.register
+def _(message: LeaveNotice) -> list[Any]:
+    return [_LEAVE, message.sender, message.incarnation]
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Encode a message."""
+    packed: bytes = msgpack.packb([VERSION, *_row_of(message)])
+    return packed
+
+
+def decode_message(data: bytes) -> PeerMessage | None:
+    """Decode a datagram; None for one that this version can't read."""
+    try:
+        version, kind, sender, *rest = msgpack.unpackb(data)
+        if version != VERSION:
+            return None
+        if kind == _STATUS:
+            incarnation, ready, revision, heard = rest
+            return HomeStatus(str(sender), str(incarnation), bool(ready), int(revision), (*heard,))
+        if kind == _LOADS:
+            return LoadReport(str(sender), tuple(_load_row(row) for row in rest[0]))
+        if kind == _CRASH:
+            return CrashNotice(str(sender), int(rest[0]), int(rest[1]))
+        if kind == _LEAVE:
+            return LeaveNotice(str(sender), str(rest[0]))
+    except (ValueError, TypeError, msgpack.UnpackException):
+        return None
+    return None
+
+
+def _percent(slowdown: float | None) -> int | None:
+    return None if slowdown is None else round(slowdown * 100)
+
+
+def _load_row(row: list[Any]) -> tuple[str, int, int, int, float | None, float]:
+    name, running, waiting, slots, percent, age_ms = row
+    slowdown = None if percent is None else percent / 100
+    return str(name), int(running), int(waiting), int(slots), slowdown, age_ms / 1000
--- /dev/null
+++ b/heatherhead/fleet/relay.py
@@ -0,0 +1,127 @@
+"""Passes the store's changes on to peers, over TCP streams of msgpack.
+
+A peer says the revision that it holds and gets what it lacks, then each change as it comes, and a
+heartbeat where nothing changes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+from heatherhead.store.interface import WatchEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from heatherhead.entry.settings import HostPort
+    from heatherhead.fleet.replica import StoreReplica
+
+__all__ = ["RelayError", "RelayServer", "create_relay_server", "follow_peer"]
+
+HEARTBEAT_S = 0.5
+SILENCE_S = 1.4  # a stream without two heartbeats is given up
+CONNECT_TIMEOUT_S = 0.5
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+MAX_FOLLOWERS = 256
+
+
+class RelayError(Exception):
+    """The peer can't be followed any more."""
+
+
+class RelayServer:
+    """Serves the changes of the replica; each follower gets them in its own task."""
+
+    def __init__(self, replica: StoreReplica) -> None:
+        self._replica = replica
+        self._changed = asyncio.Event()
+        self._outage_at_by_key: dict[str, bool] = {}
+        self._followers = 0
+        replica.subscribe(self._on_change)
+
+    def _on_change(self, event: WatchEvent, after_outage: bool) -> None:
+        self._outage_at_by_key.pop(event.key, None)
+        if after_outage and event.value is None:
+            self._outage_at_by_key[event.key] = True
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one follower."""
+        self._followers += 1
+        try:
+            if self._followers > MAX_FOLLOWERS:
+                return
+            unpacker = msgpack.Unpacker()
+            unpacker.feed(await asyncio.wait_for(reader.read(64), SILENCE_S))
+            revision = int(next(iter(unpacker)))
+            while True:
+                changed = self._changed
+                writer.write(self._batch(revision))
+                await asyncio.wait_for(writer.drain(), SILENCE_S)
+                revision = self._replica.revision
+                try:
+                    await asyncio.wait_for(changed.wait(), HEARTBEAT_S)
+                except TimeoutError:
+                    continue
+        except (OSError, TimeoutError, ValueError, StopIteration):
+            return
+        finally:
+            self._followers -= 1
+            writer.close()
+
+    def _batch(self, revision: int) -> bytes:
+        whole, events = self._replica.changes_since(revision)
+        if revision >= self._replica.revision:
+            whole, events = False, []
+        rows = [
+            [event.key, event.value, event.mod_revision, event.key in self._outage_at_by_key]
+            for event in events
+        ]
+        packed: bytes = msgpack.packb([whole, self._replica.revision, rows])
+        return packed
+
+
+async def follow_peer(
+    address: HostPort, replica: StoreReplica, on_batch: Callable[[int], None]
+) -> None:
+    """Take in a peer's changes until it falls silent; raises `RelayError`."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError) as error:
+        raise RelayError(f"can't connect: {error!r}") from error
+    try:
+        writer.write(msgpack.packb(replica.revision))
+        unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        while True:
+            data = await asyncio.wait_for(reader.read(65536), SILENCE_S)
+            if not data:
+                raise RelayError("the peer closed the stream")
+            unpacker.feed(data)
+            for batch in unpacker:
+                _take_batch(batch, replica)
+                on_batch(batch[1])
+    except (OSError, TimeoutError, ValueError, TypeError, msgpack.UnpackException) as error:
+        raise RelayError(f"stream lost: {error!r}") from error
+    finally:
+        writer.close()
+
+
+def _take_batch(batch: list[Any], replica: StoreReplica) -> None:
+    whole, revision, rows = batch
+    if whole:
+        events = [WatchEvent(key, value, at) for key, value, at, _ in rows]
+        replica.apply_listing(events, revision, after_outage=True)
+        return
+    for key, value, at, after_outage in rows:
+        replica.apply(WatchEvent(key, value, at), after_outage=after_outage)
+    replica.revision = max(replica.revision, revision)
+
+
+def create_relay_server(replica: StoreReplica) -> RelayServer:
+    """Create the server side."""
+    return RelayServer(replica)
--- /dev/null
+++ b/heatherhead/fleet/replica.py
@@ -0,0 +1,97 @@
+"""The store's keys as this instance knows them, from the store or from a peer.
+
+Each key is kept at its newest revision, so the same change may come from several sources and in
+any order, and nothing goes back.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from heatherhead.store.interface import WatchEvent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+__all__ = ["StoreReplica", "create_store_replica"]
+
+MAX_REMOVED = 2048  # removed keys that are remembered, oldest out first
+
+
+class StoreReplica:
+    """Keys with values and revisions; listeners hear each change that is news."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.value_by_key: dict[str, tuple[bytes, int]] = {}
+        self._removed_at_by_key: OrderedDict[str, int] = OrderedDict()
+        self._forgotten_revision = 0  # removals up to here may be forgotten
+        self._listeners: list[Callable[[WatchEvent, bool], None]] = []
+
+    def subscribe(self, listener: Callable[[WatchEvent, bool], None]) -> None:
+        """Call `listener(event, after_outage)` with each change."""
+        self._listeners.append(listener)
+
+    def apply(self, event: WatchEvent, *, after_outage: bool = False) -> bool:
+        """Take in a change; tell whether it was news."""
+        key, revision = event.key, event.mod_revision
+        held = self.value_by_key.get(key)
+        known = held[1] if held is not None else self._removed_at_by_key.get(key, 0)
+        self.revision = max(self.revision, revision)
+        if revision <= known:
+            return False
+        if event.value is None:
+            self.value_by_key.pop(key, None)
+            self._remember_removal(key, revision)
+            if held is None:
+                return False
+        else:
+            self.value_by_key[key] = (event.value, revision)
+            self._removed_at_by_key.pop(key, None)
+        for listener in self._listeners:
+            listener(event, after_outage)
+        return True
+
+    def apply_listing(
+        self, events: Iterable[WatchEvent], revision: int, *, after_outage: bool
+    ) -> None:
+        """Take in all keys as of a revision; those it lacks were removed by then."""
+        listed = set()
+        for event in events:
+            listed.add(event.key)
+            self.apply(event, after_outage=after_outage)
+        for key, (_, held_revision) in list(self.value_by_key.items()):
+            if key not in listed and held_revision <= revision:
+                self.apply(WatchEvent(key, None, revision), after_outage=after_outage)
+        self.revision = max(self.revision, revision)
+
+    def changes_since(self, revision: int) -> tuple[bool, list[WatchEvent]]:
+        """List what a peer at `revision` lacks; True: the list is all there is."""
+        whole = revision < self._forgotten_revision or revision == 0
+        since = 0 if whole else revision
+        events = [
+            WatchEvent(key, value, at)
+            for key, (value, at) in self.value_by_key.items()
+            if at > since
+        ]
+        if not whole:
+            events.extend(
+                WatchEvent(key, None, at)
+                for key, at in self._removed_at_by_key.items()
+                if at > since
+            )
+        events.sort(key=lambda event: event.mod_revision)
+        return whole, events
+
+    def _remember_removal(self, key: str, revision: int) -> None:
+        self._removed_at_by_key.pop(key, None)
+        self._removed_at_by_key[key] = revision
+        if len(self._removed_at_by_key) > MAX_REMOVED:
+            _, forgotten = self._removed_at_by_key.popitem(last=False)
+            self._forgotten_revision = max(self._forgotten_revision, forgotten)
+
+
+def create_store_replica() -> StoreReplica:
+    """Create an empty replica."""
+    return StoreReplica()
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -1,90 +1,156 @@
-"""Follows the store: reads all there is, then watches, and reads again after each gap."""
+"""Keeps the replica up to date: from the store, or from a peer that follows the store.
+
+Homes watch the store; the other instances follow a home, so that the store's calls don't grow with
+the fleet. An instance whose source fails, or that hears of a newer revision than its own, takes
+what it lacks from a peer and starts its watch anew.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from result import Err
 
 from heatherhead.backoff import create_backoff
 from heatherhead.exceptions import HeatherheadError
+from heatherhead.fleet.relay import RelayError, follow_peer
 from heatherhead.store.errors import CompactedError
+from heatherhead.store.interface import WatchEvent
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from heatherhead.store.interface import KeyValue, Store, WatchEvent
+    from collections.abc import Callable
+
+    from heatherhead.entry.settings import HostPort
+    from heatherhead.fleet.replica import StoreReplica
+    from heatherhead.store.interface import Store
 
-__all__ = ["StoreFollower", "StoreView", "create_store_follower"]
+__all__ = ["StoreFollower", "create_store_follower"]
 
 FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 1.0  # the store is back for all instances within about that
+LONGEST_RETRY_S = 0.8  # the store is back for all instances within about that
 UNSTABLE_S = 3.0  # after a failed call the store's removals may be lapses
-
-
-class StoreView(Protocol):
-    """Takes in what the store holds."""
-
-    def take_listing(
-        self, by_key: dict[str, KeyValue], revision: int, *, after_outage: bool
-    ) -> None:
-        """Take in all keys, as of a revision."""
-        ...
-
-    def take_event(self, event: WatchEvent, *, after_outage: bool) -> None:
-        """Take in one change."""
-        ...
+PEER_RETRY_S = 0.3
+LAG_S = 0.4  # a change passes from the store to all of its watchers in less
+CHECK_S = 0.2
+PEER_FRESH_S = 1.0  # two heartbeats of a relay
 
 
 @dataclass(slots=True)
-class FollowerState:
-    """How fresh the view of the store is."""
+class _Lag:
+    """A revision that others hold and this instance lacks."""
 
     revision: int = 0
-    answered_at: float | None = None
-    failing_since: float | None = None
+    since: float = 0.0
 
 
 class StoreFollower:
-    """Keeps a view of the keys below a prefix."""
-
-    def __init__(self, store: Store, prefix: str, view: StoreView) -> None:
+    """Keeps a replica of the keys below a prefix."""
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        replica: StoreReplica,
+        watches: Callable[[], bool],
+        peers: Callable[[], list[HostPort]],
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._store = store
         self._prefix = prefix
-        self._view = view
+        self._replica = replica
+        self._watches = watches
+        self._peers = peers
         self._backoff = create_backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
         self._failed_at = -1e9
-        self.state = FollowerState()
-        self._task: asyncio.Task[None] | None = None
-        self.loaded = asyncio.Event()
+        self._failing_since: float | None = None
+        self._peer_heard_at = -1e9
+        self._lag = _Lag()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begin to follow."""
-        self._task = self._loop.create_task(self._follow())
+        self._tasks = [
+            self._loop.create_task(self._keep_watch()),
+            self._loop.create_task(self._keep_peer()),
+        ]
 
     async def stop(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = [*self._tasks, *([self._watch] if self._watch else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     @property
     def after_outage(self) -> bool:
         """Tell whether the store failed a moment ago, so that entries may have lapsed."""
         return self._loop.time() - self._failed_at < UNSTABLE_S
 
-    async def _follow(self) -> None:
+    @property
+    def store_ok(self) -> bool:
+        """Tell whether the store answered at the last attempt."""
+        return self._failing_since is None
+
+    def note_store_failure(self, reason: str) -> None:
+        """Take in that a call to the store failed; the watch may have gone silent with it."""
+        self._note_failure(reason)
+        if self._watch is not None:
+            self._watch.cancel()
+
+    def note_revision(self, revision: int) -> None:
+        """Take in the revision that a peer holds."""
+        if revision <= self._replica.revision:
+            return
+        if self._lag.revision <= self._replica.revision:
+            self._lag.since = self._loop.time()
+        self._lag.revision = max(self._lag.revision, revision)
+
+    def _lags(self) -> bool:
+        lag = self._lag
+        return lag.revision > self._replica.revision and self._loop.time() - lag.since > LAG_S
+
+    def _wants_store(self) -> bool:
+        peer_fresh = self._loop.time() - self._peer_heard_at < PEER_FRESH_S
+        return self._watches() or not peer_fresh or self._lags()
+
+    def _wants_peer(self) -> bool:
+        return not self._watches() or self._lags() or not self.store_ok
+
+    async def _keep_watch(self) -> None:
         while True:
-            try:
-                await self._read()
-                await self._watch()
-            except CompactedError as error:
-                log_event("store_history_gone", reason=error.reason)
-            except HeatherheadError as error:
-                self._note_failure(error)
-                await asyncio.sleep(self._backoff.next_s())
+            if not self._wants_store():
+                await asyncio.sleep(CHECK_S)
+                continue
+            self._watch = self._loop.create_task(self._follow_store())
+            while not self._watch.done():
+                await asyncio.wait([self._watch], timeout=CHECK_S)
+                if not self._watch.done() and not self._wants_store():
+                    log_event("watch_handed_over", revision=self._replica.revision)
+                    self._watch.cancel()
+                elif not self._watch.done() and self._lags():
+                    log_event("watch_lags", revision=self._replica.revision)
+                    self._lag.since = self._loop.time() + 1.0
+                    self._watch.cancel()
+            if not self._watch.cancelled():
+                self._watch.result()
+            self._watch = None
+
+    async def _follow_store(self) -> None:
+        """Read and watch until something fails."""
+        try:
+            await self._read()
+            async for event in self._store.watch(self._prefix, self._replica.revision + 1):
+                self._note_answer()
+                self._replica.apply(event, after_outage=self.after_outage)
+        except CompactedError as error:
+            log_event("store_history_gone", reason=error.reason)
+        except HeatherheadError as error:
+            self._note_failure(error.reason)
+            await asyncio.sleep(self._backoff.next_s())
 
     async def _read(self) -> None:
         listing = await self._store.read_prefix(self._prefix)
@@ -93,36 +159,60 @@
         answer = listing.ok_value
         after_outage = self.after_outage
         self._note_answer()
-        if answer.revision < self.state.revision:
-            log_event("store_listing_old", revision=answer.revision, held=self.state.revision)
+        if answer.revision < self._replica.revision:
+            log_event("store_listing_old", revision=answer.revision, held=self._replica.revision)
             return
-        self.state.revision = answer.revision
-        self._view.take_listing(answer.by_key, answer.revision, after_outage=after_outage)
-        self.loaded.set()
-
-    async def _watch(self) -> None:
-        async for event in self._store.watch(self._prefix, self.state.revision + 1):
-            self._note_answer()
-            self.state.revision = max(self.state.revision, event.mod_revision)
-            self._view.take_event(event, after_outage=self.after_outage)
+        events = [
+            WatchEvent(item.key, item.value, item.mod_revision) for item in answer.by_key.values()
+        ]
+        self._replica.apply_listing(events, answer.revision, after_outage=after_outage)
+        log_event(
+            "store_read", revision=answer.revision, keys=len(events), after_outage=after_outage
+        )
+
+    async def _keep_peer(self) -> None:
+        number = 0
+        while True:
+            await asyncio.sleep(CHECK_S)
+            peers = self._peers()
+            if not self._wants_peer() or not peers:
+                continue
+            peer = peers[number % len(peers)]
+            number += 1
+            try:
+                async with asyncio.timeout(None if not self._watches() else PEER_FRESH_S):
+                    await follow_peer(peer, self._replica, self._note_peer)
+            except TimeoutError:
+                continue  # a home takes only what it lacks
+            except RelayError as error:
+                log_event("peer_stream_lost", peer=peer, reason=error)
+                await asyncio.sleep(PEER_RETRY_S)
+
+    def _note_peer(self, revision: int) -> None:
+        self._peer_heard_at = self._loop.time()
+        if self._lags():
+            raise RelayError(f"the peer holds revision {revision}, others a newer one")
 
     def _note_answer(self) -> None:
-        self.state.answered_at = self._loop.time()
-        if self.state.failing_since is not None:
-            log_event(
-                "store_regained",
-                away_s=f"{self._loop.time() - self.state.failing_since:.2f}",
-            )
-            self.state.failing_since = None
+        if self._failing_since is not None:
+            away_s = self._loop.time() - self._failing_since
+            log_event("store_regained", away_s=f"{away_s:.2f}")
+            self._failing_since = None
         self._backoff.reset()
 
-    def _note_failure(self, error: HeatherheadError) -> None:
+    def _note_failure(self, reason: str) -> None:
         self._failed_at = self._loop.time()
-        if self.state.failing_since is None:
-            self.state.failing_since = self._failed_at
-            log_event("store_lost", level="WARNING", reason=error.reason)
-
-
-def create_store_follower(store: Store, prefix: str, view: StoreView) -> StoreFollower:
+        if self._failing_since is None:
+            self._failing_since = self._failed_at
+            log_event("store_lost", level="WARNING", reason=reason)
+
+
+def create_store_follower(
+    store: Store,
+    prefix: str,
+    replica: StoreReplica,
+    watches: Callable[[], bool],
+    peers: Callable[[], list[HostPort]],
+) -> StoreFollower:
     """Create a follower; must be called inside the running loop."""
-    return StoreFollower(store, prefix, view)
+    return StoreFollower(store, prefix, replica, watches, peers)
--- a/heatherhead/platform/pages.py
+++ b/heatherhead/platform/pages.py
@@ -29,16 +29,16 @@
             ready = self._service.ready
             return own_answer(200 if ready else 503, "ready" if ready else "not ready")
         if url.path == "/resolve":
-            return self._resolve(url.query.get("Region", ""), url.query.get("Zone", ""))
+            return self._resolve(url.query.get("Region", ""))
         return own_answer(404, "no such page")
 
-    def _resolve(self, region: str, zone: str) -> Answer:
+    def _resolve(self, region: str) -> Answer:
         if not self._service.ready:
             return own_answer(503, "not ready")
         book = self._service.addresses
         body = json.dumps(
             {
-                "Addresses": [str(address) for address in book.addresses(region, zone)],
+                "Addresses": [str(address) for address in book.addresses(region)],
                 "TtlS": book.ttl_s,
             }
         ).encode()
--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -23,7 +23,7 @@
 
 __all__ = ["PlatformStore", "create_platform_store"]
 
-CALL_TIMEOUT_S = 2.0  # the store answers in milliseconds; a slow one is fifty times slower
+CALL_TIMEOUT_S = 1.0  # the store answers in 4 ms; a slow one takes up to a hundred times that
 CONNECT_TIMEOUT_S = 1.0
 WATCH_WAIT_S = 25.0  # the platform holds a watch for 30 s at most
 WATCH_MARGIN_S = 2.0  # how much later than asked a watch may answer
--- a/heatherhead/registry/registry.py
+++ b/heatherhead/registry/registry.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from heatherhead.registry.entries import UpstreamEntry
 
@@ -57,18 +57,6 @@
         self._drop(held, revision)
         return True
 
-    def replace(
-        self, entries: Iterable[UpstreamEntry], revision: int, lapses_at: float | None
-    ) -> None:
-        """Take a whole listing as of a revision; what it lacks is removed."""
-        listed = set()
-        for entry in entries:
-            listed.add(entry.id)
-            self._lapses_at_by_id.pop(entry.id, None)
-            self.put(entry)
-        for upstream_id in [each for each in self.by_id if each not in listed]:
-            self.remove(upstream_id, revision, lapses_at)
-
     def expire(self, now: float) -> list[str]:
         """Drop the entries whose grace is over; tell their ids."""
         due = [each for each, at in self._lapses_at_by_id.items() if at <= now]
