Find out deaf watches, and follow whichever home reaches the store

Ruled out: lost datagrams, slow loops.

One home in line asks for the store's revision every 0.7 s, the next ones step in when it does not; a home behind the revision that others tell restarts its watch. Sources are ordered by who reaches the store, then by revision.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -79,7 +79,7 @@
         self.replica.subscribe(view.take_event)
         self.relay = create_relay_server(self.replica)
         self.follower = create_store_follower(
-            store, "", self.replica, self._watches_store, self._relay_peers
+            store, "", self.replica, self._verify_rank, self._relay_peers
         )
         self.announcement = create_announcement(
             store, self.members.own, self.homes.is_home, self.follower.note_store_failure
@@ -123,7 +123,9 @@
             if address is not None:
                 await self._listen(address, self.pages.create_connection)
         channel = await create_peer_channel(settings.host, settings.peer_port, self._on_message)
-        self.exchange = create_fleet_exchange(self.members, self.homes, self.replica, channel)
+        self.exchange = create_fleet_exchange(
+            self.members, self.homes, self.replica, channel, self.follower
+        )
         self.exchange.on_tick = self._on_tick
         relay = await asyncio.start_server(self.relay.serve, settings.host, settings.peer_port)
         self._servers.append(relay)
@@ -163,18 +165,26 @@
         self.reader.update()
         self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
 
-    def _watches_store(self) -> bool:
-        return self.homes.is_home() or len(self.members.by_id) == 1
+    def _verify_rank(self) -> int | None:
+        """Give this instance's place among those that watch the store: all homes."""
+        if len(self.members.by_id) == 1:
+            return 0
+        if not self.homes.is_home():
+            return None
+        own = self.members.own
+        regions = sorted(set(self.settings.region_by_zone.values()))
+        own_rank = [home.id for home in self.homes.homes()].index(own.id)
+        return own_rank * len(regions) + regions.index(own.region)
 
     def _relay_peers(self) -> list[HostPort]:
-        """List where changes can be followed: the homes, and at the start the seeds."""
-        own_id = self.members.own.id
-        homes = [home for home in self.homes.homes() if home.id != own_id]
-        peers = [HostPort(home.callers.host, home.peer_port) for home in homes]
-        if peers:
-            return peers
-        seeds = [seed.host for seed in self.settings.seeds if seed.host != self.settings.host]
-        return [HostPort(host, self.settings.peer_port) for host in seeds]
+        """List where changes can be followed: heard homes, probable ones, at the start the seeds."""
+        own = self.members.own
+        hosts = self.homes.sources()
+        if not hosts:
+            hosts = [home.callers.host for home in self.homes.homes() if home.id != own.id]
+        if not hosts:
+            hosts = [seed.host for seed in self.settings.seeds if seed.host != self.settings.host]
+        return [HostPort(host, self.settings.peer_port) for host in hosts]
 
     def _reads(self, state: UpstreamState) -> bool:
         """Tell whether this home reads an upstream: the best home of its zone, or of the region."""
@@ -191,9 +201,10 @@
     def _tell_crash(self, fingerprint: int, crashes: int) -> None:
         self.exchange.tell_crash(fingerprint, crashes)
 
-    def _on_message(self, message: PeerMessage) -> None:
+    def _on_message(self, message: PeerMessage, host: str) -> None:
         if isinstance(message, HomeStatus):
-            self.homes.take_status(message)
+            self.homes.take_status(message, host)
+            self.follower.note_verified(message.verified_age_s)
             self.follower.note_revision(message.revision)
         elif isinstance(message, LoadReport):
             self._take_loads(message)
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -21,10 +21,12 @@
     from heatherhead.fleet.members import Member, MemberTable
     from heatherhead.fleet.peer_channel import PeerChannel
     from heatherhead.fleet.replica import StoreReplica
+    from heatherhead.fleet.store_follower import StoreFollower
 
 __all__ = ["FleetExchange", "create_fleet_exchange"]
 
 REPORT_S = 0.04  # readings of that time go out in one datagram
+LONGEST_AGE_S = 60.0  # older is told as that
 MAX_ROWS = 40  # of a datagram; fits one packet
 
 
@@ -37,12 +39,14 @@
         homes: HomeView,
         replica: StoreReplica,
         channel: PeerChannel,
+        follower: StoreFollower,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._members = members
         self._homes = homes
         self._replica = replica
         self._channel = channel
+        self._follower = follower
         self._reading_by_id: dict[str, LoadReading] = {}
         self._report: asyncio.TimerHandle | None = None
         self._status: asyncio.TimerHandle | None = None
@@ -90,14 +94,27 @@
         if not self._homes.is_home():
             return
         own = self._members.own
-        status = HomeStatus(own.id, own.incarnation, self._homes.own_ready, self._replica.revision)
+        status = HomeStatus(
+            own.id,
+            own.incarnation,
+            self._homes.own_ready,
+            self._replica.revision,
+            min(LONGEST_AGE_S, self._follower.verified_age_s),
+            self._follower.store_ok,
+        )
         self._channel.send(self._others(own.region), status)
         self._channel.send(self._far_homes(), status)
 
     def _far_homes(self) -> list[Member]:
+        """List the homes of other regions, by rank and by what is heard of them."""
         own_region = self._members.own.region
         regions = {each.region for each in self._members.by_id.values()} - {own_region}
-        return [home for region in regions for home in self._homes.far_homes(region)]
+        far_by_id = {home.id: home for region in regions for home in self._homes.far_homes(region)}
+        for member_id in self._homes.heard_lately():
+            member = self._members.by_id.get(member_id)
+            if member is not None and member.region != own_region:
+                far_by_id[member_id] = member
+        return list(far_by_id.values())
 
     def _tell_loads(self) -> None:
         self._report = None
@@ -115,7 +132,11 @@
 
 
 def create_fleet_exchange(
-    members: MemberTable, homes: HomeView, replica: StoreReplica, channel: PeerChannel
+    members: MemberTable,
+    homes: HomeView,
+    replica: StoreReplica,
+    channel: PeerChannel,
+    follower: StoreFollower,
 ) -> FleetExchange:
     """Create an exchange; must be called inside the running loop."""
-    return FleetExchange(members, homes, replica, channel)
+    return FleetExchange(members, homes, replica, channel, follower)
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from heatherhead.fleet.homes import choose_homes, rank_members
+from heatherhead.fleet.homes import choose_homes, hash_of, rank_members
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -34,6 +34,10 @@
     at: float
     incarnation: str
     ready: bool
+    host: str
+    region: str
+    store_ok: bool
+    revision: int
 
 
 class HomeView:
@@ -51,10 +55,19 @@
         self.own_leaving = False
         self._home_ids: tuple[str, ...] = ()
 
-    def take_status(self, status: HomeStatus) -> None:
+    def take_status(self, status: HomeStatus, host: str) -> None:
         """Take in that a home lives."""
-        now = self._now()
-        self._heard_by_id[status.sender] = _Heard(now, status.incarnation, status.ready)
+        member = self._members.by_id.get(status.sender)
+        region = member.region if member is not None else ""
+        self._heard_by_id[status.sender] = _Heard(
+            self._now(),
+            status.incarnation,
+            status.ready,
+            host,
+            region,
+            status.store_ok,
+            status.revision,
+        )
         self._silent_until_by_id.pop(status.sender, None)
 
     def take_leave(self, notice: LeaveNotice) -> None:
@@ -84,10 +97,17 @@
         ranked = rank_members(self._members.by_id.values(), region)
         return ranked[:FAR_HOMES]
 
-    def heard_since(self, member_id: str, since: float) -> bool:
-        """Tell whether a member was heard after a moment."""
-        heard = self._heard_by_id.get(member_id)
-        return heard is not None and heard.at >= since
+    def heard_lately(self) -> list[str]:
+        """List the homes of all regions that were heard a moment ago."""
+        since = self._now() - SILENCE_S
+        return [each for each, heard in self._heard_by_id.items() if heard.at >= since]
+
+    def sources(self) -> list[str]:
+        """List the hosts of heard homes, the one to follow first."""
+        own = self._members.own
+        heard = [(each, self._heard_by_id[each]) for each in self.heard_lately()]
+        heard.sort(key=lambda pair: _source_rank(pair[0], pair[1], own))
+        return [each.host for _, each in heard]
 
     def _unusable(self, members: list[Member], now: float) -> set[str]:
         own_id = self._members.own.id
@@ -124,6 +144,12 @@
         self._expected_since_by_id = expected
 
 
+def _source_rank(member_id: str, heard: _Heard, own: Member) -> tuple[bool, int, bool, int]:
+    """Prefer who reaches the store, then the newest view, then the own region, then any."""
+    spread = hash_of(own.id + member_id)
+    return not heard.store_ok, -heard.revision, heard.region != own.region, spread
+
+
 def create_home_view(members: MemberTable, now: Callable[[], float]) -> HomeView:
     """Create a view; `now` gives the loop's clock."""
     return HomeView(members, now)
--- a/heatherhead/fleet/homes.py
+++ b/heatherhead/fleet/homes.py
@@ -18,7 +18,7 @@
 
     from heatherhead.fleet.members import Member
 
-__all__ = ["HOMES_PER_REGION", "choose_homes", "rank_members"]
+__all__ = ["HOMES_PER_REGION", "choose_homes", "hash_of", "rank_members"]
 
 HOMES_PER_REGION = 3  # one may be lost, and another one be leaving
 FULL_CORES = 1.0  # a larger instance is not preferred any further
@@ -50,8 +50,12 @@
     return ranked[: max(HOMES_PER_REGION, zones)]
 
 
+def hash_of(text: str) -> int:
+    """Draw a number below `HASH_RANGE`, the same everywhere."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def _score(member: Member) -> float:
-    digest = hashlib.blake2b(member.id.encode(), digest_size=8).digest()
-    drawn = (int.from_bytes(digest, "big") + 1) / (HASH_RANGE + 2)
+    drawn = (hash_of(member.id) + 1) / (HASH_RANGE + 2)
     size = min(1.0, member.cpu_cores / FULL_CORES, member.link_mbps / FULL_LINK_MBPS)
     return -(size**2) / math.log(drawn)
--- a/heatherhead/fleet/peer_channel.py
+++ b/heatherhead/fleet/peer_channel.py
@@ -20,7 +20,7 @@
 class PeerChannel(asyncio.DatagramProtocol):
     """One UDP socket for all peers."""
 
-    def __init__(self, on_message: Callable[[PeerMessage], None]) -> None:
+    def __init__(self, on_message: Callable[[PeerMessage, str], None]) -> None:
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
@@ -29,13 +29,13 @@
         """Keep the socket."""
         self._transport = transport
 
-    def datagram_received(self, data: bytes, _address: Any) -> None:
-        """Hand a message on."""
+    def datagram_received(self, data: bytes, address: Any) -> None:
+        """Hand a message on, with the host that sent it."""
         message = decode_message(data)
         if message is None:
             log_event("peer_message_unreadable", bytes=len(data))
             return
-        self._on_message(message)
+        self._on_message(message, address[0])
 
     def error_received(self, _error: OSError) -> None:
         """Leave errors alone: silence tells of a lost peer."""
@@ -56,7 +56,7 @@
 
 
 async def create_peer_channel(
-    host: str, port: int, on_message: Callable[[PeerMessage], None]
+    host: str, port: int, on_message: Callable[[PeerMessage, str], None]
 ) -> PeerChannel:
     """Open the socket of an instance."""
     loop = asyncio.get_running_loop()
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -24,13 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HomeStatus:
-    """A home lives, at a revision of the store; it names the other homes that it hears."""
+    """A home lives, at a revision of the store."""
 
     sender: str
     incarnation: str
     ready: bool
     revision: int
-    heard: tuple[str, ...] = ()
+    verified_age_s: float  # since the store's revision was last asked, by any home
+    store_ok: bool  # the store answers this home
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +75,8 @@
         message.incarnation,
         message.ready,
         message.revision,
-        list(message.heard),
+        round(message.verified_age_s * 1000),
+        message.store_ok,
     ]
 
 
@@ -110,8 +112,15 @@
         if version != VERSION:
             return None
         if kind == _STATUS:
-            incarnation, ready, revision, heard = rest
-            return HomeStatus(str(sender), str(incarnation), bool(ready), int(revision), (*heard,))
+            incarnation, ready, revision, age_ms, store_ok = rest
+            return HomeStatus(
+                str(sender),
+                str(incarnation),
+                bool(ready),
+                int(revision),
+                age_ms / 1000,
+                bool(store_ok),
+            )
         if kind == _LOADS:
             return LoadReport(str(sender), tuple(_load_row(row) for row in rest[0]))
         if kind == _CRASH:
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -67,7 +67,7 @@
                     await asyncio.wait_for(changed.wait(), HEARTBEAT_S)
                 except TimeoutError:
                     continue
-        except (OSError, TimeoutError, ValueError, StopIteration):
+        except (OSError, TimeoutError, ValueError, StopIteration, asyncio.CancelledError):
             return
         finally:
             self._followers -= 1
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -33,8 +33,12 @@
 LONGEST_RETRY_S = 0.8  # the store is back for all instances within about that
 UNSTABLE_S = 3.0  # after a failed call the store's removals may be lapses
 PEER_RETRY_S = 0.3
-LAG_S = 0.4  # a change passes from the store to all of its watchers in less
+LAG_S = 0.3  # a change passes from the store to all of its watchers in less
+VERIFY_S = 0.7  # a deaf watch is found out well before a configuration must be in force
+VERIFY_RANK_S = 0.2  # the next home in line verifies this much later, if the first one did not
+NO_KEY = "heatherhead/none/"  # a prefix without keys: its listing tells the store's revision
 CHECK_S = 0.2
+RESTART_S = 1.0  # a watch that lags behind is not started anew more often
 PEER_FRESH_S = 1.0  # two heartbeats of a relay
 
 
@@ -54,19 +58,20 @@
         store: Store,
         prefix: str,
         replica: StoreReplica,
-        watches: Callable[[], bool],
+        verify_rank: Callable[[], int | None],
         peers: Callable[[], list[HostPort]],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._store = store
         self._prefix = prefix
         self._replica = replica
-        self._watches = watches
+        self._verify_rank = verify_rank
         self._peers = peers
         self._backoff = create_backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
         self._failed_at = -1e9
         self._failing_since: float | None = None
         self._peer_heard_at = -1e9
+        self._verified_at = -1e9
         self._lag = _Lag()
         self._tasks: list[asyncio.Task[None]] = []
         self._watch: asyncio.Task[None] | None = None
@@ -76,6 +81,7 @@
         self._tasks = [
             self._loop.create_task(self._keep_watch()),
             self._loop.create_task(self._keep_peer()),
+            self._loop.create_task(self._keep_verified()),
         ]
 
     async def stop(self) -> None:
@@ -101,17 +107,31 @@
         if self._watch is not None:
             self._watch.cancel()
 
+    @property
+    def verified_age_s(self) -> float:
+        """Tell how long ago the store's revision was last asked, here or by another home."""
+        return self._loop.time() - self._verified_at
+
+    def note_verified(self, age_s: float) -> None:
+        """Take in that another home has asked for the store's revision."""
+        self._verified_at = max(self._verified_at, self._loop.time() - age_s)
+
     def note_revision(self, revision: int) -> None:
-        """Take in the revision that a peer holds."""
+        """Take in the revision that a peer, or the store itself, holds."""
         if revision <= self._replica.revision:
             return
         if self._lag.revision <= self._replica.revision:
             self._lag.since = self._loop.time()
         self._lag.revision = max(self._lag.revision, revision)
 
+    def _watches(self) -> bool:
+        return self._verify_rank() is not None
+
     def _lags(self) -> bool:
         lag = self._lag
-        return lag.revision > self._replica.revision and self._loop.time() - lag.since > LAG_S
+        patience_s = LAG_S if self.store_ok else 0.0
+        lagging_s = self._loop.time() - lag.since
+        return lag.revision > self._replica.revision and lagging_s > patience_s
 
     def _wants_store(self) -> bool:
         peer_fresh = self._loop.time() - self._peer_heard_at < PEER_FRESH_S
@@ -121,6 +141,7 @@
         return not self._watches() or self._lags() or not self.store_ok
 
     async def _keep_watch(self) -> None:
+        restarted_at = -1e9
         while True:
             if not self._wants_store():
                 await asyncio.sleep(CHECK_S)
@@ -131,9 +152,14 @@
                 if not self._watch.done() and not self._wants_store():
                     log_event("watch_handed_over", revision=self._replica.revision)
                     self._watch.cancel()
-                elif not self._watch.done() and self._lags():
+                elif (
+                    not self._watch.done()
+                    and self.store_ok
+                    and self._lags()
+                    and self._loop.time() - restarted_at > RESTART_S
+                ):
+                    restarted_at = self._loop.time()
                     log_event("watch_lags", revision=self._replica.revision)
-                    self._lag.since = self._loop.time() + 1.0
                     self._watch.cancel()
             if not self._watch.cancelled():
                 self._watch.result()
@@ -178,7 +204,6 @@
             if not self._wants_peer() or not peers:
                 continue
             peer = peers[number % len(peers)]
-            number += 1
             try:
                 async with asyncio.timeout(None if not self._watches() else PEER_FRESH_S):
                     await follow_peer(peer, self._replica, self._note_peer)
@@ -186,11 +211,31 @@
                 continue  # a home takes only what it lacks
             except RelayError as error:
                 log_event("peer_stream_lost", peer=peer, reason=error)
+                number += 1
                 await asyncio.sleep(PEER_RETRY_S)
 
+    async def _keep_verified(self) -> None:
+        """Ask for the store's revision now and then: a watch may go deaf without an end.
+
+        The first home in line asks; the others do where it has not been heard to.
+        """
+        while True:
+            await asyncio.sleep(CHECK_S / 2)
+            rank = self._verify_rank()
+            if rank is None or self.verified_age_s < VERIFY_S + rank * VERIFY_RANK_S:
+                continue
+            asked_at = self._loop.time()
+            listing = await self._store.read_prefix(NO_KEY)
+            if isinstance(listing, Err):
+                self.note_store_failure(listing.err_value.reason)
+                await asyncio.sleep(self._backoff.next_s())
+                continue
+            self._verified_at = asked_at
+            self.note_revision(listing.ok_value.revision)
+
     def _note_peer(self, revision: int) -> None:
         self._peer_heard_at = self._loop.time()
-        if self._lags():
+        if revision < self._lag.revision and self._lags():
             raise RelayError(f"the peer holds revision {revision}, others a newer one")
 
     def _note_answer(self) -> None:
@@ -211,8 +256,12 @@
     store: Store,
     prefix: str,
     replica: StoreReplica,
-    watches: Callable[[], bool],
+    verify_rank: Callable[[], int | None],
     peers: Callable[[], list[HostPort]],
 ) -> StoreFollower:
-    """Create a follower; must be called inside the running loop."""
-    return StoreFollower(store, prefix, replica, watches, peers)
+    """Create a follower; must be called inside the running loop.
+
+    `verify_rank` gives this instance's place among those that watch the store, None if it is not
+    one of them; `peers` lists whom it may follow.
+    """
+    return StoreFollower(store, prefix, replica, verify_rank, peers)
