Count calls among homes exactly, learn the pace of full upstreams, hedge as soon as one turns slow

Ruled out: connections, transit, waiting for the processor.

Homes now tell each other their calls in flight as they change; the last slot of a service's upstreams is left free where it adds less than a quarter of a slot; a reading that tells of a slower upstream makes its calls be looked at at once; a call that would wait counts those before it.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch.budget import RepeatBudget, create_repeat_budget
+from heatherhead.dispatch.crowding import Crowding
 from heatherhead.dispatch.estimates import UsualSlowdown
 from heatherhead.dispatch.placement import expected_s, place
 from heatherhead.dispatch.returning import ReturnSchedule
@@ -23,6 +24,8 @@
 
 __all__ = ["Dispatcher", "RejectedError", "Slot", "create_dispatcher"]
 
+SLOWER = 1.5  # a speed that fell by that much makes calls in flight late
+STEADY = 0.1  # a speed that changed by less is the same
 TICK_S = 0.02  # waiting calls are placed anew, as beliefs age without an event
 SAME_ZONE_TRANSIT_S = 0.001
 SAME_REGION_TRANSIT_S = 0.003
@@ -48,6 +51,7 @@
     expected_s: float
     slowdown: float
     taken_at: float
+    full_s: float  # of the upstream, when the slot was taken
 
 
 @dataclass(slots=True, eq=False)
@@ -60,6 +64,7 @@
     waiting: WaitingCalls = field(default_factory=WaitingCalls)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     usual: UsualSlowdown = field(default_factory=UsualSlowdown)
+    crowding: Crowding = field(default_factory=Crowding)
 
     def slots(self, now: float) -> float:
         """Estimate how many slots of usual speed the upstreams offer."""
@@ -67,7 +72,7 @@
         for state in self.state_by_id.values():
             if now < state.ejected_until or state.misdirected:
                 continue
-            total += state.entry.slots / max(1.0, state.slowdown_now(now, self.usual.value))
+            total += state.usable_slots / max(1.0, state.slowdown_now(now, self.usual.value))
         return total
 
 
@@ -90,6 +95,8 @@
         self._transit_by_zone: dict[str, float] = {}
         self._numbers = count(1)
         self._tick: asyncio.TimerHandle | None = None
+        self.on_slower: Callable[[UpstreamState], None] = lambda _: None
+        self.on_count: Callable[[UpstreamState], None] = lambda _: None
 
     @property
     def states(self) -> Collection[UpstreamState]:
@@ -131,6 +138,7 @@
             return
         if held is not None:
             held.entry = current
+            self._set_usable_slots(self._service(current.service), held)
         else:
             held = self._add(current)
         if current.warmup_left_s > 0:
@@ -142,9 +150,35 @@
         local_region = self._region_by_zone.get(zone) == self._region
         state = UpstreamState(entry, self._transit_s(zone), zone == self._zone, local_region)
         self._state_by_id[entry.id] = state
-        self._service(entry.service).state_by_id[entry.id] = state
+        service = self._service(entry.service)
+        service.state_by_id[entry.id] = state
+        self._set_usable_slots(service, state)
         return state
 
+    def _set_usable_slots(self, service: _Service, state: UpstreamState) -> None:
+        state.usable_slots = service.crowding.usable_slots(state.entry.slots)
+
+    def note_answer(self, slot: Slot, work_s: float, duration_s: float) -> float | None:
+        """Take in an answer whose work usually takes `work_s`; gives what it took at full pace.
+
+        None where the upstream's speed changed meanwhile, so that the answer tells nothing.
+        """
+        state = slot.state
+        now = self._loop.time()
+        service = self._service(state.entry.service)
+        slowdown = state.slowdown_now(now, service.usual.value) * state.cold_factor(now)
+        if abs(slowdown - slot.slowdown) > STEADY * slot.slowdown:
+            return None
+        pure_s = max(0.001, duration_s - state.transit_s) / slowdown
+        full_share = min(1.0, (state.track(now) - slot.full_s) / max(duration_s, 0.001))
+        before = service.crowding.pace_when_full
+        service.crowding.note(full_share, work_s, pure_s)
+        pace = service.crowding.pace_when_full
+        if (pace < 1.0) != (before < 1.0) or abs(pace - before) > 0.05:
+            for each in service.state_by_id.values():
+                self._set_usable_slots(service, each)
+        return pure_s * (1.0 - full_share * (1.0 - pace))
+
     def _drop(self, state: UpstreamState) -> None:
         del self._state_by_id[state.entry.id]
         self._service(state.entry.service).state_by_id.pop(state.entry.id, None)
@@ -170,8 +204,12 @@
 
     def note_reading(self, state: UpstreamState, reading: LoadReading) -> None:
         """Take in an upstream's load."""
+        before = state.slowdown
         state.note_reading(reading)
         service = self._service(state.entry.service)
+        slower = reading.slowdown is not None and reading.slowdown > SLOWER * (before or 1.0)
+        if slower and state.own_in_flight:
+            self.on_slower(state)
         if reading.slowdown is not None:
             service.usual.note(reading.slowdown)
         if service.waiting.calls:
@@ -216,20 +254,25 @@
         placement = place(states, demand, avoid, now, service.usual.value)
         return placement.expected_s if placement.upstream is not None else None
 
-    def _take(self, service: _Service, demand: Demand, avoid: Collection[str]) -> Slot | None:
+    def _take(
+        self, service: _Service, demand: Demand, avoid: Collection[str], ahead: int = 0
+    ) -> Slot | None:
         now = self._loop.time()
         usual = service.usual.value
-        placement = place(service.state_by_id.values(), demand, avoid, now, usual)
+        placement = place(service.state_by_id.values(), demand, avoid, now, usual, ahead)
         state = placement.upstream
         if state is None:
             return None
+        full_s = state.track(now)
         state.own_in_flight += 1
+        self.on_count(state)
         slot = Slot(
             next(self._numbers),
             state,
             expected_s(state, demand, now, usual),
             state.slowdown_now(now, usual) * state.cold_factor(now),
             now,
+            full_s,
         )
         state.dispatched_at_by_call[slot.number] = (now, slot.expected_s * 1.5)
         return slot
@@ -239,11 +282,41 @@
         state = slot.state
         if state.dispatched_at_by_call.pop(slot.number, None) is None:
             return
+        state.track(self._loop.time())
         state.own_in_flight -= 1
+        self.on_count(state)
         service = self._service(state.entry.service)
         if service.waiting.calls:
             self._place_waiting(service)
 
+    def take_counts(self, peer: str, count_by_id: dict[str, int], *, whole: bool) -> None:
+        """Take in the calls in flight of another home; a whole list leaves out zeros."""
+        now = self._loop.time()
+        freed = set()
+        for state in self._state_by_id.values():
+            count = count_by_id.get(state.entry.id, 0 if whole else None)
+            held = state.told_by_peer.get(peer, 0)
+            if count is None or count == held:
+                continue
+            state.track(now)
+            if count:
+                state.told_by_peer[peer] = count
+            else:
+                del state.told_by_peer[peer]
+            if count < held:
+                freed.add(state.entry.service)
+        for name in freed:
+            service = self._service(name)
+            if service.waiting.calls:
+                self._place_waiting(service)
+
+    def forget_peers(self, heard: Collection[str]) -> None:
+        """Drop the counts of homes that are no longer heard."""
+        for state in self._state_by_id.values():
+            for peer in [each for each in state.told_by_peer if each not in heard]:
+                state.track(self._loop.time())
+                del state.told_by_peer[peer]
+
     def _check_hopeful(self, service: _Service, demand: Demand, now: float) -> None:
         slots = service.slots(now)
         ahead = service.waiting.ahead_of(demand)
@@ -281,11 +354,9 @@
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
                 call.future.set_exception(RejectedError("no slot in time", retry_s))
-        for call in service.waiting.in_order(now):
-            slot = self._take(service, call.demand, call.avoid)
+        for ahead, call in enumerate(service.waiting.in_order(now)):
+            slot = self._take(service, call.demand, call.avoid, ahead)
             if slot is None:
-                if not call.avoid:
-                    break
                 continue
             service.waiting.discard(call)
             if call.future.done():
--- a/heatherhead/dispatch/estimates.py
+++ b/heatherhead/dispatch/estimates.py
@@ -21,12 +21,14 @@
     answer_bytes: float = FIRST_BYTES
     answers: int = 0
 
-    def note(self, work_s: float, answer_bytes: int) -> None:
-        """Take in an answer; `work_s` is its time divided by the upstream's slowdown."""
+    def note(self, work_s: float | None, answer_bytes: int) -> None:
+        """Take in an answer; `work_s` is what it took at usual speed, None if that is unknown."""
+        self.answer_bytes += WEIGHT * (answer_bytes - self.answer_bytes)
+        if work_s is None:
+            return
         self.answers += 1
         weight = max(WEIGHT, 1.0 / self.answers) if self.answers <= FIRST_ANSWERS else WEIGHT
         self.work_s += weight * (work_s - self.work_s)
-        self.answer_bytes += weight * (answer_bytes - self.answer_bytes)
 
 
 @dataclass(slots=True)
--- a/heatherhead/dispatch/hedging.py
+++ b/heatherhead/dispatch/hedging.py
@@ -14,7 +14,7 @@
 __all__ = ["CHECK_INTERVAL_S", "first_check_s", "worth_hedging"]
 
 CHECK_INTERVAL_S = 0.04
-OVERDUE = 1.4  # times the expected duration; about the 95th percentile of usual work
+OVERDUE = 1.25  # times the expected duration; about the 80th percentile of usual work
 MIN_CHECK_S = 0.03
 
 
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -59,25 +59,32 @@
     avoid: Collection[str],
     now: float,
     usual: float,
+    ahead: int = 0,
 ) -> Placement:
-    """Choose an upstream; see the module."""
+    """Choose an upstream for a call that has `ahead` waiting calls before it; see the module."""
     best: UpstreamState | None = None
     best_cost_s = float("inf")
     best_answer_s = 0.0
     soonest_cost_s = float("inf")
+    soonest_turnover_s = 0.0
+    full = 0
     for state in states:
         if state.entry.id in avoid or state.misdirected or now < state.ejected_until:
             continue
         answer_s = expected_s(state, demand, now, usual)
         cost_s = _cost_s(state, demand, now, answer_s)
-        free = state.entry.slots - state.occupancy(now)
+        free = state.free_slots(now)
         if free > 0:
             cost_s += 0.002 * state.occupancy(now)  # spreads calls among equals
             if cost_s < best_cost_s:
                 best, best_cost_s, best_answer_s = state, cost_s, answer_s
         else:
-            turnover_s = (answer_s - state.transit_s) / state.entry.slots
+            turnover_s = (answer_s - state.transit_s) / max(1, state.usable_slots)
+            full += 1
+            soonest_turnover_s = min(soonest_turnover_s, turnover_s)
             soonest_cost_s = min(soonest_cost_s, cost_s + turnover_s * (1 - free))
+    if full:
+        soonest_cost_s += ahead * soonest_turnover_s / full
     if best is None:
         reason = "all upstreams are full" if soonest_cost_s < float("inf") else "no upstream"
         return Placement(None, soonest_cost_s, reason)
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -17,7 +17,8 @@
 
 SPEED_FRESH_S = 0.12  # between two readings of a home
 SPEED_HALF_LIFE_S = 0.4  # spells of slowness last about half a second
-OTHERS_FRESH_S = 0.6  # calls of other instances are done after that
+UNEXPLAINED_S = 0.3  # calls of unknown origin are taken to be done after that
+UNREAD_S = 3.0  # without a reading for that long, nobody here reads the upstream
 FAILURE_HALF_LIFE_S = 2.5  # failing upstreams are tried again every few seconds
 FAILURE_WEIGHT = 0.3  # of the latest outcome
 COLD_FACTOR = 2.0  # how much longer work takes on an upstream that has just started
@@ -46,8 +47,9 @@
     local_region: bool
     cold_until: float = 0.0
     own_in_flight: int = 0
-    others_in_flight: int = 0
-    others_at: float = -1.0
+    told_by_peer: dict[str, int] = field(default_factory=dict)  # calls in flight of other homes
+    unexplained: int = 0  # calls that neither this instance nor its peers sent
+    read_at: float = -1.0
     slowdown: float | None = None
     slowdown_at: float = -1.0
     failure_share: float = 0.0
@@ -55,6 +57,9 @@
     ejected_until: float = 0.0
     ejections: int = 0
     misdirected: bool = False  # another upstream answers at its address
+    usable_slots: int = 1
+    full_s: float = 0.0  # time with all slots taken, up to `tracked_at`
+    tracked_at: float = 0.0
     dispatched_at_by_call: dict[int, tuple[float, float]] = field(default_factory=dict)
 
     def note_reading(self, reading: LoadReading) -> None:
@@ -62,14 +67,34 @@
         if reading.slowdown is not None and reading.read_at > self.slowdown_at:
             self.slowdown = reading.slowdown
             self.slowdown_at = reading.read_at
-        if reading.read_at > self.others_at:
-            self.others_in_flight = max(0, reading.running + reading.waiting - self.own_in_flight)
-            self.others_at = reading.read_at
+        if reading.read_at > self.read_at:
+            self.track(reading.read_at)
+            explained = self.own_in_flight + sum(self.told_by_peer.values())
+            self.unexplained = max(0, reading.running + reading.waiting - explained)
+            self.read_at = reading.read_at
 
     def occupancy(self, now: float) -> int:
         """Count the calls that it is believed to hold."""
-        others = self.others_in_flight if now - self.others_at < OTHERS_FRESH_S else 0
-        return self.own_in_flight + others
+        told = sum(self.told_by_peer.values()) if self.told_by_peer else 0
+        unexplained = self.unexplained if now - self.read_at < UNEXPLAINED_S else 0
+        return self.own_in_flight + told + unexplained
+
+    def track(self, now: float) -> float:
+        """Count up the time with all slots taken; call it before the occupancy changes."""
+        if now > self.tracked_at:
+            if self.occupancy(self.tracked_at) >= self.entry.slots:
+                self.full_s += now - self.tracked_at
+            self.tracked_at = now
+        return self.full_s
+
+    def free_slots(self, now: float) -> int:
+        """Count the slots that a call may take; none or less: it is full.
+
+        Without a word of its load the upstream is taken to be half full of others' calls.
+        """
+        if self.read_at < now - UNREAD_S:
+            return self.usable_slots - self.own_in_flight - self.usable_slots // 2
+        return self.usable_slots - self.occupancy(now)
 
     def slowdown_now(self, now: float, usual: float) -> float:
         """Estimate how much longer than usual work takes; `usual` is the service's average."""
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -17,7 +17,13 @@
 from heatherhead.fleet.home_view import create_home_view
 from heatherhead.fleet.members import create_member_table, own_member
 from heatherhead.fleet.peer_channel import create_peer_channel
-from heatherhead.fleet.peer_messages import CrashNotice, HomeStatus, LeaveNotice, LoadReport
+from heatherhead.fleet.peer_messages import (
+    CallCounts,
+    CrashNotice,
+    HomeStatus,
+    LeaveNotice,
+    LoadReport,
+)
 from heatherhead.fleet.relay import create_relay_server
 from heatherhead.fleet.replica import create_store_replica
 from heatherhead.fleet.store_follower import create_store_follower
@@ -127,6 +133,9 @@
             self.members, self.homes, self.replica, channel, self.follower
         )
         self.exchange.on_tick = self._on_tick
+        self.dispatcher.on_count = lambda state: self.exchange.set_count(
+            state.entry.id, state.own_in_flight
+        )
         relay = await asyncio.start_server(self.relay.serve, settings.host, settings.peer_port)
         self._servers.append(relay)
         self.exchange.start()
@@ -163,6 +172,7 @@
     def _on_tick(self) -> None:
         self.homes.own_ready = self.ready
         self.reader.update()
+        self.dispatcher.forget_peers(self.homes.heard_lately())
         self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
 
     def _verify_rank(self) -> int | None:
@@ -208,6 +218,8 @@
             self.follower.note_revision(message.revision)
         elif isinstance(message, LoadReport):
             self._take_loads(message)
+        elif isinstance(message, CallCounts):
+            self.dispatcher.take_counts(message.sender, message.count_by_id, whole=message.whole)
         elif isinstance(message, CrashNotice):
             self.crashes.note_crash(message.fingerprint, self._loop.time(), message.crashes)
             log_event("crash_told", fingerprint=message.fingerprint, crashes=message.crashes)
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -7,6 +7,7 @@
 
 from heatherhead.fleet.home_view import STATUS_S
 from heatherhead.fleet.peer_messages import (
+    CallCounts,
     CrashNotice,
     HomeStatus,
     LeaveNotice,
@@ -25,6 +26,7 @@
 
 __all__ = ["FleetExchange", "create_fleet_exchange"]
 
+COUNTS_S = 0.002  # changes of that time go out in one datagram; about a zone's round trip
 REPORT_S = 0.04  # readings of that time go out in one datagram
 LONGEST_AGE_S = 60.0  # older is told as that
 MAX_ROWS = 40  # of a datagram; fits one packet
@@ -48,6 +50,9 @@
         self._channel = channel
         self._follower = follower
         self._reading_by_id: dict[str, LoadReading] = {}
+        self._count_by_id: dict[str, int] = {}  # non-zero
+        self._changed_ids: set[str] = set()
+        self._counts: asyncio.TimerHandle | None = None
         self._report: asyncio.TimerHandle | None = None
         self._status: asyncio.TimerHandle | None = None
         self.on_tick: Callable[[], None] = lambda: None
@@ -58,7 +63,7 @@
 
     def stop(self) -> None:
         """Stop telling."""
-        for timer in (self._report, self._status):
+        for timer in (self._report, self._status, self._counts):
             if timer is not None:
                 timer.cancel()
         self._channel.close()
@@ -69,6 +74,27 @@
         if self._report is None:
             self._report = self._loop.call_later(REPORT_S, self._tell_loads)
 
+    def set_count(self, upstream_id: str, count: int) -> None:
+        """Tell the other homes of the region how many calls this one has at an upstream."""
+        if count:
+            self._count_by_id[upstream_id] = count
+        else:
+            self._count_by_id.pop(upstream_id, None)
+        self._changed_ids.add(upstream_id)
+        if self._counts is None and self._homes.is_home():
+            self._counts = self._loop.call_later(COUNTS_S, self._tell_counts)
+
+    def _tell_counts(self) -> None:
+        self._counts = None
+        counts = {each: self._count_by_id.get(each, 0) for each in self._changed_ids}
+        self._changed_ids.clear()
+        own = self._members.own
+        self._channel.send(self._co_homes(), CallCounts(own.id, False, counts))
+
+    def _co_homes(self) -> list[Member]:
+        own_id = self._members.own.id
+        return [home for home in self._homes.current if home.id != own_id]
+
     def tell_crash(self, fingerprint: int, crashes: int) -> None:
         """Tell all instances of a request that crashes upstreams."""
         notice = CrashNotice(self._members.own.id, fingerprint, crashes)
@@ -104,6 +130,8 @@
         )
         self._channel.send(self._others(own.region), status)
         self._channel.send(self._far_homes(), status)
+        # Whole lists repair what was lost on the way.
+        self._channel.send(self._co_homes(), CallCounts(own.id, True, self._count_by_id))
 
     def _far_homes(self) -> list[Member]:
         """List the homes of other regions, by rank and by what is heard of them."""
@@ -119,7 +147,7 @@
     def _tell_loads(self) -> None:
         self._report = None
         own_id = self._members.own.id
-        peers = [home for home in self._homes.homes() if home.id != own_id]
+        peers = self._co_homes()
         now = self._loop.time()
         rows = [
             (upstream_id, each.running, each.waiting, each.slots, each.slowdown, now - each.read_at)
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -54,6 +54,7 @@
         self.own_ready = False
         self.own_leaving = False
         self._home_ids: tuple[str, ...] = ()
+        self.current: list[Member] = []  # as of the last look
 
     def take_status(self, status: HomeStatus, host: str) -> None:
         """Take in that a home lives."""
@@ -82,6 +83,7 @@
         self._zones = len({each.availability_zone for each in members})
         homes = choose_homes(members, own.region, self._unusable(members, now), self._zones)
         self._watch_silence(homes, now)
+        self.current = homes
         ids = tuple(each.id for each in homes)
         if ids != self._home_ids:
             self._home_ids = ids
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -9,6 +9,7 @@
 import msgpack
 
 __all__ = [
+    "CallCounts",
     "CrashNotice",
     "HomeStatus",
     "LeaveNotice",
@@ -19,7 +20,7 @@
 ]
 
 VERSION = 1
-_STATUS, _LOADS, _CRASH, _LEAVE = range(4)
+_STATUS, _LOADS, _CRASH, _LEAVE, _COUNTS = range(5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,15 @@
     rows: tuple[tuple[str, int, int, int, float | None, float], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class CallCounts:
+    """Calls that a home has in flight, by upstream; a whole list leaves out zeros."""
+
+    sender: str
+    whole: bool
+    count_by_id: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
     """A request has crashed upstreams so often."""
@@ -59,7 +69,7 @@
     incarnation: str
 
 
-PeerMessage = HomeStatus | LoadReport | CrashNotice | LeaveNotice
+PeerMessage = HomeStatus | LoadReport | CallCounts | CrashNotice | LeaveNotice
 
 
 @singledispatch
@@ -89,6 +99,11 @@
     return [_LOADS, message.sender, rows]
 
 
+@_row_of.register
+def _(message: CallCounts) -> list[Any]:
+    return [_COUNTS, message.sender, message.whole, message.count_by_id]
+
+
 @_row_of.register
 def _(message: CrashNotice) -> list[Any]:
     return [_CRASH, message.sender, message.fingerprint, message.crashes]
@@ -123,6 +138,9 @@
             )
         if kind == _LOADS:
             return LoadReport(str(sender), tuple(_load_row(row) for row in rest[0]))
+        if kind == _COUNTS:
+            counts = {str(name): int(count) for name, count in rest[1].items()}
+            return CallCounts(str(sender), bool(rest[0]), counts)
         if kind == _CRASH:
             return CrashNotice(str(sender), int(rest[0]), int(rest[1]))
         if kind == _LEAVE:
--- a/heatherhead/platform/__main__.py
+++ b/heatherhead/platform/__main__.py
@@ -15,7 +15,7 @@
 from heatherhead.platform.settings_file import read_settings, settings_path
 from heatherhead.platform.store import create_platform_store
 from heatherhead.runtime import create_loop, tune_garbage_collector
-from heatherhead.telemetry.logs import configure_logs
+from heatherhead.telemetry.bounded_logs import configure_bounded_logs
 
 EXIT_SETTINGS = 2
 
@@ -46,7 +46,7 @@
 
 def main() -> None:
     """Run until SIGTERM."""
-    configure_logs("INFO")
+    configure_bounded_logs("INFO")
     tune_garbage_collector()
     try:
         with asyncio.Runner(loop_factory=create_loop) as runner:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -17,6 +17,7 @@
 from heatherhead.proxy.messages import Answer, end_to_end, own_answer
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
+from heatherhead.telemetry.bounded_logs import log_routine
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -76,7 +77,8 @@
     tried: set[str] = field(default_factory=set)
     sent: int = 0
     maybe_ran: bool = False
-    slot_by_task: dict[asyncio.Task[_Outcome], Slot] = field(default_factory=dict)
+    slot_by_task: dict[asyncio.Future[_Outcome], Slot] = field(default_factory=dict)
+    wake: asyncio.Future[None] | None = None  # done when an upstream of the call turned slow
     last: _Outcome | None = None
 
 
@@ -100,6 +102,8 @@
         self._crashes = crashes
         self._tell_crash = tell_crash
         self._estimate_by_route: dict[str, RouteEstimate] = {}
+        self._runs_by_upstream: dict[str, set[_Run]] = {}
+        dispatcher.on_slower = self._on_slower
         self.refuses = False  # set while the instance ends
 
     async def handle(self, exchange: Exchange) -> Answer:
@@ -188,9 +192,14 @@
             if now >= until:
                 return self._timed_out(run)
             check_s = min(until - now, self._next_check_s(run, now))
+            if run.wake is None or run.wake.done():
+                run.wake = self._loop.create_future()
             done, _ = await asyncio.wait(
-                run.slot_by_task, timeout=check_s, return_when=asyncio.FIRST_COMPLETED
+                [*run.slot_by_task, run.wake],
+                timeout=check_s,
+                return_when=asyncio.FIRST_COMPLETED,
             )
+            done.discard(run.wake)
             for task in done:
                 del run.slot_by_task[task]
                 outcome = task.result()
@@ -220,7 +229,24 @@
         return None
 
     def _launch(self, run: _Run, slot: Slot) -> None:
+        now = self._loop.time()
+        state = slot.state
+        log_routine(
+            "placed",
+            id=run.demand.request_id,
+            service=run.demand.service,
+            upstream=state.entry.id,
+            waited_s=f"{now - run.demand.received_at:.3f}",
+            expected_s=f"{slot.expected_s:.3f}",
+            slowdown=f"{slot.slowdown:.2f}",
+            slowdown_age_s=f"{min(99.0, now - state.slowdown_at):.3f}",
+            occupancy=state.occupancy(now),
+            own=state.own_in_flight,
+            slots=state.usable_slots,
+            attempt=run.sent + 1,
+        )
         run.tried.add(slot.state.entry.id)
+        self._runs_by_upstream.setdefault(state.entry.id, set()).add(run)
         task = self._loop.create_task(self._send(run, slot))
         run.slot_by_task[task] = slot
 
@@ -231,6 +257,12 @@
         due = slot.taken_at + first_check_s(slot.expected_s)
         return max(due - now, CHECK_INTERVAL_S)
 
+    def _on_slower(self, state: UpstreamState) -> None:
+        """Look again at the calls in flight at an upstream that has just turned slow."""
+        for run in self._runs_by_upstream.get(state.entry.id, ()):
+            if run.wake is not None and not run.wake.done():
+                run.wake.set_result(None)
+
     def _may_repeat(self, run: _Run) -> bool:
         return run.demand.idempotent and run.sent < run.route.max_attempts
 
@@ -311,6 +343,10 @@
         try:
             return await self._send_on(run, slot)
         finally:
+            runs = self._runs_by_upstream[slot.state.entry.id]
+            runs.discard(run)
+            if not runs:
+                del self._runs_by_upstream[slot.state.entry.id]
             self._dispatcher.release(slot)
 
     async def _send_on(self, run: _Run, slot: Slot) -> _Outcome:
@@ -381,8 +417,18 @@
         state.note_outcome(failed, now)
         if failed:
             return _Outcome(_End.FAILED, f"status {answer.status}", answer)
-        work_s = max(0.001, (duration_s - state.transit_s) / slot.slowdown)
-        self._estimate(run.route).note(work_s, len(answer.body))
+        log_routine(
+            "answered",
+            id=run.demand.request_id,
+            upstream=state.entry.id,
+            status=answer.status,
+            upstream_s=f"{duration_s:.3f}",
+            total_s=f"{now - run.demand.received_at:.3f}",
+            in_target=now <= run.demand.target_at,
+        )
+        estimate = self._estimate(run.route)
+        work_s = self._dispatcher.note_answer(slot, estimate.work_s, duration_s)
+        estimate.note(work_s, len(answer.body))
         return _Outcome(_End.ANSWERED, "answered", answer)
 
     def _refused(
