--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -66,7 +66,7 @@
     best_cost_s = float("inf")
     best_answer_s = 0.0
     soonest_cost_s = float("inf")
-    soonest_turnover_s = 0.0
+    soonest_turnover_s = float("inf")
     full = 0
     for state in states:
         if state.entry.id in avoid or state.misdirected or now < state.ejected_until:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -34,7 +34,7 @@
     from heatherhead.routes.model import Route
     from heatherhead.routes.table import RouteTable
 
-__all__ = ["Forwarder", "create_forwarder"]
+__all__ = ["Forwarder", "create_forwarder", "fingerprint_of"]
 
 DEFAULT_PATIENCE_S = 30.0  # of callers that name none
 TIMEOUT_GRACE_S = 0.1  # an answer that is just under way is still taken
@@ -167,7 +167,7 @@
             idempotent=route.idempotent,
             request_id=request_id or "",
         )
-        return _Run(call, route, demand, patient_until, _fingerprint(call), exchange)
+        return _Run(call, route, demand, patient_until, fingerprint_of(call), exchange)
 
     async def _run(self, run: _Run) -> Answer:
         now = self._loop.time()
@@ -532,7 +532,8 @@
     return signs.authentic and signs.request_id == run.demand.request_id
 
 
-def _fingerprint(call: HttpCall) -> int:
+def fingerprint_of(call: HttpCall) -> int:
+    """Number a request by what an upstream would see of it, the same on every instance."""
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     digest.update(f"{call.method} {call.target} ".encode("utf-8", "surrogateescape"))
     digest.update(call.body)
--- /dev/null
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -0,0 +1,194 @@
+"""Tests of the pure decisions of `heatherhead.dispatch`."""
+
+from __future__ import annotations
+
+import asyncio
+
+from heatherhead.dispatch.budget import create_repeat_budget
+from heatherhead.dispatch.crashes import create_crash_table
+from heatherhead.dispatch.crowding import Crowding
+from heatherhead.dispatch.hedging import worth_hedging
+from heatherhead.dispatch.placement import place
+from heatherhead.dispatch.returning import ReturnSchedule
+from heatherhead.dispatch.upstream_state import LoadReading
+from heatherhead.dispatch.waiting import WaitingCall, WaitingCalls
+from heatherhead.tests.dispatch.fakes import create_demand, create_state
+
+NOW = 100.0
+USUAL = 2.0
+
+
+def test_fresh_reading_of_a_slow_machine_keeps_calls_away() -> None:
+    slow, quick = create_state("slow", 7.0), create_state("quick", 1.0, own=2)
+    assert place([slow, quick], create_demand(), (), NOW, USUAL).upstream is quick
+
+
+def test_reading_fades_into_the_average_of_the_service() -> None:
+    state = create_state("slow", 7.0)
+    assert state.slowdown_now(NOW + 0.1, USUAL) == 7.0
+    assert 2.0 < state.slowdown_now(NOW + 1.0, USUAL) < 4.0
+    assert abs(state.slowdown_now(NOW + 10.0, USUAL) - USUAL) < 0.01
+
+
+def test_call_waits_for_a_fast_upstream_rather_than_take_a_slow_one() -> None:
+    slow, full = create_state("slow", 7.0), create_state("full", 1.0, own=4)
+    placement = place([slow, full], create_demand(), (), NOW, USUAL)
+    assert placement.upstream is None
+    assert "soon free" in placement.reason
+
+
+def test_call_behind_many_others_takes_the_slow_one() -> None:
+    slow, full = create_state("slow", 7.0), create_state("full", 1.0, own=4)
+    assert place([slow, full], create_demand(), (), NOW, USUAL, ahead=40).upstream is slow
+
+
+def test_upload_stays_in_its_zone_and_a_small_call_does_not_care() -> None:
+    near = create_state("near", 1.0, own=1)
+    far = create_state("far", 1.0, local_zone=False, transit_s=0.002)
+    near_slow = create_state("near", 2.0)
+    upload = create_demand(size_bytes=60_000)
+    assert place([near, far], upload, (), NOW, USUAL).upstream is near
+    assert place([near_slow, far], create_demand(), (), NOW, USUAL).upstream is far
+
+
+def test_other_region_serves_only_where_the_own_one_would_be_later() -> None:
+    far = create_state("far", 1.0, local_zone=False, local_region=False, transit_s=0.045)
+    assert (
+        place([create_state("near", 1.5), far], create_demand(), (), NOW, USUAL).upstream is not far
+    )
+    assert place([create_state("near", 7.0), far], create_demand(), (), NOW, USUAL).upstream is far
+
+
+def test_upstream_that_nobody_reads_is_taken_to_be_half_full() -> None:
+    state = create_state("unread", 1.0, now=0.0)
+    assert state.free_slots(NOW) == 2
+    state.own_in_flight = 2
+    assert state.free_slots(NOW) == 0
+
+
+def test_failing_upstream_is_passed_over_until_it_recovers() -> None:
+    failing, well = create_state("failing"), create_state("well", 2.0)
+    for _ in range(5):
+        failing.note_outcome(True, NOW)
+    assert place([failing, well], create_demand(), (), NOW, USUAL).upstream is well
+    later = NOW + 12.0
+    for state in (failing, well):
+        state.note_reading(LoadReading(0, 0, 4, state.slowdown, later))
+    assert place([failing, well], create_demand(now=later), (), later, USUAL).upstream is failing
+
+
+def test_ejections_grow_and_end_with_a_success() -> None:
+    state = create_state("dark")
+    state.eject(NOW)
+    first_s = state.ejected_until - NOW
+    state.eject(NOW)
+    assert state.ejected_until - NOW == 2 * first_s
+    state.note_outcome(False, NOW)
+    state.eject(NOW)
+    assert state.ejected_until - NOW == first_s
+
+
+def test_calls_told_by_peers_count_and_calls_of_unknown_origin_count_for_a_while() -> None:
+    state = create_state("shared", own=1)
+    state.told_by_peer["p"] = 2
+    state.note_reading(LoadReading(4, 0, 4, 1.0, NOW + 0.01))
+    assert state.occupancy(NOW + 0.02) == 4
+    assert state.occupancy(NOW + 1.0) == 3
+
+
+def _waiting(loop: asyncio.AbstractEventLoop, **changes: object) -> WaitingCall:
+    return WaitingCall(create_demand(**changes), (), loop.create_future(), NOW)  # type: ignore[arg-type]
+
+
+def test_burst_serves_calls_that_can_be_in_time_before_late_ones() -> None:
+    loop = asyncio.new_event_loop()
+    waiting = WaitingCalls()
+    late = _waiting(loop, target_at=NOW + 0.01, priority=0)
+    urgent = _waiting(loop, target_at=NOW + 0.5, priority=0)
+    soon = _waiting(loop, target_at=NOW + 0.2, priority=1)
+    sooner = _waiting(loop, target_at=NOW + 0.1, priority=1)
+    for call in (late, soon, sooner, urgent):
+        waiting.add(call)
+    assert waiting.in_order(NOW) == [urgent, sooner, soon, late]
+    loop.close()
+
+
+def test_call_whose_work_can_no_longer_end_is_found() -> None:
+    loop = asyncio.new_event_loop()
+    waiting = WaitingCalls()
+    hopeless = _waiting(loop, give_up_at=NOW + 0.05)
+    waiting.add(hopeless)
+    waiting.add(_waiting(loop))
+    assert waiting.hopeless(NOW) == [hopeless]
+    loop.close()
+
+
+def test_refused_callers_come_back_one_after_the_other() -> None:
+    schedule = ReturnSchedule()
+    times = [schedule.next_return_s(NOW, 0.1, 0.02) for _ in range(5)]
+    steps = [round(later - earlier, 3) for earlier, later in zip(times, times[1:], strict=False)]
+    assert round(times[0], 6) >= 0.1
+    assert steps == [0.02] * 4
+
+
+def test_budget_bounds_repeats_of_all_instances_in_any_window() -> None:
+    budgets = [create_repeat_budget(0.2, 10.0, 56.0, instances=4) for _ in range(4)]
+    calls = repeats = 0
+    for step in range(1000):
+        now = NOW + step * 0.01
+        budget = budgets[step % 4]
+        budget.note_call(now)
+        calls += 1
+        repeats += budget.take(now) + budget.take(now)
+    assert repeats <= 0.2 * calls + 56.0
+
+
+def test_budget_forgets_what_left_the_window() -> None:
+    budget = create_repeat_budget(0.0, 10.0, 4.0, instances=1)
+    assert [budget.take(NOW) for _ in range(3)] == [True, True, False]
+    assert budget.take(NOW + 10.1)
+
+
+def test_last_slot_is_left_free_where_full_upstreams_work_slower() -> None:
+    crowding = Crowding()
+    for share in (0.0, 1.0, 0.5, 1.0, 0.0, 1.0):
+        crowding.note(share, 0.09, 0.09 * (1.0 + 0.7 * share))
+    assert abs(crowding.pace_when_full - 1 / 1.7) < 0.01
+    assert crowding.usable_slots(3) == 2
+    assert crowding.usable_slots(1) == 1
+
+
+def test_last_slot_is_used_where_full_upstreams_keep_their_pace() -> None:
+    crowding = Crowding()
+    for _ in range(20):
+        crowding.note(1.0, 0.06, 0.061)
+    assert crowding.usable_slots(4) == 4
+
+
+def test_second_attempt_goes_out_when_the_first_upstream_turned_slow() -> None:
+    demand = create_demand()
+    assert worth_hedging(demand, NOW + 0.03, 0.03, slowdown=7.0, second_s=0.07)
+    assert not worth_hedging(demand, NOW + 0.03, 0.03, slowdown=1.0, second_s=0.07)
+
+
+def test_no_second_attempt_where_it_would_end_no_sooner() -> None:
+    demand = create_demand()
+    assert not worth_hedging(demand, NOW + 0.3, 0.3, slowdown=7.0, second_s=0.4)
+    assert not worth_hedging(demand, NOW + 0.98, 0.98, slowdown=7.0, second_s=0.07)
+
+
+def test_request_that_crashed_three_upstreams_is_held_back_for_a_while() -> None:
+    table = create_crash_table()
+    assert [table.note_crash(7, NOW) for _ in range(2)] == [1, 2]
+    assert not table.quarantined(7, NOW)
+    table.note_crash(7, NOW)
+    assert table.quarantined(7, NOW + 1)
+    assert not table.quarantined(7, NOW + 61)
+
+
+def test_crashes_that_peers_tell_count_and_an_answer_clears() -> None:
+    table = create_crash_table()
+    table.note_crash(7, NOW, crashes=3)
+    assert table.quarantined(7, NOW)
+    table.note_answer(7)
+    assert not table.quarantined(7, NOW)
--- /dev/null
+++ b/heatherhead/tests/dispatch/replay_tests.py
@@ -0,0 +1,250 @@
+"""Replays patterns of load against the dispatcher on a paused clock, beside simple baselines."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+from heatherhead.dispatch.dispatcher import Dispatcher, RejectedError, create_dispatcher
+from heatherhead.dispatch.upstream_state import LoadReading
+from heatherhead.tests.base import run_paused
+from heatherhead.tests.dispatch.fakes import create_demand, create_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WORK_S = 0.06
+TARGET_S = 0.2
+GIVE_UP_S = 1.0
+READ_S = 0.1
+SPELL_S = 0.5
+STEP_S = 0.01
+
+
+@dataclass(eq=False)
+class _Upstream:
+    """A server with slots whose pace changes; calls beyond the slots queue at it."""
+
+    name: str
+    slots: int
+    slowdown: float = 1.0
+    in_flight: int = 0
+    full_pace: float = 1.0
+    free: asyncio.Semaphore = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.free = asyncio.Semaphore(self.slots)
+
+    async def run(self, work_s: float) -> None:
+        """Wait for a slot and work in small steps, each at the pace of its moment."""
+        self.in_flight += 1
+        async with self.free:
+            done_s = 0.0
+            while done_s < work_s:
+                await asyncio.sleep(STEP_S)
+                pace = self.full_pace if self.in_flight >= self.slots else 1.0
+                done_s += STEP_S * pace / self.slowdown
+        self.in_flight -= 1
+
+
+@dataclass
+class _Pattern:
+    """Servers and the load on them."""
+
+    upstreams: list[_Upstream]
+    calls_per_s: Callable[[float], float]
+    slow_share: float = 0.25
+    length_s: float = 20.0
+
+
+async def _spells(pattern: _Pattern, rng: Random) -> None:
+    while True:
+        for upstream in pattern.upstreams:
+            upstream.slowdown = 7.0 if rng.random() < pattern.slow_share else 1.0
+        await asyncio.sleep(SPELL_S)
+
+
+async def _readings(pattern: _Pattern, dispatcher: Dispatcher) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        for upstream in pattern.upstreams:
+            state = dispatcher.state(upstream.name)
+            assert state is not None
+            running = min(upstream.in_flight, upstream.slots)
+            reading = LoadReading(
+                running,
+                upstream.in_flight - running,
+                upstream.slots,
+                upstream.slowdown,
+                loop.time(),
+            )
+            dispatcher.note_reading(state, reading)
+        await asyncio.sleep(READ_S)
+
+
+async def _replay(pattern: _Pattern, choose: str) -> float:
+    """Give the share of calls that were answered within the target."""
+    loop = asyncio.get_running_loop()
+    rng = Random(7)
+    dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+    by_name = {upstream.name: upstream for upstream in pattern.upstreams}
+    for upstream in pattern.upstreams:
+        dispatcher.on_entry(None, create_entry(upstream.name, slots=upstream.slots))
+    background = [
+        loop.create_task(_spells(pattern, rng)),
+        loop.create_task(_readings(pattern, dispatcher)),
+    ]
+    in_target = 0
+
+    async def call() -> None:
+        nonlocal in_target
+        began = loop.time()
+        work_s = WORK_S * (0.7 + 0.6 * rng.random())
+        if choose == "dispatcher":
+            demand = create_demand(began, target_at=began + TARGET_S, give_up_at=began + GIVE_UP_S)
+            try:
+                slot = await dispatcher.acquire(demand, ())
+            except RejectedError:
+                return
+            await by_name[slot.state.entry.id].run(work_s)
+            dispatcher.note_answer(slot, WORK_S, loop.time() - slot.taken_at)
+            dispatcher.release(slot)
+        elif choose == "least":
+            upstream = min(pattern.upstreams, key=lambda each: (each.in_flight, rng.random()))
+            await upstream.run(work_s)
+        else:
+            await rng.choice(pattern.upstreams).run(work_s)
+        in_target += loop.time() - began <= TARGET_S
+
+    calls = []
+    start = loop.time()
+    while (elapsed := loop.time() - start) < pattern.length_s:
+        calls.append(loop.create_task(call()))
+        await asyncio.sleep(rng.expovariate(pattern.calls_per_s(elapsed)))
+    await asyncio.gather(*calls)
+    for task in background:
+        task.cancel()
+    return in_target / len(calls)
+
+
+def _shares(create_pattern: Callable[[], _Pattern]) -> tuple[float, float, float]:
+    """Replay with the dispatcher, the least loaded upstream and a random one."""
+    dispatcher = run_paused(_replay(create_pattern(), "dispatcher"))
+    least = run_paused(_replay(create_pattern(), "least"))
+    random = run_paused(_replay(create_pattern(), "random"))
+    return dispatcher, least, random
+
+
+def test_spells_of_slowness_cost_a_third_of_what_they_cost_the_baselines() -> None:
+    def create() -> _Pattern:
+        return _Pattern([_Upstream(f"u{n}", 4) for n in range(6)], lambda _: 80.0)
+
+    dispatcher, least, random = _shares(create)
+    assert 1 - dispatcher <= (1 - least) / 3
+    assert 1 - dispatcher <= (1 - random) / 3
+
+
+def test_burst_of_seventeen_tenths_is_borne_better_than_by_the_baselines() -> None:
+    def create() -> _Pattern:
+        upstreams = [_Upstream(f"u{n}", 4) for n in range(6)]
+        return _Pattern(upstreams, lambda at: 230.0 if 8.0 < at < 13.0 else 135.0)
+
+    dispatcher, least, random = _shares(create)
+    assert 1 - dispatcher <= (1 - least) / 2
+    assert 1 - dispatcher <= (1 - random) / 2
+
+
+def test_upstreams_that_slow_down_when_full_are_not_filled() -> None:
+    def create() -> _Pattern:
+        upstreams = [_Upstream(f"u{n}", 3, full_pace=1 / 1.7) for n in range(6)]
+        return _Pattern(upstreams, lambda _: 80.0, slow_share=0.2)  # half of what they can do
+
+    dispatcher, least, _ = _shares(create)
+    assert 1 - dispatcher <= (1 - least) / 2
+
+
+def test_overload_turns_calls_away_at_once_and_serves_the_rest() -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher.on_entry(None, create_entry("u", slots=2))
+        state = dispatcher.state("u")
+        assert state is not None
+        dispatcher.note_reading(state, LoadReading(0, 0, 2, 1.0, loop.time()))
+        held = [await dispatcher.acquire(create_demand(loop.time()), ()) for _ in range(2)]
+        tasks = [
+            loop.create_task(dispatcher.acquire(create_demand(loop.time()), ())) for _ in range(60)
+        ]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        refused = [task.exception() for task in tasks if task.done()]
+        assert len(refused) > 20
+        assert all(isinstance(error, RejectedError) for error in refused)
+        returns = [error.retry_after_s for error in refused]  # type: ignore[union-attr]
+        assert returns == sorted(returns)
+        assert len(set(returns)) > len(returns) // 2
+        for slot in held:
+            dispatcher.release(slot)
+        await asyncio.sleep(0)
+        assert sum(task.done() for task in tasks) == len(refused) + 2
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_paused(main())
+
+
+def test_slot_that_is_given_to_a_caller_who_left_is_free_again() -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher.on_entry(None, create_entry("u", slots=1))
+        state = dispatcher.state("u")
+        assert state is not None
+        dispatcher.note_reading(state, LoadReading(0, 0, 1, 1.0, loop.time()))
+        slot = await dispatcher.acquire(create_demand(loop.time()), ())
+        waiting = loop.create_task(dispatcher.acquire(create_demand(loop.time()), ()))
+        await asyncio.sleep(0)
+        dispatcher.release(slot)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert state.own_in_flight == 0
+
+    run_paused(main())
+
+
+def test_draining_or_restarted_upstream_gets_no_new_call() -> None:
+    async def main() -> None:
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        first = create_entry("u", started_ms=1)
+        dispatcher.on_entry(None, first)
+        before = dispatcher.state("u")
+        restarted = create_entry("u", started_ms=2, warmup_left_s=3.0)
+        dispatcher.on_entry(first, restarted)
+        after = dispatcher.state("u")
+        assert after is not None
+        assert after is not before
+        assert after.cold_factor(asyncio.get_running_loop().time()) > 1
+        dispatcher.on_entry(restarted, create_entry("u", started_ms=2, draining=True))
+        assert dispatcher.state("u") is None
+
+    run_paused(main())
+
+
+def test_counts_of_a_home_that_is_no_longer_heard_are_dropped() -> None:
+    async def main() -> None:
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher.on_entry(None, create_entry("u"))
+        dispatcher.take_counts("peer", {"u": 3}, whole=False)
+        state = dispatcher.state("u")
+        assert state is not None
+        assert state.occupancy(0.0) == 3
+        dispatcher.take_counts("peer", {}, whole=True)
+        assert state.occupancy(0.0) == 0
+        dispatcher.take_counts("peer", {"u": 2}, whole=True)
+        dispatcher.forget_peers([])
+        assert state.occupancy(0.0) == 0
+
+    run_paused(main())
--- /dev/null
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -0,0 +1,269 @@
+"""Tests of `heatherhead.fleet`: the replica, homes, datagrams and the follower."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from heatherhead.entry.settings import HostPort
+from heatherhead.fleet import store_follower
+from heatherhead.fleet.home_view import create_home_view
+from heatherhead.fleet.homes import choose_homes, rank_members
+from heatherhead.fleet.members import Member, create_member_table, decode_member
+from heatherhead.fleet.peer_messages import (
+    CallCounts,
+    CrashNotice,
+    HomeStatus,
+    LeaveNotice,
+    LoadReport,
+    decode_message,
+    encode_message,
+)
+from heatherhead.fleet.relay import RelayError, create_relay_server, follow_peer
+from heatherhead.fleet.replica import create_store_replica
+from heatherhead.fleet.store_follower import create_store_follower
+from heatherhead.store.interface import WatchEvent
+from heatherhead.store.memory import MemoryStore, create_memory_store
+from heatherhead.tests.base import run_paused
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from heatherhead.fleet.peer_messages import PeerMessage
+
+
+def _member(name: str, zone: str = "z1", region: str = "r1", **sizes: float) -> Member:
+    cores, mbps = sizes.get("cores", 1.0), sizes.get("mbps", 1000.0)
+    return Member(name, "boot", zone, region, HostPort("10.0.0.1", 80), 7200, cores, mbps)
+
+
+def _put(key: str, value: bytes | None, revision: int) -> WatchEvent:
+    return WatchEvent(key, value, revision)
+
+
+def test_replica_never_goes_back_whatever_the_order() -> None:
+    replica = create_store_replica()
+    assert replica.apply(_put("k", b"new", 9))
+    assert not replica.apply(_put("k", b"old", 5))
+    assert replica.apply(_put("k", None, 10))
+    assert not replica.apply(_put("k", b"new", 9))
+    assert replica.value_by_key == {}
+    assert replica.revision == 10
+
+
+def test_listing_removes_what_it_lacks_but_nothing_newer() -> None:
+    replica = create_store_replica()
+    replica.apply(_put("gone", b"x", 3))
+    replica.apply(_put("newer", b"x", 8))
+    replica.apply_listing([_put("kept", b"x", 2)], 7, after_outage=False)
+    assert set(replica.value_by_key) == {"kept", "newer"}
+
+
+def test_peer_gets_what_it_lacks_with_removals() -> None:
+    replica = create_store_replica()
+    for revision, key in enumerate(("a", "b", "c"), 1):
+        replica.apply(_put(key, b"x", revision))
+    replica.apply(_put("b", None, 4))
+    whole, events = replica.changes_since(2)
+    assert not whole
+    assert [(event.key, event.value) for event in events] == [("c", b"x"), ("b", None)]
+    assert replica.changes_since(0)[0]
+
+
+def test_homes_are_the_best_of_each_zone_and_large_ones_go_first() -> None:
+    members = [_member(f"small{n}", f"z{n % 2}", cores=0.4, mbps=10) for n in range(40)]
+    members += [_member(f"large{n}", f"z{n % 2}") for n in range(4)]
+    ranked = rank_members(members, "r1")
+    assert {ranked[0].availability_zone, ranked[1].availability_zone} == {"z0", "z1"}
+    assert all(each.id.startswith("large") for each in ranked[:2])
+    homes = choose_homes(members, "r1", {ranked[0].id}, zones=2)
+    assert ranked[0] not in homes
+    assert len(homes) == 3
+
+
+def test_restart_keeps_an_instance_in_its_place() -> None:
+    members = [_member(f"m{n}") for n in range(9)]
+    again = [
+        Member(each.id, "later", *[getattr(each, name) for name in Member.__slots__[2:]])
+        for each in members
+    ]
+    assert [each.id for each in rank_members(members, "r1")] == [
+        each.id for each in rank_members(again, "r1")
+    ]
+
+
+def test_silent_home_is_replaced_and_comes_back_when_it_is_heard() -> None:
+    now = [100.0]
+    own = _member("own")
+    members = create_member_table(own)
+    for n in range(6):
+        members.put(_member(f"m{n}"), 1)
+    view = create_home_view(members, lambda: now[0])
+    view.own_ready = True
+    first = [home.id for home in view.homes()]
+    silent = next(each for each in first if each != "own")
+    for _ in range(20):
+        now[0] += 0.1
+        for each in members.by_id:
+            if each not in (silent, "own"):
+                view.take_status(HomeStatus(each, "boot", True, 1, 0.0, True), "10.0.0.1")
+        view.homes()
+    assert silent not in [home.id for home in view.homes()]
+    view.take_status(HomeStatus(silent, "boot", True, 1, 0.0, True), "10.0.0.1")
+    assert [home.id for home in view.homes()] == first
+
+
+def test_leaving_home_is_left_out_until_it_starts_again() -> None:
+    now = [100.0]
+    members = create_member_table(_member("own"))
+    members.put(_member("m1"), 1)
+    view = create_home_view(members, lambda: now[0])
+    view.own_ready = True
+    view.take_status(HomeStatus("m1", "boot", True, 1, 0.0, True), "10.0.0.1")
+    view.take_leave(LeaveNotice("m1", "boot"))
+    assert [home.id for home in view.homes()] == ["own"]
+    view.take_status(HomeStatus("m1", "later", True, 1, 0.0, True), "10.0.0.1")
+    assert {home.id for home in view.homes()} == {"own", "m1"}
+
+
+def test_source_that_reaches_the_store_is_followed_first() -> None:
+    members = create_member_table(_member("own"))
+    view = create_home_view(members, lambda: 100.0)
+    view.take_status(HomeStatus("cut", "b", True, 90, 0.0, False), "10.0.0.2")
+    view.take_status(HomeStatus("old", "b", True, 50, 0.0, True), "10.0.0.3")
+    view.take_status(HomeStatus("new", "b", True, 80, 0.0, True), "10.0.0.4")
+    assert view.sources() == ["10.0.0.4", "10.0.0.3", "10.0.0.2"]
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        HomeStatus("a", "boot", True, 7, 0.25, False),
+        LoadReport("a", (("u1", 2, 0, 4, 1.5, 0.02), ("u2", 0, 0, 4, None, 0.0))),
+        CallCounts("a", False, {"u1": 2}),
+        CrashNotice("a", 2**63, 3),
+        LeaveNotice("a", "boot"),
+    ],
+)
+def test_datagrams_are_read_as_they_were_written(message: PeerMessage) -> None:
+    assert decode_message(encode_message(message)) == message
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01\x00\xa1a", b"\x94\x09\x00\xa1a\xc0"])
+def test_unreadable_datagram_is_no_message(data: bytes) -> None:
+    assert decode_message(data) is None
+
+
+def test_member_is_decoded_as_encoded_and_another_version_is_left_out() -> None:
+    member = _member("m")
+    assert decode_member(member.encode()) == member
+    assert decode_member(b"\x93\x01\x02\x03") is None
+
+
+def test_follower_of_a_relay_gets_the_listing_then_each_change() -> None:
+    async def main() -> None:
+        source, copy = create_store_replica(), create_store_replica()
+        source.apply(_put("a", b"1", 1))
+        server = await asyncio.start_server(create_relay_server(source).serve, "127.0.0.1", 0)
+        address = HostPort(*server.sockets[0].getsockname())
+        changed = asyncio.Event()
+        task = asyncio.create_task(follow_peer(address, copy, lambda _: changed.set()))
+        async with asyncio.timeout(10):
+            while copy.value_by_key.keys() != {"a"}:
+                changed.clear()
+                await changed.wait()
+            source.apply(_put("a", None, 2))
+            source.apply(_put("b", b"2", 3))
+            while copy.value_by_key.keys() != {"b"}:
+                changed.clear()
+                await changed.wait()
+        assert copy.revision == 3
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_peer_that_is_not_there_is_told_as_an_error() -> None:
+    async def main() -> None:
+        with pytest.raises(RelayError):
+            await follow_peer(HostPort("127.0.0.1", 1), create_store_replica(), lambda _: None)
+
+    asyncio.run(main())
+
+
+class _DeafStore(MemoryStore):
+    """A store whose first watch never hears anything."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Iterate over changes, or over nothing the first time."""
+        self.watches += 1
+        if self.watches == 1:
+            await asyncio.Event().wait()
+        async for event in super().watch(prefix, from_revision):
+            yield event
+
+
+def test_deaf_watch_is_found_out_within_two_seconds() -> None:
+    async def main() -> None:
+        store = _DeafStore()
+        replica = create_store_replica()
+        follower = create_store_follower(store, "", replica, lambda: 0, list)
+        follower.start()
+        await asyncio.sleep(5.0)
+        await store.compare_and_swap("op/config", 0, b"7")
+        await asyncio.sleep(2.0)
+        assert replica.value_by_key["op/config"][0] == b"7"
+        await follower.stop()
+
+    run_paused(main())
+
+
+def test_only_the_first_home_in_line_asks_for_the_revision() -> None:
+    class Counted(MemoryStore):
+        reads = 0
+
+        async def read_prefix(self, prefix: str):  # type: ignore[no-untyped-def]
+            self.reads += prefix == store_follower.NO_KEY
+            return await super().read_prefix(prefix)
+
+    async def main() -> None:
+        store = Counted()
+        followers = [
+            create_store_follower(store, "", create_store_replica(), lambda rank=rank: rank, list)
+            for rank in range(3)
+        ]
+        for follower in followers:
+            follower.start()
+        for _ in range(40):
+            await asyncio.sleep(0.25)
+            age_s = min(each.verified_age_s for each in followers)
+            for follower in followers:
+                follower.note_verified(age_s)
+        # Each asks once at the start, when it has not heard of the others.
+        assert store.reads <= 10.0 / store_follower.VERIFY_S + len(followers)
+        for follower in followers:
+            await follower.stop()
+
+    run_paused(main())
+
+
+def test_outage_marks_removals_for_a_while_after_it() -> None:
+    async def main() -> None:
+        store = create_memory_store()
+        follower = create_store_follower(store, "", create_store_replica(), lambda: 0, list)
+        assert not follower.after_outage
+        follower.note_store_failure("refused")
+        assert follower.after_outage
+        assert not follower.store_ok
+        await asyncio.sleep(store_follower.UNSTABLE_S + 0.1)
+        assert not follower.after_outage
+
+    run_paused(main())
--- /dev/null
+++ b/heatherhead/tests/platform/fake_platform_store.py
@@ -0,0 +1,139 @@
+"""A stand-in of the platform's store that speaks its published calls, with faults to order."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+__all__ = ["FakePlatformStore"]
+
+
+@dataclass
+class FakePlatformStore:
+    """Keys, leases and history; `faults` are taken one a call: a status, 'lost' or 'silent'."""
+
+    page: int = 2
+    revision: int = 10
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    compacted: int = 0
+    leases: dict[int, float] = field(default_factory=dict)
+    faults: list[Any] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write a key."""
+        self.revision += 1
+        created = self.items.get(key, {}).get("Created", self.revision)
+        self.items[key] = {
+            "Key": key,
+            "Value": base64.b64encode(value).decode(),
+            "Revision": self.revision,
+            "Created": created,
+            "LeaseId": lease,
+        }
+        self._tell(self.items[key])
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self._tell({"Key": key, "Revision": self.revision, "Removed": True})
+
+    def _tell(self, event: dict[str, Any]) -> None:
+        self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def start(self) -> str:
+        """Listen; gives the address."""
+
+        @web.middleware
+        async def fault(request: web.Request, handler: Any) -> web.StreamResponse:
+            return await self._fault(request, handler)
+
+        app = web.Application(middlewares=[fault])
+        app.router.add_get("/kv-range", self._range)
+        app.router.add_get("/kv-watch", self._watch)
+        app.router.add_post("/kv-txn", self._txn)
+        app.router.add_post("/kv-lease", self._lease)
+        app.router.add_post("/kv-keep/{id}", self._keep)
+        app.router.add_delete("/kv-lease-end/{id}", self._end)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _fault(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        fault = self.faults.pop(0) if self.faults else None
+        if isinstance(fault, int):
+            return web.Response(status=fault)
+        response: web.StreamResponse = await handler(request)
+        if fault == "lost":
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["Prefix"], request.query.get("after", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page = [self.items[key] for key in keys[: self.page]]
+        return _json(
+            {"items": page, "Truncated": len(keys) > self.page, "StoreRevision": self.revision}
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        after = int(request.query["after"])
+        if after < self.compacted:
+            return web.Response(status=410)
+        while not (found := [each for each in self.events if each["Revision"] > after]):
+            await self.changed.wait()
+        return _json({"events": found, "StoreRevision": self.revision})
+
+    async def _txn(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        current = [self.items.get(row["Key"]) for row in body["ExpectedRev"]]
+        for row, item in zip(body["ExpectedRev"], current, strict=True):
+            if (item["Revision"] if item else 0) != row["Revision"]:
+                return _json({"items": [item for item in current if item]}, 412)
+        for write in body["Writes"]:
+            if write.get("LeaseId") and write["LeaseId"] not in self.leases:
+                return web.Response(status=404)
+            self.put(write["Key"], base64.b64decode(write["Value"]), write.get("LeaseId", 0))
+        for key in body["Remove"]:
+            self.remove(key)
+        return _json({"Revision": self.revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        ttl_s = (await request.json())["TtlS_time"]
+        lease_id = len(self.leases) + 1
+        self.leases[lease_id] = ttl_s
+        return _json({"LeaseId": lease_id, "TtlS_time": ttl_s})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease_id = int(request.match_info["id"])
+        if lease_id not in self.leases:
+            return web.Response(status=404)
+        return _json({"TtlS_time": self.leases[lease_id]})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        lease_id = int(request.match_info["id"])
+        self.leases.pop(lease_id, None)
+        for key in [key for key, item in self.items.items() if item["LeaseId"] == lease_id]:
+            self.remove(key)
+        return _json({})
+
+
+def _json(body: dict[str, Any], status: int = 200) -> web.Response:
+    return web.Response(status=status, text=json.dumps(body), content_type="application/json")
--- /dev/null
+++ b/heatherhead/tests/platform/store_tests.py
@@ -0,0 +1,106 @@
+"""Tests of `heatherhead.platform.store` against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from heatherhead.exceptions import StoreAmbiguousError, StoreUnavailableError
+from heatherhead.platform.store import PlatformStore, create_platform_store
+from heatherhead.store.errors import CompactedError, LeaseLapsedError
+from heatherhead.tests.platform.fake_platform_store import FakePlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+def _run(scenario: Callable[[FakePlatformStore, PlatformStore], Awaitable[None]]) -> None:
+    async def main() -> None:
+        fake = FakePlatformStore()
+        store = create_platform_store(await fake.start())
+        try:
+            async with asyncio.timeout(20):
+                await scenario(fake, store)
+        finally:
+            await store.close()
+            await fake.stop()
+
+    asyncio.run(main())
+
+
+def test_listing_goes_through_all_pages_at_the_revision_of_the_first() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        for number in range(5):
+            fake.put(f"servers/{number}", b"x")
+        answer = (await store.read_prefix("servers/")).ok_value
+        assert len(answer.by_key) == 5
+        assert answer.revision == fake.revision
+
+    _run(scenario)
+
+
+def test_swap_compares_revisions_and_shows_what_came_first() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        first = (await store.compare_and_swap("own/a", 0, b"one")).ok_value
+        assert first.succeeded
+        lost = (await store.compare_and_swap("own/a", 0, b"two")).ok_value
+        assert not lost.succeeded
+        assert lost.current is not None
+        assert (lost.current.value, lost.revision) == (b"one", first.revision)
+
+    _run(scenario)
+
+
+def test_refused_write_had_no_effect_and_a_lost_answer_leaves_it_open() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        fake.faults = [503, 429, "lost"]
+        for _ in range(2):
+            refused = await store.compare_and_swap("own/a", 0, b"one")
+            assert isinstance(refused.err_value, StoreUnavailableError)
+        lost = await store.compare_and_swap("own/a", 0, b"one")
+        assert isinstance(lost.err_value, StoreAmbiguousError)
+        assert "own/a" in fake.items
+
+    _run(scenario)
+
+
+def test_watch_continues_from_the_store_s_revision() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        watch = store.watch("", fake.revision + 1)
+        fake.put("servers/1", b"x")
+        event = await anext(watch)
+        assert (event.key, event.value) == ("servers/1", b"x")
+        fake.remove("servers/1")
+        event = await anext(watch)
+        assert (event.key, event.value) == ("servers/1", None)
+        await watch.aclose()
+
+    _run(scenario)
+
+
+def test_watch_tells_forgotten_history_and_refusals_apart() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        fake.compacted = 50
+        with pytest.raises(CompactedError):
+            await anext(store.watch("", 20))
+        fake.faults = [503]
+        with pytest.raises(StoreUnavailableError):
+            await anext(store.watch("", 60))
+
+    _run(scenario)
+
+
+def test_lease_that_ended_is_told_as_lapsed() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        lease = (await store.grant_lease(8.0)).ok_value
+        assert (await store.keep_lease(lease.id)).ok_value.ttl_s == 8.0
+        await store.compare_and_swap("own/a", 0, b"one", lease.id)
+        await store.revoke_lease(lease.id)
+        assert "own/a" not in fake.items
+        assert isinstance((await store.keep_lease(lease.id)).err_value, LeaseLapsedError)
+        late = await store.compare_and_swap("own/a", 0, b"one", lease.id)
+        assert isinstance(late.err_value, LeaseLapsedError)
+
+    _run(scenario)
--- /dev/null
+++ b/heatherhead/tests/proxy/fakes.py
@@ -0,0 +1,222 @@
+"""A scripted upstream, a plain dialect and an entry path over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from heatherhead.dispatch.crashes import create_crash_table
+from heatherhead.dispatch.dispatcher import create_dispatcher
+from heatherhead.dispatch.upstream_state import LoadReading
+from heatherhead.platform.dialect import PlatformDialect
+from heatherhead.proxy.caller_connection import create_caller_connections
+from heatherhead.proxy.forwarder import create_forwarder
+from heatherhead.proxy.upstream_pool import create_upstream_pool
+from heatherhead.routes.model import (
+    CallerLimits,
+    RepeatRule,
+    Route,
+    RouteConfiguration,
+    TrafficPart,
+)
+from heatherhead.routes.table import create_route_table
+from heatherhead.tests.dispatch.fakes import create_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = ["EntryPath", "ScriptedUpstream", "answer", "request", "run_path"]
+
+LINGER_ZERO = struct.pack("ii", 1, 0)  # closing then sends a reset
+TEST_TIMEOUT_S = 20.0  # ends a test that hangs; no test waits that long
+
+
+def request(
+    path: str = "/read/x",
+    request_id: str = "r1",
+    method: str = "GET",
+    body: bytes = b"",
+    **extra: str,
+) -> bytes:
+    """Build a caller's request."""
+    headers = {"Host": "shop.example", "X-Heatherhead-Request-Id": request_id}
+    headers["X-Heatherhead-Deadline-Ms"] = "2000"
+    if body:
+        headers["Content-Length"] = str(len(body))
+    headers.update({name.replace("_", "-"): value for name, value in extra.items()})
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+def answer(
+    request_id: str = "r1", status: int = 200, body: bytes = b"whole", **extra: str
+) -> bytes:
+    """Build an upstream's answer."""
+    headers = {"X-Heatherhead-Request-Id": request_id, "Content-Length": str(len(body))}
+    if status < 300:
+        headers["X-Heatherhead-Server-Stamp"] = "stamp"
+    headers.update({name.replace("_", "-"): value for name, value in extra.items()})
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status} Word\r\n{lines}\r\n".encode() + body
+
+
+@dataclass
+class ScriptedUpstream:
+    """Answers each request with the next piece of its script: bytes, 'reset', 'close', 'hang'."""
+
+    script: list[Any]
+    requests: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    lost: asyncio.Event = field(default_factory=asyncio.Event)
+    arrived: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.split(b"\r\n"):
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                body = await reader.readexactly(length) if length else b""
+                self.requests.append(head + body)
+                self.arrived.set()
+                step = self.script.pop(0) if self.script else answer()
+                if step == "reset":
+                    writer.transport.abort()
+                    return
+                if step == "hang":
+                    await reader.read(1)
+                    self.lost.set()
+                    return
+                close = isinstance(step, tuple)
+                writer.write(step[0] if close else step)
+                await writer.drain()
+                if close:
+                    if step[1] == "reset":
+                        await asyncio.sleep(0.05)
+                        connection = writer.get_extra_info("socket")
+                        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+                        writer.transport.abort()
+                    else:
+                        writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+class EntryPath:
+    """A listener, a forwarder and upstreams in one process."""
+
+    def __init__(self, port_by_upstream: dict[str, int], max_attempts: int = 2) -> None:
+        self.table = create_route_table()
+        self.dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 200.0, instances=1)
+        self.crash_notices: list[tuple[int, int]] = []
+        self.crashes = create_crash_table()
+        self.pool = create_upstream_pool()
+        self.forwarder = create_forwarder(
+            self.table,
+            self.dispatcher,
+            self.pool,
+            PlatformDialect(),
+            self.crashes,
+            lambda *notice: self.crash_notices.append(notice),
+        )
+        self.callers = create_caller_connections(
+            self.forwarder.handle, lambda: self.table.configuration.limits
+        )
+        self._ports = port_by_upstream
+        self._max_attempts = max_attempts
+        self.port = 0
+
+    def configure(self, timeout_s: float = 1.5, max_body_bytes: int = 10_000) -> None:
+        """Put the test's routes in force and make the upstreams known."""
+        rules = {
+            "/read/": RepeatRule.IDEMPOTENT,
+            "/order/": RepeatRule.NON_IDEMPOTENT,
+            "/upload/": RepeatRule.UPLOAD,
+        }
+        routes = {
+            prefix: Route(
+                prefix,
+                "shop.example",
+                prefix,
+                repeat,
+                (TrafficPart("stock", 1.0),),
+                self._max_attempts,
+                timeout_s,
+                0.5,
+            )
+            for prefix, repeat in rules.items()
+        }
+        limits = CallerLimits(max_body_bytes=max_body_bytes)
+        self.table.take(RouteConfiguration(1, routes, {}, limits))
+        now = asyncio.get_running_loop().time()
+        for name, port in self._ports.items():
+            self.dispatcher.on_entry(None, create_entry(name, host="127.0.0.1", port=port))
+            state = self.dispatcher.state(name)
+            assert state is not None
+            self.dispatcher.note_reading(state, LoadReading(0, 0, 4, 1.0, now))
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect as a caller."""
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, data: bytes) -> bytes:
+        """Send a request on a new connection and read its answer whole."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        received = await read_answer(reader)
+        writer.close()
+        return received
+
+
+async def read_answer(reader: asyncio.StreamReader) -> bytes:
+    """Read one answer; what a cut connection gave of it."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n"):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        return head + await reader.readexactly(length)
+    except asyncio.IncompleteReadError as error:
+        return error.partial
+
+
+def run_path(
+    scenario: Callable[[EntryPath, list[ScriptedUpstream]], Awaitable[None]],
+    *scripts: list[Any],
+    max_attempts: int = 2,
+) -> None:
+    """Run a scenario against an entry path with one upstream a script."""
+
+    async def main() -> None:
+        upstreams = [ScriptedUpstream(list(script)) for script in scripts]
+        servers = [await asyncio.start_server(each.serve, "127.0.0.1", 0) for each in upstreams]
+        ports = {
+            f"u{number}": server.sockets[0].getsockname()[1]
+            for number, server in enumerate(servers)
+        }
+        path = EntryPath(ports, max_attempts)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(path.callers.create_connection, "127.0.0.1", 0)
+        path.port = listener.sockets[0].getsockname()[1]
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await scenario(path, upstreams)
+        finally:
+            listener.close()
+            path.callers.stop()
+            path.pool.close()
+            for server in servers:
+                server.close()
+
+    asyncio.run(main())
--- /dev/null
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -0,0 +1,313 @@
+"""Tests of the path of a call, over loopback, against scripted upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+
+from heatherhead.proxy.forwarder import fingerprint_of
+from heatherhead.proxy.messages import HttpCall
+from heatherhead.tests.proxy.fakes import (
+    EntryPath,
+    ScriptedUpstream,
+    answer,
+    read_answer,
+    request,
+    run_path,
+)
+
+REFUSED = answer(status=503, body=b"full", X_Heatherhead_Not_Executed="1")
+
+
+def _status(received: bytes) -> int:
+    return int(received.split(b" ", 2)[1]) if received else 0
+
+
+def test_answer_is_passed_on_unchanged_and_the_request_names_its_upstream() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request("/read/x?q=%2F", Accept="a/b"))
+        assert _status(received) == 200
+        assert received.endswith(b"\r\n\r\nwhole")
+        assert b"X-Heatherhead-Server-Stamp: stamp" in received
+        sent = upstreams[0].requests[0]
+        assert sent.startswith(b"GET /read/x?q=%2F HTTP/1.1\r\n")
+        assert b"X-Heatherhead-Expect-Instance: u0" in sent
+        assert b"Accept: a/b" in sent
+        deadline_ms = int(sent.split(b"X-Heatherhead-Deadline-Ms: ")[1].split(b"\r\n")[0])
+        assert deadline_ms <= 1500
+
+    run_path(scenario, [answer()])
+
+
+def test_instance_without_a_configuration_says_not_run() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        received = await path.ask(request())
+        assert _status(received) == 503
+        assert b"Retry-After" in received
+        assert not upstreams[0].requests
+
+    run_path(scenario, [])
+
+
+def test_unknown_path_and_bad_requests_are_refused() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert _status(await path.ask(request("/none/x"))) == 404
+        assert _status(await path.ask(request(X_Heatherhead_Deadline_Ms="soon"))) == 400
+        assert _status(await path.ask(b"NOT HTTP\r\n\r\n")) == 400
+        smuggled = request(method="POST", body=b"abc", Transfer_Encoding="chunked")
+        assert _status(await path.ask(smuggled)) == 400
+        large = request("/upload/x", method="POST", body=b"x" * 10_001)
+        assert _status(await path.ask(large)) == 413
+        assert not upstreams[0].requests
+
+    run_path(scenario, [])
+
+
+def test_order_that_was_reset_after_sending_is_never_sent_again() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request("/order/x", method="POST", body=b"pallet"))
+        assert _status(received) == 502
+        assert sum(len(each.requests) for each in upstreams) == 1
+
+    run_path(scenario, ["reset"], ["reset"])
+
+
+def test_order_that_an_upstream_promises_not_to_have_run_goes_to_another() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request("/order/x", method="POST", body=b"pallet"))
+        assert _status(received) == 200
+        assert [len(each.requests) for each in upstreams] == [1, 1]
+
+    run_path(scenario, [REFUSED], [answer()])
+
+
+def test_order_that_all_upstreams_refuse_is_told_not_run() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request("/order/x", method="POST", body=b"pallet"))
+        assert _status(received) == 503
+        assert b"Server-Stamp" not in received
+        assert sum(len(each.requests) for each in upstreams) == 2
+
+    run_path(scenario, [REFUSED], [REFUSED])
+
+
+def test_order_refused_without_the_promise_is_not_sent_again() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request("/order/x", method="POST", body=b"pallet"))
+        assert _status(received) == 503
+        assert sum(len(each.requests) for each in upstreams) == 1
+
+    run_path(scenario, [answer(status=503, body=b"busy")], [answer(status=503, body=b"busy")])
+
+
+def test_read_that_was_reset_is_sent_to_another_upstream() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert _status(await path.ask(request())) == 200
+        assert sum(len(each.requests) for each in upstreams) == 2
+
+    run_path(scenario, ["reset"], [answer()])
+
+
+def test_read_is_sent_no_more_often_than_its_route_allows() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert _status(await path.ask(request())) == 502
+        assert sum(len(each.requests) for each in upstreams) == 2
+
+    run_path(scenario, ["reset"], ["reset"], ["reset"])
+
+
+def test_success_without_proof_or_with_an_encoding_is_not_passed_on() -> None:
+    unproved = b"HTTP/1.1 200 OK\r\nX-Heatherhead-Request-Id: r1\r\nContent-Length: 2\r\n\r\nhi"
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert _status(await path.ask(request("/order/x", method="POST", body=b"a"))) == 502
+        assert _status(await path.ask(request("/order/y", method="POST", body=b"a"))) == 502
+
+    run_path(scenario, [unproved, answer(Content_Encoding="gzip")])
+
+
+def test_answer_that_ends_early_is_not_taken_for_a_whole_one() -> None:
+    cut = answer(body=b"0123456789")[:-4]
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert _status(await path.ask(request("/order/x", method="POST", body=b"a"))) == 502
+
+    run_path(scenario, [(cut, "close")])
+
+
+def test_answer_without_length_ends_with_its_connection_unless_that_is_reset() -> None:
+    unframed = answer(body=b"all of it").replace(b"Content-Length: 9\r\n", b"")
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request("/order/x", method="POST", body=b"a"))
+        assert _status(received) == 200
+        assert received.endswith(b"all of it")
+        assert _status(await path.ask(request("/order/y", method="POST", body=b"a"))) == 502
+
+    run_path(scenario, [(unframed, "close"), (unframed, "reset")])
+
+
+def test_late_answer_to_an_earlier_request_is_skipped() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        received = await path.ask(request(request_id="r2"))
+        assert received.endswith(b"mine")
+        assert _status(await path.ask(request(request_id="r3"))) == 200
+        assert upstreams[0].connections == 2
+
+    late = answer("r1", body=b"late") + answer("r2", body=b"mine")
+    run_path(scenario, [late, answer("r3")])
+
+
+def test_extra_answer_ends_the_connection() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert (await path.ask(request())).endswith(b"whole")
+        assert (await path.ask(request(request_id="r2"))).endswith(b"other")
+        assert upstreams[0].connections == 2
+
+    run_path(scenario, [answer() + answer(body=b"extra"), answer("r2", body=b"other")])
+
+
+def test_wrong_upstream_at_an_address_is_not_asked_again() -> None:
+    wrong = answer(status=421, body=b"", X_Heatherhead_Instance_Id="other")
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        state = path.dispatcher.state("u1")
+        assert state is not None
+        state.own_in_flight = 3  # so that u0 is chosen first
+        assert _status(await path.ask(request("/order/x", method="POST", body=b"a"))) == 200
+        state.own_in_flight = 3
+        assert _status(await path.ask(request("/order/y", method="POST", body=b"a"))) == 200
+        assert len(upstreams[0].requests) == 1
+
+    run_path(scenario, [wrong], [])
+
+
+def test_upstream_that_can_t_be_reached_costs_no_attempt() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path._ports["u9"] = 1  # nothing listens there
+        path.configure()
+        for name in ("u0",):
+            state = path.dispatcher.state(name)
+            assert state is not None
+            state.own_in_flight = 3
+        assert _status(await path.ask(request("/order/x", method="POST", body=b"a"))) == 200
+        assert len(upstreams[0].requests) == 1
+
+    run_path(scenario, [], max_attempts=1)
+
+
+def test_pipelined_reads_run_side_by_side_and_are_answered_in_order() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        reader, writer = await path.connect()
+        writer.write(b"".join(request(request_id=f"r{number}") for number in (1, 2, 3)))
+        for number in (1, 2, 3):
+            received = await read_answer(reader)
+            assert f"Request-Id: r{number}\r\n".encode() in received
+        assert sum(each.connections for each in upstreams) == 3
+        writer.close()
+
+    def echoing(upstream: ScriptedUpstream) -> None:
+        original = upstream.requests.append
+
+        def append(data: bytes) -> None:
+            request_id = data.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
+            upstream.script.append(answer(request_id))
+            original(data)
+
+        class _Requests(list[bytes]):
+            def append(self, data: bytes) -> None:
+                append(data)
+
+        upstream.requests = _Requests(upstream.requests)
+
+    async def prepared(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        for upstream in upstreams:
+            echoing(upstream)
+        await scenario(path, upstreams)
+
+    run_path(prepared, [], [])
+
+
+def test_timed_out_call_is_told_in_time_and_its_upstream_stops() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure(timeout_s=0.2)
+        assert _status(await path.ask(request("/order/x", method="POST", body=b"a"))) == 504
+        await upstreams[0].lost.wait()
+
+    run_path(scenario, ["hang"])
+
+
+def test_upstream_stops_when_the_caller_of_a_read_leaves() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        _, writer = await path.connect()
+        writer.write(request())
+        await upstreams[0].arrived.wait()
+        writer.close()
+        await upstreams[0].lost.wait()
+        assert all(state.own_in_flight == 0 for state in path.dispatcher.states)
+
+    run_path(scenario, ["hang"], max_attempts=1)
+
+
+def test_leaving_instance_finishes_and_asks_callers_to_go_elsewhere() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        reader, writer = await path.connect()
+        writer.write(request())
+        await upstreams[0].arrived.wait()
+        path.callers.leaving = True
+        received = await read_answer(reader)
+        assert _status(received) == 200
+        assert b"Connection: close" in received
+        assert await reader.read() == b""
+        path.forwarder.refuses = True
+        refused = await path.ask(request(request_id="r2"))
+        assert _status(refused) == 503
+        assert len(upstreams[0].requests) == 1
+        writer.close()
+
+    run_path(scenario, [answer()])
+
+
+def test_chunked_body_arrives_whole_with_a_length() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        reader, writer = await path.connect()
+        writer.write(request("/upload/x", method="POST", Transfer_Encoding="chunked"))
+        for piece in (b"3\r\nabc\r\n", b"2\r\nde\r\n", b"0\r\n\r\n"):
+            await asyncio.sleep(0.01)
+            assert not upstreams[0].requests
+            writer.write(piece)
+        assert _status(await read_answer(reader)) == 200
+        assert upstreams[0].requests[0].endswith(b"\r\n\r\nabcde")
+        writer.close()
+
+    run_path(scenario, [answer()])
+
+
+def test_request_that_crashes_upstreams_is_held_back_after_three() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        for count in (1, 2, 3):
+            call = HttpCall("GET", "/read/x", None, b"", 0.0)  # type: ignore[arg-type]
+            now = asyncio.get_running_loop().time()
+            assert path.crashes.note_crash(fingerprint_of(call), now) == count
+        assert _status(await path.ask(request())) == 503
+        assert not upstreams[0].requests
+
+    run_path(scenario, [])
