--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -12,6 +12,7 @@
 from heatherhead.entry.addresses import create_address_book
 from heatherhead.entry.settings import HostPort
 from heatherhead.entry.store_view import create_entry_view
+from heatherhead.entry.suspensions import create_suspension_watch
 from heatherhead.fleet.announcement import create_announcement
 from heatherhead.fleet.exchange import create_fleet_exchange
 from heatherhead.fleet.home_view import create_home_view
@@ -33,6 +34,7 @@
 from heatherhead.proxy.upstream_pool import create_upstream_pool
 from heatherhead.registry.registry import create_upstream_registry
 from heatherhead.routes.table import create_route_table
+from heatherhead.telemetry.entry_metrics import create_entry_metrics
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -47,6 +49,7 @@
 
 __all__ = ["EntryService", "create_entry_service"]
 
+BODY_MEMORY_SHARE = 0.25  # of the process; the bodies are copied once while they are sent
 READ_INTERVAL_S = 0.1  # a spell of slowness lasts about half a second
 REFUSE_AFTER_S = 3.0  # callers have asked for addresses again by then
 LAST_ANSWERS_S = 0.5  # before the process is killed, answers in progress end
@@ -55,6 +58,7 @@
 POLL_S = 0.1
 EXPIRE_S = 0.2
 BACKLOG = 1024
+APPLIED_AT_ONCE = frozenset({"drain_s", "grace_s", "retry_slack", "seeds"})
 
 
 class EntryService:
@@ -78,6 +82,8 @@
             instances=8,
         )
         self.pool = create_upstream_pool()
+        self.metrics = create_entry_metrics()
+        self.suspensions = create_suspension_watch()
         self._store = store
         self.homes = create_home_view(self.members, self._loop.time)
         self.replica = create_store_replica()
@@ -92,7 +98,13 @@
         )
         self.crashes = create_crash_table()
         self.forwarder = create_forwarder(
-            self.table, self.dispatcher, self.pool, dialect, self.crashes, self._tell_crash
+            self.table,
+            self.dispatcher,
+            self.pool,
+            dialect,
+            self.crashes,
+            self._tell_crash,
+            self.metrics,
         )
         self.reader = create_load_reader(
             self.table,
@@ -105,12 +117,15 @@
         )
         self.addresses = create_address_book(self.members, self.homes, settings.address_ttl_max_s)
         self.callers = create_caller_connections(
-            self.forwarder.handle, lambda: self.table.configuration.limits
+            self.forwarder.handle,
+            lambda: self.table.configuration.limits,
+            int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE),
         )
         self.leaving = False
         self._servers: list[asyncio.Server] = []
         self._expiry: asyncio.TimerHandle | None = None
         self.registry.subscribe(self._on_entry)
+        self._create_gauges()
 
     @property
     def ready(self) -> bool:
@@ -170,6 +185,11 @@
         )
 
     def _on_tick(self) -> None:
+        stood_still_s = self.suspensions.look()
+        if stood_still_s:
+            log_event("suspended", level="WARNING", for_s=f"{stood_still_s:.2f}")
+            self.forwarder.shorten(stood_still_s)
+            self.follower.note_store_failure("the process stood still")
         self.homes.own_ready = self.ready
         self.reader.update()
         self.dispatcher.forget_peers(self.homes.heard_lately())
@@ -235,6 +255,25 @@
                 reading = LoadReading(running, waiting, slots, slowdown, now - age_s)
                 self.dispatcher.note_reading(state, reading)
 
+    def _create_gauges(self) -> None:
+        gauges = self.metrics.gauge_by_name
+        gauges["configuration_version"] = lambda: self.table.configuration.version
+        gauges["store_revision"] = lambda: self.replica.revision
+        gauges["store_ok"] = lambda: float(self.follower.store_ok)
+        gauges["upstreams"] = lambda: len(self.registry.by_id)
+        gauges["members"] = lambda: len(self.members.by_id)
+        gauges["is_home"] = lambda: float(self.homes.is_home())
+        gauges["calls_in_progress"] = self.callers.in_progress
+        gauges["connections_opened"] = lambda: self.pool.opened
+
+    def apply(self, settings: EntrySettings) -> list[str]:
+        """Take changed settings over; gives the fields that need a restart."""
+        held = self.settings.model_dump()
+        changed = {name for name, value in settings.model_dump().items() if value != held[name]}
+        applied = {name: getattr(settings, name) for name in changed & APPLIED_AT_ONCE}
+        self.settings = self.settings.model_copy(update=applied)
+        return sorted(changed - APPLIED_AT_ONCE)
+
     async def leave(self) -> None:
         """Stop taking new callers, finish what is under way and end within the grace."""
         if self.leaving:
--- a/heatherhead/platform/pages.py
+++ b/heatherhead/platform/pages.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from heatherhead.proxy.messages import Answer, own_answer
+from heatherhead.telemetry.entry_metrics import CONTENT_TYPE
 
 if TYPE_CHECKING:
     from heatherhead.entry.service import EntryService
@@ -28,6 +29,9 @@
         if url.path == "/readyz":
             ready = self._service.ready
             return own_answer(200 if ready else 503, "ready" if ready else "not ready")
+        if url.path == "/metrics":
+            headers = CIMultiDict({"Content-Type": CONTENT_TYPE})
+            return Answer(200, headers, self._service.metrics.page(), "OK")
         if url.path == "/resolve":
             return self._resolve(url.query.get("Region", ""))
         return own_answer(404, "no such page")
--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -29,17 +29,29 @@
     from heatherhead.proxy.messages import Answer
     from heatherhead.routes.model import CallerLimits
 
-__all__ = ["CallerConnection", "CallerConnections", "Exchange", "create_caller_connections"]
+__all__ = [
+    "BodyMemoryError",
+    "BodyTooLargeError",
+    "CallerConnection",
+    "CallerConnections",
+    "Exchange",
+    "create_caller_connections",
+]
 
 PARSER_BUFFER_BYTES = 64 * 1024
 MAX_HEADERS = 128
 MAX_PIPELINED = 32  # requests of one connection that are read ahead
+DEFAULT_HELD_BYTES = 64 * 1024 * 1024
 SWEEP_S = 0.5  # how often idle connections and slow heads are looked for
 IDLE_SLACK_S = 2.0  # callers measure idle time from their side of the link
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # closing then sends a reset, never a clean end
 
 
+class BodyMemoryError(Exception):
+    """The bodies on their way take all the memory that they may."""
+
+
 class BodyTooLargeError(Exception):
     """The body passes the operator's limit."""
 
@@ -57,6 +69,7 @@
     abandoned: bool = False  # the caller has left
     detached: bool = False  # may run on upstream after the caller has left
     first_in_line: asyncio.Event | None = None
+    held_bytes: int = 0  # of the body
 
     async def wait_first_in_line(self) -> None:
         """Wait until all earlier requests of the connection are answered."""
@@ -86,6 +99,7 @@
             size += len(chunk)
             if size > max_bytes:
                 raise BodyTooLargeError
+            self.connection.hold_bytes(self, len(chunk))
             parts.append(chunk)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
@@ -173,11 +187,20 @@
         except Exception as error:  # a fault of this program must not leave a caller waiting
             log_event("call_failed", level="ERROR", error=repr(error))
             answer = own_answer(502, "internal error; the call may have run")
+        finally:
+            self._owner.held_bytes -= exchange.held_bytes
         if exchange.abandoned:
             return
         exchange.answer = answer
         self._flush()
 
+    def hold_bytes(self, exchange: Exchange, size: int) -> None:
+        """Count bytes of a body in memory; raises `BodyMemoryError`."""
+        if self._owner.held_bytes + size > self._owner.max_held_bytes:
+            raise BodyMemoryError
+        exchange.held_bytes += size
+        self._owner.held_bytes += size
+
     def _flush(self) -> None:
         """Write the answers that are due, in the order of the requests."""
         while self.exchanges and self.exchanges[0].answer is not None and not self._closing:
@@ -281,7 +304,10 @@
         self,
         handle: Callable[[Exchange], Awaitable[Answer]],
         limits: Callable[[], CallerLimits],
+        max_held_bytes: int,
     ) -> None:
+        self.held_bytes = 0
+        self.max_held_bytes = max_held_bytes
         self.loop = asyncio.get_running_loop()
         self.handle = handle
         self.limits = limits
@@ -316,7 +342,12 @@
 
 
 def create_caller_connections(
-    handle: Callable[[Exchange], Awaitable[Answer]], limits: Callable[[], CallerLimits]
+    handle: Callable[[Exchange], Awaitable[Answer]],
+    limits: Callable[[], CallerLimits],
+    max_held_bytes: int = DEFAULT_HELD_BYTES,
 ) -> CallerConnections:
-    """Create the set of callers' connections; must be called inside the running loop."""
-    return CallerConnections(handle, limits)
+    """Create the set of callers' connections; must be called inside the running loop.
+
+    `max_held_bytes` bounds the request bodies in memory.
+    """
+    return CallerConnections(handle, limits, max_held_bytes)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -13,7 +13,7 @@
 from heatherhead.dispatch.estimates import FIRST_WORK_SHARE, RouteEstimate
 from heatherhead.dispatch.hedging import CHECK_INTERVAL_S, first_check_s, worth_hedging
 from heatherhead.entry.settings import HostPort
-from heatherhead.proxy.caller_connection import BodyTooLargeError
+from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
 from heatherhead.proxy.messages import Answer, end_to_end, own_answer
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
@@ -33,6 +33,7 @@
     from heatherhead.proxy.upstream_pool import UpstreamPool
     from heatherhead.routes.model import Route
     from heatherhead.routes.table import RouteTable
+    from heatherhead.telemetry.entry_metrics import EntryMetrics
 
 __all__ = ["Forwarder", "create_forwarder", "fingerprint_of"]
 
@@ -93,7 +94,9 @@
         dialect: Dialect,
         crashes: CrashTable,
         tell_crash: Callable[[int, int], None],
+        metrics: EntryMetrics,
     ) -> None:
+        self.metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._table = table
         self._dispatcher = dispatcher
@@ -102,6 +105,7 @@
         self._crashes = crashes
         self._tell_crash = tell_crash
         self._estimate_by_route: dict[str, RouteEstimate] = {}
+        self._runs: set[_Run] = set()
         self._runs_by_upstream: dict[str, set[_Run]] = {}
         dispatcher.on_slower = self._on_slower
         self.refuses = False  # set while the instance ends
@@ -135,6 +139,11 @@
             call = await exchange.read_call(self._table.configuration.limits)
         except BodyTooLargeError:
             return self._own(413, "the body is too large", request_id, close=True)
+        except BodyMemoryError:
+            log_event("body_memory_full", id=request_id)
+            return self._own(
+                503, "not run: too many bodies are on their way", request_id, 0.5, True
+            )
         run = self._run_of(exchange, call, route, patience_s, request_id)
         if self._crashes.quarantined(run.fingerprint, self._loop.time()):
             log_event("quarantined", id=request_id, fingerprint=run.fingerprint)
@@ -172,9 +181,16 @@
     async def _run(self, run: _Run) -> Answer:
         now = self._loop.time()
         self._dispatcher.budget(run.demand.service).note_call(now)
+        self._runs.add(run)
+        outcome = "caller_left"
         try:
-            return await self._attempt_until_answered(run)
+            answer = await self._attempt_until_answered(run)
+            outcome = str(answer.status)
+            return answer
         finally:
+            self._runs.discard(run)
+            total_s = self._loop.time() - run.demand.received_at
+            self.metrics.note_call(run.demand.service, outcome, total_s)
             for task in list(run.slot_by_task):
                 task.cancel()
 
@@ -231,6 +247,7 @@
     def _launch(self, run: _Run, slot: Slot) -> None:
         now = self._loop.time()
         state = slot.state
+        self.metrics.observe("waited", run.demand.service, now - run.demand.received_at)
         log_routine(
             "placed",
             id=run.demand.request_id,
@@ -257,6 +274,17 @@
         due = slot.taken_at + first_check_s(slot.expected_s)
         return max(due - now, CHECK_INTERVAL_S)
 
+    def shorten(self, seconds: float) -> None:
+        """Take time off all calls: it passed for their callers while the process stood still."""
+        for run in self._runs:
+            demand = run.demand
+            demand.received_at -= seconds
+            demand.target_at -= seconds
+            demand.give_up_at -= seconds
+            run.patient_until -= seconds
+            if run.wake is not None and not run.wake.done():
+                run.wake.set_result(None)
+
     def _on_slower(self, state: UpstreamState) -> None:
         """Look again at the calls in flight at an upstream that has just turned slow."""
         for run in self._runs_by_upstream.get(state.entry.id, ()):
@@ -289,6 +317,7 @@
         if second is None:
             return
         budget.take(now)
+        self.metrics.events["hedge"] += 1
         log_event(
             "hedged",
             id=demand.request_id,
@@ -337,7 +366,9 @@
             return False
         if run.sent >= run.route.max_attempts:
             return False
-        return self._dispatcher.budget(run.demand.service).take(now)
+        allowed = self._dispatcher.budget(run.demand.service).take(now)
+        self.metrics.events["retry" if allowed else "retry_over_budget"] += 1
+        return allowed
 
     async def _send(self, run: _Run, slot: Slot) -> _Outcome:
         try:
@@ -357,7 +388,10 @@
         rest_s = None if run.demand.idempotent else SAFE_REST_S
         began = loop.time()
         try:
-            connection = await self._pool.acquire(address, rest_s)
+            if run.call.method == "HEAD":
+                connection = await self._pool.open_for_head(address)
+            else:
+                connection = await self._pool.acquire(address, rest_s)
         except ConnectError as error:
             state.eject(loop.time())
             log_event("connect_failed", upstream=entry.id, reason=str(error))
@@ -374,11 +408,14 @@
         data = self._request_bytes(run, entry.id, run.demand.give_up_at - now)
         try:
             answer = await connection.exchange(
-                data, run.call.method, lambda message: self._is_own(run, message.headers)
+                data, lambda message: self._is_own(run, message.headers)
             )
         except BrokenAnswerError as error:
             return self._broken(run, slot, connection, str(error))
-        self._pool.release(address, connection)
+        if run.call.method == "HEAD":
+            connection.close()
+        else:
+            self._pool.release(address, connection)
         return self._outcome_of(run, slot, answer, loop.time() - now)
 
     def _request_bytes(self, run: _Run, upstream_id: str, left_s: float) -> bytes:
@@ -426,6 +463,7 @@
             total_s=f"{now - run.demand.received_at:.3f}",
             in_target=now <= run.demand.target_at,
         )
+        self.metrics.observe("upstream", run.demand.service, duration_s)
         estimate = self._estimate(run.route)
         work_s = self._dispatcher.note_answer(slot, estimate.work_s, duration_s)
         estimate.note(work_s, len(answer.body))
@@ -500,7 +538,14 @@
 
     def _relay(self, answer: UpstreamAnswer) -> Answer:
         headers = end_to_end(answer.message.headers)
-        return Answer(answer.status, headers, answer.body, answer.reason)
+        length = answer.message.headers.get("Content-Length")
+        return Answer(
+            answer.status,
+            headers,
+            answer.body,
+            answer.reason,
+            length=int(length) if length is not None and not answer.body else None,
+        )
 
     def _own_of(
         self, run: _Run, status: int, reason: str, retry_after_s: float | None = None
@@ -547,6 +592,7 @@
     dialect: Dialect,
     crashes: CrashTable,
     tell_crash: Callable[[int, int], None],
+    metrics: EntryMetrics,
 ) -> Forwarder:
     """Create a forwarder; must be called inside the running loop."""
-    return Forwarder(table, dispatcher, pool, dialect, crashes, tell_crash)
+    return Forwarder(table, dispatcher, pool, dialect, crashes, tell_crash, metrics)
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -103,7 +103,7 @@
         data = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
         began = self._loop.time()
         async with asyncio.timeout(READ_TIMEOUT_S + state.transit_s):
-            answer = await connection.exchange(data, "GET", lambda _: True)
+            answer = await connection.exchange(data, lambda _: True)
         now = self._loop.time()
         reading = self._dialect.load_reading(answer.message.headers, (began + now) / 2)
         if reading is not None:
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -51,7 +51,7 @@
 class UpstreamConnection(BaseProtocol):
     """One connection; `usable` tells whether it may carry another request."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, *, with_body: bool = True) -> None:
         parser = HttpResponseParser(
             self,
             loop,
@@ -59,6 +59,7 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             max_headers=MAX_HEADERS,
+            response_with_body=with_body,
             read_until_eof=True,
             auto_decompress=False,
         )
@@ -142,7 +143,7 @@
             waiter.set_result(None)
 
     async def exchange(
-        self, data: bytes, method: str, is_own: Callable[[RawResponseMessage], bool]
+        self, data: bytes, is_own: Callable[[RawResponseMessage], bool]
     ) -> UpstreamAnswer:
         """Send a request and give its whole answer; raises `BrokenAnswerError`.
 
@@ -153,8 +154,6 @@
         self.busy = True
         self.calls += 1
         try:
-            if method == "HEAD":
-                raise BrokenAnswerError("HEAD is not carried on shared connections")
             self.transport.write(data)
             while True:
                 message, payload = await self._next_head()
--- a/heatherhead/proxy/upstream_pool.py
+++ b/heatherhead/proxy/upstream_pool.py
@@ -53,12 +53,18 @@
             return idle.pop()
         return await self._open(address)
 
-    async def _open(self, address: HostPort) -> UpstreamConnection:
+    async def open_for_head(self, address: HostPort) -> UpstreamConnection:
+        """Open a connection for one request whose answer has no body; raises `ConnectError`."""
+        return await self._open(address, with_body=False)
+
+    async def _open(self, address: HostPort, *, with_body: bool = True) -> UpstreamConnection:
         loop = self._loop
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(loop), address.host, address.port
+                    lambda: UpstreamConnection(loop, with_body=with_body),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{type(error).__name__}: {error}") from error
--- a/heatherhead/telemetry/bounded_logs.py
+++ b/heatherhead/telemetry/bounded_logs.py
@@ -40,6 +40,7 @@
     def write(self, text: str) -> None:
         """Write a line, or keep it, or drop it."""
         data = text.encode("utf-8", "replace")
+        self._flush()
         if self._waiting_bytes + len(data) > MAX_BUFFERED_BYTES:
             self.dropped += 1
             return
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -23,6 +23,7 @@
     TrafficPart,
 )
 from heatherhead.routes.table import create_route_table
+from heatherhead.telemetry.entry_metrics import create_entry_metrics
 from heatherhead.tests.dispatch.fakes import create_entry
 
 if TYPE_CHECKING:
@@ -128,6 +129,7 @@
             PlatformDialect(),
             self.crashes,
             lambda *notice: self.crash_notices.append(notice),
+            create_entry_metrics(),
         )
         self.callers = create_caller_connections(
             self.forwarder.handle, lambda: self.table.configuration.limits
--- a/heatherhead/tests/proxy/path_tests.py
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -311,3 +311,57 @@
         assert not upstreams[0].requests
 
     run_path(scenario, [])
+
+
+def test_head_is_answered_without_a_body() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        reader, writer = await path.connect()
+        writer.write(request(method="HEAD"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert _status(head) == 200
+        assert b"Content-Length: 5\r\n" in head
+        writer.write(request(request_id="r2"))
+        assert (await read_answer(reader)).endswith(b"other")
+        writer.close()
+
+    run_path(scenario, [answer()[:-5], answer("r2", body=b"other")])
+
+
+def test_bodies_beyond_the_memory_for_them_are_refused_as_not_run() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        path.callers.max_held_bytes = 100
+        refused = await path.ask(request("/upload/x", method="POST", body=b"x" * 101))
+        assert _status(refused) == 503
+        assert path.callers.held_bytes == 0
+        assert not upstreams[0].requests
+        taken = await path.ask(request("/upload/x", method="POST", body=b"x" * 99))
+        assert _status(taken) == 200
+
+    run_path(scenario, [])
+
+
+def test_time_in_which_the_process_stood_still_counts_for_calls_in_flight() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure(timeout_s=15.0)
+        _, writer = await path.connect()
+        reader, writer = await path.connect()
+        writer.write(request())
+        await upstreams[0].arrived.wait()
+        path.forwarder.shorten(5.0)
+        assert _status(await read_answer(reader)) == 504
+        writer.close()
+
+    run_path(scenario, ["hang"], max_attempts=1)
+
+
+def test_calls_are_counted_by_service_and_status() -> None:
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        await path.ask(request())
+        page = path.forwarder.metrics.page().decode()
+        assert 'heatherhead_calls_total{outcome="200",service="stock"} 1.0' in page
+        assert 'heatherhead_call_seconds_bucket{le="+Inf",part="total",service="stock"} 1.0' in page
+
+    run_path(scenario, [answer()])
