Draw small machines as homes only where no large one lives; spare store calls at the start

Ruled out: short of upstreams (its slots stood free).

Sizes count to the eighth power; instances wait 2.5 s for a home before they watch; leases are renewed every 6 s where no home depends on it.

--- a/heatherhead/fleet/announcement.py
+++ b/heatherhead/fleet/announcement.py
@@ -23,8 +23,8 @@
 
 __all__ = ["Announcement", "create_announcement"]
 
-LEASE_S = 8.0  # a lost instance is out of the address answers by then, whatever else fails
-RENEW_S = 2.5  # three renewals may fail
+LEASE_S = 20.0  # of a lost instance; its peers leave it out as soon as it falls silent
+RENEW_S = 6.0  # two renewals may fail
 HOME_RENEW_S = 1.0  # a home's renewals also tell that the store is away while its watch waits
 FIRST_RETRY_S = 0.2
 LONGEST_RETRY_S = 2.0
--- a/heatherhead/fleet/homes.py
+++ b/heatherhead/fleet/homes.py
@@ -23,6 +23,7 @@
 HOMES_PER_REGION = 3  # one may be lost, and another one be leaving
 FULL_CORES = 1.0  # a larger instance is not preferred any further
 FULL_LINK_MBPS = 50.0  # carries the uploads of a region
+SIZE_POWER = 8  # a machine of half the size counts as 1/256: it is drawn if no other is there
 HASH_RANGE = 2.0**64
 
 
@@ -58,4 +59,4 @@
 def _score(member: Member) -> float:
     drawn = (hash_of(member.id) + 1) / (HASH_RANGE + 2)
     size = min(1.0, member.cpu_cores / FULL_CORES, member.link_mbps / FULL_LINK_MBPS)
-    return -(size**2) / math.log(drawn)
+    return -(size**SIZE_POWER) / math.log(drawn)
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -40,6 +40,7 @@
 CHECK_S = 0.2
 RESTART_S = 1.0  # a watch that lags behind is not started anew more often
 PEER_FRESH_S = 1.0  # two heartbeats of a relay
+START_S = 2.5  # an instance that has read the store finds a home to follow within that
 
 
 @dataclass(slots=True)
@@ -70,6 +71,7 @@
         self._backoff = create_backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
         self._failed_at = -1e9
         self._failing_since: float | None = None
+        self._started_at = self._loop.time()
         self._peer_heard_at = -1e9
         self._verified_at = -1e9
         self._lag = _Lag()
@@ -134,6 +136,8 @@
         return lag.revision > self._replica.revision and lagging_s > patience_s
 
     def _wants_store(self) -> bool:
+        if self._loop.time() < self._started_at + START_S and self._replica.revision:
+            return self._watches()
         peer_fresh = self._loop.time() - self._peer_heard_at < PEER_FRESH_S
         return self._watches() or not peer_fresh or self._lags()
 
@@ -169,6 +173,8 @@
         """Read and watch until something fails."""
         try:
             await self._read()
+            if not self._wants_store():
+                return
             async for event in self._store.watch(self._prefix, self._replica.revision + 1):
                 self._note_answer()
                 self._replica.apply(event, after_outage=self.after_outage)
--- a/heatherhead/tests/entry/entry_tests.py
+++ b/heatherhead/tests/entry/entry_tests.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 from typing import TYPE_CHECKING
 
+from heatherhead.entry.service import create_entry_service
 from heatherhead.entry.suspensions import create_suspension_watch
+from heatherhead.platform.__main__ import PlatformDecoder
+from heatherhead.platform.dialect import PlatformDialect
+from heatherhead.platform.settings_file import settings_from_text
+from heatherhead.store.memory import create_memory_store
 from heatherhead.telemetry import bounded_logs
 from heatherhead.telemetry.bounded_logs import BoundedWriter
+from heatherhead.tests.platform.documents_tests import SETTINGS
 
 if TYPE_CHECKING:
     import pytest
@@ -55,3 +62,19 @@
     now[0] += 1.0
     bounded_logs.log_routine("placed")
     assert lines[-2:] == ["lines_left_out", "placed"]
+
+
+def test_changed_bounds_are_applied_and_addresses_are_told_to_need_a_restart() -> None:
+    async def main() -> None:
+        settings = settings_from_text(SETTINGS)
+        service = create_entry_service(
+            settings, create_memory_store(), PlatformDecoder(), PlatformDialect()
+        )
+        changed = settings_from_text(
+            SETTINGS.replace("GraceS=6", "GraceS=9").replace("10.1.0.18:8381", "10.1.0.18:9000")
+        )
+        assert service.apply(changed) == ["callers"]
+        assert service.settings.grace_s == 9.0
+        assert service.settings.callers == settings.callers
+
+    asyncio.run(main())
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -267,3 +267,42 @@
         assert not follower.after_outage
 
     run_paused(main())
+
+
+class _CountedStore(MemoryStore):
+    """Counts watches."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Iterate over changes."""
+        self.watches += 1
+        async for event in super().watch(prefix, from_revision):
+            yield event
+
+
+def test_instance_that_is_no_home_reads_the_store_once_and_waits_for_a_home_to_follow() -> None:
+    async def main() -> None:
+        store = _CountedStore()
+        await store.compare_and_swap("op/config", 0, b"7")
+        replica = create_store_replica()
+        follower = create_store_follower(store, "", replica, lambda: None, list)
+        follower.start()
+        await asyncio.sleep(store_follower.START_S - 0.5)
+        assert replica.value_by_key["op/config"][0] == b"7"
+        assert store.watches == 0
+        await asyncio.sleep(1.0)
+        assert store.watches == 1  # no home came: it watches by itself
+        await follower.stop()
+
+    run_paused(main())
+
+
+def test_small_machine_is_no_home_while_a_large_one_of_its_zone_lives() -> None:
+    for draw in range(50):
+        members = [_member(f"small{draw}-{n}", cores=0.43, mbps=10) for n in range(16)]
+        members += [_member(f"large{draw}-{n}", cores=2.15, mbps=200) for n in range(2)]
+        ranked = rank_members(members, "r1")
+        assert all(each.id.startswith("large") for each in ranked[:2])
