Size the homes of a region by its load

Three homes a region can't carry a fleet: a call costs a home about 1.4 ms. Homes tell their rate in their status; a region has one home for each 150 calls/s, grown at once and shrunk one by one, and counts go to five other homes at most, so that datagrams stay below calls.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -58,6 +58,7 @@
 POLL_S = 0.1
 EXPIRE_S = 0.2
 BACKLOG = 1024
+RATE_WINDOW_S = 1.0  # bursts last for seconds
 APPLIED_AT_ONCE = frozenset({"drain_s", "grace_s", "retry_slack", "seeds"})
 
 
@@ -122,6 +123,7 @@
             int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE),
         )
         self.leaving = False
+        self._rated_at, self._rated_calls = self._loop.time(), 0
         self._servers: list[asyncio.Server] = []
         self._expiry: asyncio.TimerHandle | None = None
         self.registry.subscribe(self._on_entry)
@@ -191,10 +193,20 @@
             self.forwarder.shorten(stood_still_s)
             self.follower.note_store_failure("the process stood still")
         self.homes.own_ready = self.ready
+        self._measure_rate()
         self.reader.update()
         self.dispatcher.forget_peers(self.homes.heard_lately())
         self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
 
+    def _measure_rate(self) -> None:
+        now = self._loop.time()
+        seconds = now - self._rated_at
+        if seconds < RATE_WINDOW_S:
+            return
+        seen = self.forwarder.calls_seen
+        self.homes.own_calls_per_s = (seen - self._rated_calls) / seconds
+        self._rated_at, self._rated_calls = now, seen
+
     def _verify_rank(self) -> int | None:
         """Give this instance's place among those that watch the store: all homes."""
         if len(self.members.by_id) == 1:
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -29,6 +29,7 @@
 COUNTS_S = 0.002  # changes of that time go out in one datagram; about a zone's round trip
 REPORT_S = 0.04  # readings of that time go out in one datagram
 LONGEST_AGE_S = 60.0  # older is told as that
+MAX_COUNT_PEERS = 5  # more would cost more datagrams than calls; they read loads instead
 MAX_ROWS = 40  # of a datagram; fits one packet
 
 
@@ -89,7 +90,11 @@
         counts = {each: self._count_by_id.get(each, 0) for each in self._changed_ids}
         self._changed_ids.clear()
         own = self._members.own
-        self._channel.send(self._co_homes(), CallCounts(own.id, False, counts))
+        self._channel.send(self._count_peers(), CallCounts(own.id, False, counts))
+
+    def _count_peers(self) -> list[Member]:
+        """List the homes that hear this one's counts: few, however large the region."""
+        return self._co_homes()[:MAX_COUNT_PEERS]
 
     def _co_homes(self) -> list[Member]:
         own_id = self._members.own.id
@@ -127,11 +132,12 @@
             self._replica.revision,
             min(LONGEST_AGE_S, self._follower.verified_age_s),
             self._follower.store_ok,
+            round(self._homes.own_calls_per_s),
         )
         self._channel.send(self._others(own.region), status)
         self._channel.send(self._far_homes(), status)
         # Whole lists repair what was lost on the way.
-        self._channel.send(self._co_homes(), CallCounts(own.id, True, self._count_by_id))
+        self._channel.send(self._count_peers(), CallCounts(own.id, True, self._count_by_id))
 
     def _far_homes(self) -> list[Member]:
         """List the homes of other regions, by rank and by what is heard of them."""
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -9,7 +9,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from heatherhead.fleet.homes import choose_homes, hash_of, rank_members
+from heatherhead.fleet.homes import (
+    HOMES_PER_REGION,
+    choose_homes,
+    hash_of,
+    home_count,
+    rank_members,
+)
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -38,6 +44,7 @@
     region: str
     store_ok: bool
     revision: int
+    calls_per_s: int
 
 
 class HomeView:
@@ -50,7 +57,8 @@
         self._left_by_id: dict[str, str] = {}  # incarnation that left
         self._expected_since_by_id: dict[str, float] = {}
         self._silent_until_by_id: dict[str, float] = {}
-        self._zones = 1
+        self._count = HOMES_PER_REGION
+        self.own_calls_per_s = 0.0
         self.own_ready = False
         self.own_leaving = False
         self._home_ids: tuple[str, ...] = ()
@@ -68,6 +76,7 @@
             region,
             status.store_ok,
             status.revision,
+            status.calls_per_s,
         )
         self._silent_until_by_id.pop(status.sender, None)
 
@@ -80,8 +89,9 @@
         own = self._members.own
         now = self._now()
         members = [each for each in self._members.by_id.values() if each.region == own.region]
-        self._zones = len({each.availability_zone for each in members})
-        homes = choose_homes(members, own.region, self._unusable(members, now), self._zones)
+        zones = len({each.availability_zone for each in members})
+        self._count = home_count(self._count, zones, self._region_calls_per_s(now))
+        homes = choose_homes(members, own.region, self._unusable(members, now), self._count)
         self._watch_silence(homes, now)
         self.current = homes
         ids = tuple(each.id for each in homes)
@@ -90,6 +100,14 @@
             log_event("homes", region=own.region, homes=",".join(ids), members=len(members))
         return homes
 
+    def _region_calls_per_s(self, now: float) -> float:
+        region = self._members.own.region
+        return self.own_calls_per_s + sum(
+            heard.calls_per_s
+            for heard in self._heard_by_id.values()
+            if heard.region == region and now - heard.at < SILENCE_S
+        )
+
     def is_home(self) -> bool:
         """Tell whether this instance is a home."""
         return self._members.own.id in self._home_ids
--- a/heatherhead/fleet/homes.py
+++ b/heatherhead/fleet/homes.py
@@ -18,8 +18,10 @@
 
     from heatherhead.fleet.members import Member
 
-__all__ = ["HOMES_PER_REGION", "choose_homes", "hash_of", "rank_members"]
+__all__ = ["HOMES_PER_REGION", "choose_homes", "hash_of", "home_count", "rank_members"]
 
+CALLS_PER_HOME = 150  # calls/s that keep 0.43 of a core half busy, at 1.4 ms a call
+SHRINK_BELOW = 0.6  # of what one home less would carry, so that waves of load don't move homes
 HOMES_PER_REGION = 3  # one may be lost, and another one be leaving
 FULL_CORES = 1.0  # a larger instance is not preferred any further
 FULL_LINK_MBPS = 50.0  # carries the uploads of a region
@@ -44,11 +46,22 @@
 
 
 def choose_homes(
-    members: Iterable[Member], region: str, unusable: Collection[str], zones: int
+    members: Iterable[Member], region: str, unusable: Collection[str], count: int
 ) -> list[Member]:
     """Give the homes of a region, leaving out the members that can't serve now."""
     ranked = [each for each in rank_members(members, region) if each.id not in unusable]
-    return ranked[: max(HOMES_PER_REGION, zones)]
+    return ranked[:count]
+
+
+def home_count(held: int, zones: int, calls_per_s: float) -> int:
+    """Size a region's homes by its load; they grow at once and shrink one by one."""
+    least = max(HOMES_PER_REGION, zones)
+    needed = max(least, math.ceil(calls_per_s / CALLS_PER_HOME))
+    if needed >= held:
+        return needed
+    if calls_per_s < SHRINK_BELOW * (held - 1) * CALLS_PER_HOME:
+        return max(least, held - 1)
+    return max(least, held)
 
 
 def hash_of(text: str) -> int:
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -33,6 +33,7 @@
     revision: int
     verified_age_s: float  # since the store's revision was last asked, by any home
     store_ok: bool  # the store answers this home
+    calls_per_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +88,7 @@
         message.revision,
         round(message.verified_age_s * 1000),
         message.store_ok,
+        message.calls_per_s,
     ]
 
 
@@ -127,7 +129,7 @@
         if version != VERSION:
             return None
         if kind == _STATUS:
-            incarnation, ready, revision, age_ms, store_ok = rest
+            incarnation, ready, revision, age_ms, store_ok, calls_per_s = rest
             return HomeStatus(
                 str(sender),
                 str(incarnation),
@@ -135,6 +137,7 @@
                 int(revision),
                 age_ms / 1000,
                 bool(store_ok),
+                int(calls_per_s),
             )
         if kind == _LOADS:
             return LoadReport(str(sender), tuple(_load_row(row) for row in rest[0]))
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -106,6 +106,7 @@
         self._tell_crash = tell_crash
         self._estimate_by_route: dict[str, RouteEstimate] = {}
         self._runs: set[_Run] = set()
+        self.calls_seen = 0
         self._runs_by_upstream: dict[str, set[_Run]] = {}
         dispatcher.on_slower = self._on_slower
         self.refuses = False  # set while the instance ends
@@ -182,6 +183,7 @@
         now = self._loop.time()
         self._dispatcher.budget(run.demand.service).note_call(now)
         self._runs.add(run)
+        self.calls_seen += 1
         outcome = "caller_left"
         try:
             answer = await self._attempt_until_answered(run)
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -10,7 +10,7 @@
 from heatherhead.entry.settings import HostPort
 from heatherhead.fleet import store_follower
 from heatherhead.fleet.home_view import create_home_view
-from heatherhead.fleet.homes import choose_homes, rank_members
+from heatherhead.fleet.homes import CALLS_PER_HOME, choose_homes, home_count, rank_members
 from heatherhead.fleet.members import Member, create_member_table, decode_member
 from heatherhead.fleet.peer_messages import (
     CallCounts,
@@ -78,7 +78,7 @@
     ranked = rank_members(members, "r1")
     assert {ranked[0].availability_zone, ranked[1].availability_zone} == {"z0", "z1"}
     assert all(each.id.startswith("large") for each in ranked[:2])
-    homes = choose_homes(members, "r1", {ranked[0].id}, zones=2)
+    homes = choose_homes(members, "r1", {ranked[0].id}, 3)
     assert ranked[0] not in homes
     assert len(homes) == 3
 
@@ -140,7 +140,7 @@
 @pytest.mark.parametrize(
     "message",
     [
-        HomeStatus("a", "boot", True, 7, 0.25, False),
+        HomeStatus("a", "boot", True, 7, 0.25, False, 90),
         LoadReport("a", (("u1", 2, 0, 4, 1.5, 0.02), ("u2", 0, 0, 4, None, 0.0))),
         CallCounts("a", False, {"u1": 2}),
         CrashNotice("a", 2**63, 3),
@@ -306,3 +306,12 @@
         members += [_member(f"large{draw}-{n}", cores=2.15, mbps=200) for n in range(2)]
         ranked = rank_members(members, "r1")
         assert all(each.id.startswith("large") for each in ranked[:2])
+
+
+def test_homes_grow_with_the_load_at_once_and_shrink_one_by_one() -> None:
+    assert home_count(3, 2, 100.0) == 3
+    assert home_count(3, 5, 100.0) == 5
+    assert home_count(3, 2, 10.5 * CALLS_PER_HOME) == 11
+    assert home_count(11, 2, 8.0 * CALLS_PER_HOME) == 11
+    assert home_count(11, 2, 5.0 * CALLS_PER_HOME) == 10
+    assert home_count(4, 2, 0.0) == 3
