--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch.crashes import create_crash_table
@@ -58,6 +59,7 @@
 POLL_S = 0.1
 EXPIRE_S = 0.2
 BACKLOG = 1024
+WATCHERS_PER_REGION = 2  # one may be cut off; the others follow them
 RATE_WINDOW_S = 1.0  # bursts last for seconds
 APPLIED_AT_ONCE = frozenset({"drain_s", "grace_s", "retry_slack", "seeds"})
 
@@ -208,14 +210,17 @@
         self._rated_at, self._rated_calls = now, seen
 
     def _verify_rank(self) -> int | None:
-        """Give this instance's place among those that watch the store: all homes."""
+        """Give this instance's place among those that watch the store: a few homes a region."""
         if len(self.members.by_id) == 1:
             return 0
         if not self.homes.is_home():
             return None
         own = self.members.own
         regions = sorted(set(self.settings.region_by_zone.values()))
-        own_rank = [home.id for home in self.homes.homes()].index(own.id)
+        home_ids = [home.id for home in self.homes.current]
+        own_rank = home_ids.index(own.id) if own.id in home_ids else WATCHERS_PER_REGION
+        if own_rank >= WATCHERS_PER_REGION:
+            return None
         return own_rank * len(regions) + regions.index(own.region)
 
     def _relay_peers(self) -> list[HostPort]:
@@ -243,21 +248,34 @@
     def _tell_crash(self, fingerprint: int, crashes: int) -> None:
         self.exchange.tell_crash(fingerprint, crashes)
 
-    def _on_message(self, message: PeerMessage, host: str) -> None:
-        if isinstance(message, HomeStatus):
-            self.homes.take_status(message, host)
-            self.follower.note_verified(message.verified_age_s)
-            self.follower.note_revision(message.revision)
-        elif isinstance(message, LoadReport):
-            self._take_loads(message)
-        elif isinstance(message, CallCounts):
-            self.dispatcher.take_counts(message.sender, message.count_by_id, whole=message.whole)
-        elif isinstance(message, CrashNotice):
-            self.crashes.note_crash(message.fingerprint, self._loop.time(), message.crashes)
-            log_event("crash_told", fingerprint=message.fingerprint, crashes=message.crashes)
-        elif isinstance(message, LeaveNotice):
-            self.homes.take_leave(message)
-            log_event("peer_leaves", peer=message.sender)
+    @singledispatchmethod
+    def _on_message(self, message: PeerMessage, _host: str) -> None:
+        """Take in a datagram of a peer, by its kind."""
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @_on_message.register(HomeStatus)
+    def _(self, message: HomeStatus, host: str) -> None:
+        self.homes.take_status(message, host)
+        self.follower.note_verified(message.verified_age_s)
+        self.follower.note_revision(message.revision)
+
+    @_on_message.register(LoadReport)
+    def _(self, message: LoadReport, _host: str) -> None:
+        self._take_loads(message)
+
+    @_on_message.register(CallCounts)
+    def _(self, message: CallCounts, _host: str) -> None:
+        self.dispatcher.take_counts(message.sender, message.count_by_id, whole=message.whole)
+
+    @_on_message.register(CrashNotice)
+    def _(self, message: CrashNotice, _host: str) -> None:
+        self.crashes.note_crash(message.fingerprint, self._loop.time(), message.crashes)
+        log_event("crash_told", fingerprint=message.fingerprint, crashes=message.crashes)
+
+    @_on_message.register(LeaveNotice)
+    def _(self, message: LeaveNotice, _host: str) -> None:
+        self.homes.take_leave(message)
+        log_event("peer_leaves", peer=message.sender)
 
     def _take_loads(self, report: LoadReport) -> None:
         now = self._loop.time()
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -131,7 +131,7 @@
             self._homes.own_ready,
             self._replica.revision,
             min(LONGEST_AGE_S, self._follower.verified_age_s),
-            self._follower.store_ok,
+            self._follower.store_ok and self._follower.watches,
             round(self._homes.own_calls_per_s),
         )
         self._channel.send(self._others(own.region), status)
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -32,7 +32,7 @@
     ready: bool
     revision: int
     verified_age_s: float  # since the store's revision was last asked, by any home
-    store_ok: bool  # the store answers this home
+    store_ok: bool  # this home watches the store, and the store answers it
     calls_per_s: int = 0
 
 
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -126,7 +126,9 @@
             self._lag.since = self._loop.time()
         self._lag.revision = max(self._lag.revision, revision)
 
-    def _watches(self) -> bool:
+    @property
+    def watches(self) -> bool:
+        """Tell whether this instance is one of those that watch the store."""
         return self._verify_rank() is not None
 
     def _lags(self) -> bool:
@@ -137,12 +139,12 @@
 
     def _wants_store(self) -> bool:
         if self._loop.time() < self._started_at + START_S and self._replica.revision:
-            return self._watches()
+            return self.watches
         peer_fresh = self._loop.time() - self._peer_heard_at < PEER_FRESH_S
-        return self._watches() or not peer_fresh or self._lags()
+        return self.watches or not peer_fresh or self._lags()
 
     def _wants_peer(self) -> bool:
-        return not self._watches() or self._lags() or not self.store_ok
+        return not self.watches or self._lags() or not self.store_ok
 
     async def _keep_watch(self) -> None:
         restarted_at = -1e9
@@ -211,7 +213,7 @@
                 continue
             peer = peers[number % len(peers)]
             try:
-                async with asyncio.timeout(None if not self._watches() else PEER_FRESH_S):
+                async with asyncio.timeout(None if not self.watches else PEER_FRESH_S):
                     await follow_peer(peer, self._replica, self._note_peer)
             except TimeoutError:
                 continue  # a home takes only what it lacks
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -39,7 +39,7 @@
 
 DEFAULT_PATIENCE_S = 30.0  # of callers that name none
 TIMEOUT_GRACE_S = 0.1  # an answer that is just under way is still taken
-CALLER_TRANSIT_S = 0.012  # an answer must leave this long before the caller gives up
+CALLER_TRANSIT_S = 0.03  # the request and its last answer spend that on the links to the caller
 SAFE_REST_S = 1.0  # a longer idle connection may be forgotten by the upstream
 START_RETRY_S = 0.5  # an instance without a configuration gets one about that soon
 CRASH_CHECK_S = 0.15  # a crashed upstream refuses connections by then
