Watch the store until there is a configuration, whatever peers say

It came with and depended on the order of the first second. Ruled out: the store, the lease. An instance without a configuration now watches by itself; the test fails without that line.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -94,7 +94,7 @@
         self.replica.subscribe(view.take_event)
         self.relay = create_relay_server(self.replica)
         self.follower = create_store_follower(
-            store, "", self.replica, self._verify_rank, self._relay_peers
+            store, "", self.replica, self._verify_rank, self._relay_peers, lambda: self.table.loaded
         )
         self.announcement = create_announcement(
             store, self.members.own, self.homes.is_home, self.follower.note_store_failure
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -61,6 +61,7 @@
         replica: StoreReplica,
         verify_rank: Callable[[], int | None],
         peers: Callable[[], list[HostPort]],
+        loaded: Callable[[], bool],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -68,6 +69,7 @@
         self._replica = replica
         self._verify_rank = verify_rank
         self._peers = peers
+        self._loaded = loaded
         self._backoff = create_backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
         self._failed_at = -1e9
         self._failing_since: float | None = None
@@ -138,6 +140,8 @@
         return lag.revision > self._replica.revision and lagging_s > patience_s
 
     def _wants_store(self) -> bool:
+        if not self._loaded():
+            return True  # peers that have no configuration either would wait for each other
         if self._loop.time() < self._started_at + START_S and self._replica.revision:
             return self.watches
         peer_fresh = self._loop.time() - self._peer_heard_at < PEER_FRESH_S
@@ -266,10 +270,11 @@
     replica: StoreReplica,
     verify_rank: Callable[[], int | None],
     peers: Callable[[], list[HostPort]],
+    loaded: Callable[[], bool],
 ) -> StoreFollower:
     """Create a follower; must be called inside the running loop.
 
     `verify_rank` gives this instance's place among those that watch the store, None if it is not
-    one of them; `peers` lists whom it may follow.
+    one of them; `peers` lists whom it may follow; `loaded` tells whether there is a configuration.
     """
-    return StoreFollower(store, prefix, replica, verify_rank, peers)
+    return StoreFollower(store, prefix, replica, verify_rank, peers, loaded)
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -29,9 +29,10 @@
 from heatherhead.tests.base import run_paused
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from heatherhead.fleet.peer_messages import PeerMessage
+    from heatherhead.fleet.replica import StoreReplica
 
 
 def _member(name: str, zone: str = "z1", region: str = "r1", **sizes: float) -> Member:
@@ -215,7 +216,7 @@
     async def main() -> None:
         store = _DeafStore()
         replica = create_store_replica()
-        follower = create_store_follower(store, "", replica, lambda: 0, list)
+        follower = create_store_follower(store, "", replica, lambda: 0, list, lambda: True)
         follower.start()
         await asyncio.sleep(5.0)
         await store.compare_and_swap("op/config", 0, b"7")
@@ -237,7 +238,9 @@
     async def main() -> None:
         store = Counted()
         followers = [
-            create_store_follower(store, "", create_store_replica(), lambda rank=rank: rank, list)
+            create_store_follower(
+                store, "", create_store_replica(), lambda rank=rank: rank, list, lambda: True
+            )
             for rank in range(3)
         ]
         for follower in followers:
@@ -258,7 +261,9 @@
 def test_outage_marks_removals_for_a_while_after_it() -> None:
     async def main() -> None:
         store = create_memory_store()
-        follower = create_store_follower(store, "", create_store_replica(), lambda: 0, list)
+        follower = create_store_follower(
+            store, "", create_store_replica(), lambda: 0, list, lambda: True
+        )
         assert not follower.after_outage
         follower.note_store_failure("refused")
         assert follower.after_outage
@@ -288,7 +293,7 @@
         store = _CountedStore()
         await store.compare_and_swap("op/config", 0, b"7")
         replica = create_store_replica()
-        follower = create_store_follower(store, "", replica, lambda: None, list)
+        follower = create_store_follower(store, "", replica, lambda: None, list, lambda: True)
         follower.start()
         await asyncio.sleep(store_follower.START_S - 0.5)
         assert replica.value_by_key["op/config"][0] == b"7"
@@ -315,3 +320,37 @@
     assert home_count(11, 2, 8.0 * CALLS_PER_HOME) == 11
     assert home_count(11, 2, 5.0 * CALLS_PER_HOME) == 10
     assert home_count(4, 2, 0.0) == 3
+
+
+def test_instance_without_a_configuration_watches_the_store_whatever_its_peers_say(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All instances start before the first configuration is written, and none is a home yet."""
+
+    async def follow_empty_peer(
+        _address: HostPort, _replica: StoreReplica, on_batch: Callable[[int], None]
+    ) -> None:
+        while True:
+            on_batch(0)
+            await asyncio.sleep(0.5)
+
+    async def main() -> None:
+        store = create_memory_store()
+        replica = create_store_replica()
+        follower = create_store_follower(
+            store,
+            "",
+            replica,
+            lambda: None,
+            lambda: [HostPort("10.0.0.2", 7200)],
+            lambda: "op/config" in replica.value_by_key,
+        )
+        follower.start()
+        await asyncio.sleep(store_follower.START_S + 1.0)
+        await store.compare_and_swap("op/config", 0, b"7")
+        await asyncio.sleep(1.0)
+        assert "op/config" in replica.value_by_key
+        await follower.stop()
+
+    monkeypatch.setattr(store_follower, "follow_peer", follow_empty_peer)
+    run_paused(main())
