--- a/heatherhead/runtime.py
+++ b/heatherhead/runtime.py
@@ -30,5 +30,10 @@
 
 
 def tune_garbage_collector() -> None:
-    """Collect cycles less often, so that pauses by collections are fewer."""
+    """Collect cycles less often, and never look through what is there by now.
+
+    Call it once the program is imported.
+    """
+    gc.freeze()
+    gc.enable()
     gc.set_threshold(*GC_THRESHOLDS)
--- a/heatherhead/tests/entry/entry_tests.py
+++ b/heatherhead/tests/entry/entry_tests.py
@@ -8,7 +8,7 @@
 
 from heatherhead.entry.service import create_entry_service
 from heatherhead.entry.suspensions import create_suspension_watch
-from heatherhead.platform.__main__ import PlatformDecoder
+from heatherhead.platform.daemon import PlatformDecoder
 from heatherhead.platform.dialect import PlatformDialect
 from heatherhead.platform.settings_file import settings_from_text
 from heatherhead.store.memory import create_memory_store
