--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -90,7 +90,9 @@
         self._store = store
         self.homes = create_home_view(self.members, self._loop.time)
         self.replica = create_store_replica()
-        view = create_entry_view(decoder, self.table, self.registry, self.members)
+        view = create_entry_view(
+            decoder, self.table, self.registry, self.members, self._on_configuration
+        )
         self.replica.subscribe(view.take_event)
         self.relay = create_relay_server(self.replica)
         self.follower = create_store_follower(
@@ -125,6 +127,7 @@
             int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE),
         )
         self.leaving = False
+        self._took_part = False
         self._rated_at, self._rated_calls = self._loop.time(), 0
         self._servers: list[asyncio.Server] = []
         self._expiry: asyncio.TimerHandle | None = None
@@ -169,6 +172,13 @@
         )
         self._servers.append(server)
 
+    def _on_configuration(self) -> None:
+        """Take part in the fleet as soon as there is a configuration, not at the next tick."""
+        if not self._took_part:
+            self._took_part = True
+            self.homes.own_ready = self.ready
+            self._loop.call_soon(self.exchange.tell_status)
+
     def _expire(self) -> None:
         for upstream_id in self.registry.expire(self._loop.time()):
             log_event("upstream_lapsed", upstream=upstream_id)
--- a/heatherhead/entry/store_view.py
+++ b/heatherhead/entry/store_view.py
@@ -10,6 +10,8 @@
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from heatherhead.exceptions import HeatherheadError
@@ -49,7 +51,9 @@
         table: RouteTable,
         registry: UpstreamRegistry,
         members: MemberTable,
+        on_configuration: Callable[[], None],
     ) -> None:
+        self._on_configuration = on_configuration
         self._loop = asyncio.get_running_loop()
         self._decoder = decoder
         self._table = table
@@ -97,6 +101,7 @@
                 version=configuration.version,
                 routes=len(configuration.route_by_name),
             )
+            self._on_configuration()
 
     def _decode_upstream(self, key: str, value: bytes, revision: int) -> UpstreamEntry | None:
         decoded = self._decoder.upstream(key, value, revision)
@@ -108,7 +113,11 @@
 
 
 def create_entry_view(
-    decoder: Decoder, table: RouteTable, registry: UpstreamRegistry, members: MemberTable
+    decoder: Decoder,
+    table: RouteTable,
+    registry: UpstreamRegistry,
+    members: MemberTable,
+    on_configuration: Callable[[], None],
 ) -> EntryView:
     """Create a view; must be called inside the running loop."""
-    return EntryView(decoder, table, registry, members)
+    return EntryView(decoder, table, registry, members, on_configuration)
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -60,7 +60,7 @@
 
     def start(self) -> None:
         """Begin to tell."""
-        self._tell_status()
+        self.tell_status()
 
     def stop(self) -> None:
         """Stop telling."""
@@ -118,8 +118,11 @@
             if each.id != own_id and (region is None or each.region == region)
         ]
 
-    def _tell_status(self) -> None:
-        self._status = self._loop.call_later(STATUS_S, self._tell_status)
+    def tell_status(self) -> None:
+        """Look who the homes are and, as one of them, tell that this one lives; then again."""
+        if self._status is not None:
+            self._status.cancel()
+        self._status = self._loop.call_later(STATUS_S, self.tell_status)
         self._homes.homes()
         self.on_tick()
         if not self._homes.is_home():
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -69,8 +69,8 @@
         due = loop.time()
         try:
             while True:
-                due = max(due + self._interval_s(), loop.time())
                 await asyncio.sleep(due - loop.time())
+                due = max(due + self._interval_s(), loop.time())
                 rules = self._table.configuration.service_by_name.get(state.entry.service)
                 if rules is None or rules.health_path is None:
                     continue
@@ -83,7 +83,7 @@
                     failures += 1
                     if failures >= FAILURES_TO_EJECT:
                         state.eject(loop.time())
-                    due = loop.time() + RECONNECT_S - self._interval_s()
+                    due = loop.time() + RECONNECT_S
                 else:
                     failures = 0
         finally:
--- a/heatherhead/tests/entry/entry_tests.py
+++ b/heatherhead/tests/entry/entry_tests.py
@@ -3,22 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
+import socket
 from typing import TYPE_CHECKING
 
 from heatherhead.entry.service import create_entry_service
+from heatherhead.entry.settings import HostPort
 from heatherhead.entry.suspensions import create_suspension_watch
+from heatherhead.fleet import exchange
 from heatherhead.platform.daemon import PlatformDecoder
 from heatherhead.platform.dialect import PlatformDialect
+from heatherhead.platform.pages import PlatformPages
 from heatherhead.platform.settings_file import settings_from_text
 from heatherhead.store.memory import create_memory_store
 from heatherhead.telemetry import bounded_logs
 from heatherhead.telemetry.bounded_logs import BoundedWriter
-from heatherhead.tests.platform.documents_tests import SETTINGS
+from heatherhead.tests.platform.documents_tests import SETTINGS, UPSTREAM
 
 if TYPE_CHECKING:
     import pytest
 
+    from heatherhead.entry.settings import EntrySettings
+
 
 def test_suspension_is_noticed_once_and_small_drift_is_not() -> None:
     steady, boot = [10.0], [50.0]
@@ -78,3 +85,71 @@
         assert service.settings.callers == settings.callers
 
     asyncio.run(main())
+
+
+HANGS_S = 20.0  # ends a test that hangs; no test waits that long
+CONFIGURATION = {
+    "ConfigVersion": 1,
+    "Routes": {
+        "r": {
+            "Hostname": "shop.example",
+            "Prefix": "/",
+            "RouteType": "idempotent",
+            "Service": "stock",
+        }
+    },
+    "Services": {"stock": {"HealthCheck": "/healthz"}},
+    "Limits": {},
+}
+
+
+def _loopback_settings() -> EntrySettings:
+    """Give settings of an instance on free ports of this machine."""
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(4)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    addresses = [HostPort("127.0.0.1", port) for port in ports[:3]]
+    changes = {
+        "host": "127.0.0.1",
+        "callers": addresses[0],
+        "readiness": addresses[1],
+        "addresses": addresses[2],
+        "control": None,
+        "peer_port": ports[3],
+        "seeds": (),
+    }
+    return settings_from_text(SETTINGS).model_copy(update=changes)
+
+
+def test_instance_is_home_and_reads_upstreams_as_soon_as_it_has_a_configuration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a power loss calls come at once; until then they are placed blindly."""
+    monkeypatch.setattr(exchange, "STATUS_S", 3600.0)
+    monkeypatch.setattr("heatherhead.entry.service.READ_INTERVAL_S", 3600.0)
+
+    async def main() -> None:
+        read = asyncio.Event()
+
+        async def tell_health(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            read.set()
+            writer.close()
+
+        upstream = await asyncio.start_server(tell_health, "127.0.0.1", 0)
+        port = upstream.sockets[0].getsockname()[1]
+        store = create_memory_store()
+        entry = {**UPSTREAM, "Address": f"127.0.0.1:{port}"}
+        await store.compare_and_swap("op/config", 0, json.dumps(CONFIGURATION).encode(), 0)
+        await store.compare_and_swap("servers/i-1", 0, json.dumps(entry).encode(), 0)
+        settings = _loopback_settings()
+        service = create_entry_service(settings, store, PlatformDecoder(), PlatformDialect())
+        await service.start(PlatformPages(service))
+        async with asyncio.timeout(HANGS_S):
+            await read.wait()
+        assert service.homes.is_home()
+        await service.stop()
+        upstream.close()
+
+    asyncio.run(main())
