Let callers that come back wait behind those that can be in time

Cause: after a power loss, and in an overload, callers that tried before come back beside new ones and share the slots evenly, so that those become late too. A caller's deadline tells the time it has left; what it is short of the route's usual patience it has waited already. Also: a newcomer's wait counts only the calls that rank before it, and a waiting call that others pushed too far back is turned away as soon as that is known.

--- a/heatherhead/dispatch/demand.py
+++ b/heatherhead/dispatch/demand.py
@@ -20,3 +20,4 @@
     size_bytes: int  # request and answer together
     idempotent: bool
     request_id: str = ""
+    waited_before_s: float = 0.0  # by the caller, in earlier attempts of its own
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -248,7 +248,7 @@
     def try_acquire(self, demand: Demand, avoid: Collection[str]) -> Slot | None:
         """Take a slot if there is one now."""
         service = self._service(demand.service)
-        if service.waiting.calls and service.waiting.ahead_of(demand):
+        if service.waiting.calls and service.waiting.ahead_of(demand, self._loop.time()):
             return None
         return self._take(service, demand, avoid)
 
@@ -325,7 +325,7 @@
 
     def _check_hopeful(self, service: _Service, demand: Demand, now: float) -> None:
         slots = service.slots(now)
-        ahead = service.waiting.ahead_of(demand)
+        ahead = service.waiting.ahead_of(demand, now)
         waiting_s = wait_s(ahead, slots, demand.work_s)
         if not service.state_by_id:
             raise RejectedError("no upstream", self._retry_after_s(service, demand, 0.5, now))
@@ -381,7 +381,7 @@
             free -= 1
 
     def _reject_hopeless(self, service: _Service, now: float) -> None:
-        for call in service.waiting.hopeless(now):
+        for call in service.waiting.hopeless(now, service.slots(now)):
             service.waiting.discard(call)
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
--- a/heatherhead/dispatch/waiting.py
+++ b/heatherhead/dispatch/waiting.py
@@ -2,7 +2,9 @@
 
 Load pattern answered: bursts of 1.5 to 1.7 times the usual load. In order of deadline alone every
 call would end just late, so calls that can still be answered within their target go first, by
-priority and then by target; the late ones take what is left.
+priority and then by target; the late ones take what is left. Callers that were turned away, or whose
+instance died, come back with less time; what they waited before counts, so that a crowd of them does
+not make those late that come for the first time.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 
 __all__ = ["WaitingCall", "WaitingCalls", "wait_s"]
 
+DOUBT = 1.5  # estimates of a wait swing by that much with the upstreams' speeds
 MAX_WAITING = 512  # calls of one service; more could not be served within any deadline
 
 
@@ -59,20 +62,30 @@
         if call in self.calls:
             self.calls.remove(call)
 
-    def ahead_of(self, demand: Demand) -> int:
+    def ahead_of(self, demand: Demand, now: float) -> int:
         """Count the calls that go before a newcomer."""
-        return sum(1 for each in self.calls if each.demand.priority <= demand.priority)
+        rank = _rank(demand, now)
+        return sum(1 for each in self.calls if _rank(each.demand, now) <= rank)
 
     def in_order(self, now: float) -> list[WaitingCall]:
         """List the calls, the next one first."""
-        return sorted(self.calls, key=lambda call: _rank(call, now))
-
-    def hopeless(self, now: float) -> list[WaitingCall]:
-        """List the calls whose work can no longer end before they are given up."""
-        return [call for call in self.calls if now + call.demand.work_s > call.demand.give_up_at]
-
-
-def _rank(call: WaitingCall, now: float) -> tuple[bool, int, float]:
-    demand = call.demand
-    late = now + demand.work_s > demand.target_at
-    return late, demand.priority, demand.give_up_at if late else demand.target_at
+        return sorted(self.calls, key=lambda call: _rank(call.demand, now))
+
+    def hopeless(self, now: float, slots: float) -> list[WaitingCall]:
+        """List the calls whose work can no longer end before they are given up.
+
+        Those are also calls that others, more urgent ones, have pushed too far back.
+        """
+        found = []
+        for ahead, call in enumerate(self.in_order(now)):
+            demand = call.demand
+            left_s = demand.give_up_at - demand.work_s - now
+            if left_s < 0 or wait_s(ahead, slots, demand.work_s) > DOUBT * left_s + demand.work_s:
+                found.append(call)
+        return found
+
+
+def _rank(demand: Demand, now: float) -> tuple[bool, int, float]:
+    target_at = demand.target_at - demand.waited_before_s
+    late = now + demand.work_s > target_at
+    return late, demand.priority, demand.give_up_at if late else target_at
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -176,6 +176,9 @@
             size_bytes=len(call.body) + int(estimate.answer_bytes) + 600,
             idempotent=route.idempotent,
             request_id=request_id or "",
+            waited_before_s=(
+                0.0 if patience_s is None else estimate.patience.waited_before_s(patience_s)
+            ),
         )
         return _Run(call, route, demand, patient_until, fingerprint_of(call), exchange)
 
@@ -256,6 +259,7 @@
             service=run.demand.service,
             upstream=state.entry.id,
             waited_s=f"{now - run.demand.received_at:.3f}",
+            waited_before_s=f"{run.demand.waited_before_s:.3f}",
             expected_s=f"{slot.expected_s:.3f}",
             slowdown=f"{slot.slowdown:.2f}",
             slowdown_age_s=f"{min(99.0, now - state.slowdown_at):.3f}",
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -7,6 +7,7 @@
 from heatherhead.dispatch.budget import create_repeat_budget
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.crowding import Crowding
+from heatherhead.dispatch.estimates import UsualPatience
 from heatherhead.dispatch.hedging import worth_hedging
 from heatherhead.dispatch.placement import place
 from heatherhead.dispatch.returning import ReturnSchedule
@@ -119,10 +120,52 @@
     hopeless = _waiting(loop, give_up_at=NOW + 0.05)
     waiting.add(hopeless)
     waiting.add(_waiting(loop))
-    assert waiting.hopeless(NOW) == [hopeless]
+    assert waiting.hopeless(NOW, slots=4) == [hopeless]
     loop.close()
 
 
+def test_call_that_more_urgent_ones_pushed_too_far_back_is_found_before_its_time_is_over() -> None:
+    loop = asyncio.new_event_loop()
+    waiting = WaitingCalls()
+    pushed_back = _waiting(loop, give_up_at=NOW + 0.5, target_at=NOW)
+    waiting.add(pushed_back)
+    for _ in range(30):
+        waiting.add(_waiting(loop))
+    assert waiting.hopeless(NOW, slots=2) == [pushed_back]
+    assert waiting.hopeless(NOW, slots=8) == []
+    loop.close()
+
+
+def test_caller_that_comes_back_waits_behind_those_that_can_still_be_in_time() -> None:
+    """After a power loss all callers of seconds come back at once, beside the usual ones."""
+    loop = asyncio.new_event_loop()
+    waiting = WaitingCalls()
+    back = _waiting(loop, target_at=NOW + 0.1, waited_before_s=0.5)
+    waiting.add(back)
+    first_time = _waiting(loop, target_at=NOW + 0.2)
+    assert waiting.ahead_of(first_time.demand, NOW) == 0
+    waiting.add(first_time)
+    assert waiting.in_order(NOW) == [first_time, back]
+    assert waiting.ahead_of(back.demand, NOW) == 2
+    loop.close()
+
+
+def test_time_that_a_caller_has_waited_before_shows_in_the_time_it_has_left() -> None:
+    patience = UsualPatience()
+    first = [patience.waited_before_s(1.7 + 0.01 * (n % 30)) for n in range(300)]
+    assert max(first) == 0.0
+    back = [patience.waited_before_s(0.6) for _ in range(20)]
+    assert all(0.8 < waited_s < 1.4 for waited_s in back)
+
+
+def test_one_very_patient_caller_does_not_make_all_others_late_for_good() -> None:
+    patience = UsualPatience()
+    for _ in range(100):
+        patience.waited_before_s(2.0)
+    patience.waited_before_s(60.0)
+    assert patience.waited_before_s(2.0) == 0.0
+
+
 def test_refused_callers_come_back_one_after_the_other() -> None:
     schedule = ReturnSchedule()
     times = [schedule.next_return_s(NOW, 0.1, 0.02) for _ in range(5)]
