Estimate waits by the slots that work for this instance

Cause: each home estimated the wait as if all slots of a service were its own, so that nine homes let nine times the calls wait; they were held until nearly their deadline and then turned away.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -66,14 +66,21 @@
     usual: UsualSlowdown = field(default_factory=UsualSlowdown)
     crowding: Crowding = field(default_factory=Crowding)
 
-    def slots(self, now: float) -> float:
-        """Estimate how many slots of usual speed the upstreams offer."""
-        total = 0.0
+    def own_slots(self, now: float, homes: int) -> float:
+        """Estimate how many slots of usual speed work for this instance.
+
+        That is the pace at which its own calls end, and at least an equal part of the region's
+        slots, as `homes` instances share them.
+        """
+        own = shared = 0.0
         for state in self.state_by_id.values():
             if now < state.ejected_until or state.misdirected:
                 continue
-            total += state.usable_slots / max(1.0, state.slowdown_now(now, self.usual.value))
-        return total
+            pace = 1.0 / max(1.0, state.slowdown_now(now, self.usual.value))
+            own += min(state.own_in_flight, state.usable_slots) * pace
+            if state.local_region:
+                shared += state.usable_slots * pace
+        return max(own, shared / homes)
 
 
 class Dispatcher:
@@ -94,6 +101,7 @@
         self._state_by_id: dict[str, UpstreamState] = {}
         self._transit_by_zone: dict[str, float] = {}
         self._numbers = count(1)
+        self._homes = 1
         self._tick: asyncio.TimerHandle | None = None
         self.on_slower: Callable[[UpstreamState], None] = lambda _: None
         self.on_count: Callable[[UpstreamState], None] = lambda _: None
@@ -116,6 +124,10 @@
         for service in self._service_by_name.values():
             service.budget.slack = slack / max(1, instances)
 
+    def set_homes(self, homes: int) -> None:
+        """Take in how many instances place calls in this region."""
+        self._homes = max(1, homes)
+
     def budget(self, service: str) -> RepeatBudget:
         """Give the repeat budget of a service."""
         return self._service(service).budget
@@ -324,7 +336,7 @@
                 del state.told_by_peer[peer]
 
     def _check_hopeful(self, service: _Service, demand: Demand, now: float) -> None:
-        slots = service.slots(now)
+        slots = service.own_slots(now, self._homes)
         ahead = service.waiting.ahead_of(demand, now)
         waiting_s = wait_s(ahead, slots, demand.work_s)
         if not service.state_by_id:
@@ -342,7 +354,7 @@
     def _retry_after_s(
         self, service: _Service, demand: Demand, waiting_s: float, now: float
     ) -> float:
-        interval_s = demand.work_s / max(1.0, service.slots(now))
+        interval_s = demand.work_s / max(1.0, service.own_slots(now, self._homes))
         return service.returns.next_return_s(now, waiting_s, interval_s)
 
     def _on_tick(self) -> None:
@@ -381,7 +393,7 @@
             free -= 1
 
     def _reject_hopeless(self, service: _Service, now: float) -> None:
-        for call in service.waiting.hopeless(now, service.slots(now)):
+        for call in service.waiting.hopeless(now, service.own_slots(now, self._homes)):
             service.waiting.discard(call)
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -208,6 +208,7 @@
         self._measure_rate()
         self.reader.update()
         self.dispatcher.forget_peers(self.homes.heard_lately())
+        self.dispatcher.set_homes(len(self.homes.current))
         self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
 
     def _measure_rate(self) -> None:
--- a/heatherhead/tests/dispatch/replay_tests.py
+++ b/heatherhead/tests/dispatch/replay_tests.py
@@ -245,6 +245,38 @@
     run_paused(main())
 
 
+def test_home_that_shares_the_upstreams_does_not_let_calls_wait_for_the_slots_of_others() -> None:
+    """An overload seen by three homes: each has a queue, but the slots are one."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher.set_homes(3)
+        for number in range(3):
+            dispatcher.on_entry(None, create_entry(f"u{number}"))
+        for state in dispatcher.states:
+            dispatcher.note_reading(state, LoadReading(0, 0, 4, 1.0, loop.time()))
+        held = [await dispatcher.acquire(create_demand(loop.time()), ()) for _ in range(4)]
+        for peer in ("p1", "p2"):
+            others = {
+                state.entry.id: (4 - state.own_in_flight) // 2 + 1 for state in dispatcher.states
+            }
+            dispatcher.take_counts(peer, others, whole=True)
+        tasks = [
+            loop.create_task(dispatcher.acquire(create_demand(loop.time()), ())) for _ in range(150)
+        ]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        waits = sum(not task.done() for task in tasks)
+        in_time = (1.0 - 0.06) / 0.06 * len(held)  # what its own slots can do before all give up
+        assert waits <= in_time + 1
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run_paused(main())
+
+
 def test_slot_that_is_given_to_a_caller_who_left_is_free_again() -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
