Two homes a region, and slots for late calls only where new ones leave some

Cause: homes hear of each other's calls 3 ms late, so a slot that becomes free is taken by several in an overload, upstreams are overfilled and lose pace; and late calls stayed in the queue while those that come in time took every slot, until their time was over. Ruled out: readings that are too old, the crowding estimate alone.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -13,7 +13,7 @@
 from heatherhead.dispatch.estimates import UsualSlowdown
 from heatherhead.dispatch.returning import ReturnSchedule
 from heatherhead.dispatch.upstream_state import UpstreamState
-from heatherhead.dispatch.waiting import WaitingCall, WaitingCalls, wait_s
+from heatherhead.dispatch.waiting import Arrivals, WaitingCall, WaitingCalls, in_time, wait_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -62,6 +62,7 @@
     budget: RepeatBudget
     state_by_id: dict[str, UpstreamState] = field(default_factory=dict)
     waiting: WaitingCalls = field(default_factory=WaitingCalls)
+    arrivals: Arrivals = field(default_factory=Arrivals)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     usual: UsualSlowdown = field(default_factory=UsualSlowdown)
     crowding: Crowding = field(default_factory=Crowding)
@@ -237,6 +238,8 @@
 
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
         """Wait for a slot; raises `RejectedError` as soon as the call can't be served in time."""
+        if not demand.waited_before_s:
+            self._service(demand.service).arrivals.note(self._loop.time())
         slot = self.try_acquire(demand, avoid)
         if slot is not None:
             return slot
@@ -337,19 +340,18 @@
 
     def _check_hopeful(self, service: _Service, demand: Demand, now: float) -> None:
         slots = service.own_slots(now, self._homes)
+        arrivals_per_s = service.arrivals.per_s(now)
         ahead = service.waiting.ahead_of(demand, now)
-        waiting_s = wait_s(ahead, slots, demand.work_s)
+        reason = None
         if not service.state_by_id:
-            raise RejectedError("no upstream", self._retry_after_s(service, demand, 0.5, now))
-        if service.waiting.full:
-            raise RejectedError(
-                "too many calls wait", self._retry_after_s(service, demand, waiting_s, now)
-            )
-        if now + waiting_s + demand.work_s > demand.give_up_at:
-            raise RejectedError(
-                "the wait is longer than the time left",
-                self._retry_after_s(service, demand, waiting_s, now),
-            )
+            reason = "no upstream"
+        elif service.waiting.full:
+            reason = "too many calls wait"
+        elif not in_time(ahead, demand, slots, arrivals_per_s, now):
+            reason = "the wait is longer than the time left"
+        if reason is not None:
+            waiting_s = wait_s(ahead, demand, slots, arrivals_per_s, now)
+            raise RejectedError(reason, self._retry_after_s(service, demand, waiting_s, now))
 
     def _retry_after_s(
         self, service: _Service, demand: Demand, waiting_s: float, now: float
@@ -393,7 +395,8 @@
             free -= 1
 
     def _reject_hopeless(self, service: _Service, now: float) -> None:
-        for call in service.waiting.hopeless(now, service.own_slots(now, self._homes)):
+        slots = service.own_slots(now, self._homes)
+        for call in service.waiting.hopeless(now, slots, service.arrivals.per_s(now)):
             service.waiting.discard(call)
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
--- a/heatherhead/dispatch/waiting.py
+++ b/heatherhead/dispatch/waiting.py
@@ -4,11 +4,13 @@
 call would end just late, so calls that can still be answered within their target go first, by
 priority and then by target; the late ones take what is left. Callers that were turned away, or whose
 instance died, come back with less time; what they waited before counts, so that a crowd of them does
-not make those late that come for the first time.
+not make those late that come for the first time. A call that is known not to get a slot is turned away
+then, not when its time is over.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -18,9 +20,14 @@
 
     from heatherhead.dispatch.demand import Demand
 
-__all__ = ["WaitingCall", "WaitingCalls", "wait_s"]
+__all__ = ["Arrivals", "WaitingCall", "WaitingCalls", "in_time", "wait_s"]
 
-DOUBT = 1.5  # estimates of a wait swing by that much with the upstreams' speeds
+LIKELY = 1.5  # times the expected work; nine in ten calls end within that
+ARRIVALS_WINDOW_S = 1.0  # bursts last for seconds
+MAX_ARRIVALS = 4096  # in that window; more than an instance can take
+MIN_SLOTS = 0.5  # of usual speed, where all upstreams are slow
+CLAIM = 0.85  # share of new calls that go before a late one; the others become late themselves
+LEAST_SHARE = 0.05  # of the slots is left for late calls, however many others come
 MAX_WAITING = 512  # calls of one service; more could not be served within any deadline
 
 
@@ -34,9 +41,32 @@
     queued_at: float
 
 
-def wait_s(waiting: int, slots: float, work_s: float) -> float:
-    """Estimate how long a call waits behind `waiting` others for one of `slots` busy slots."""
-    return (waiting + 1) * work_s / max(slots, 0.5)
+class Arrivals:
+    """How many calls come for the first time; they go before all late ones."""
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque(maxlen=MAX_ARRIVALS)
+
+    def note(self, now: float) -> None:
+        """Count a call."""
+        self._times.append(now)
+
+    def per_s(self, now: float) -> float:
+        """Tell the rate of the last moment."""
+        while self._times and self._times[0] < now - ARRIVALS_WINDOW_S:
+            self._times.popleft()
+        return len(self._times) / ARRIVALS_WINDOW_S
+
+
+def wait_s(ahead: int, demand: Demand, slots: float, arrivals_per_s: float, now: float) -> float:
+    """Estimate how long a call waits behind `ahead` others for one of `slots` busy slots.
+
+    A late call gets only the slots that those who come in time leave over.
+    """
+    slots_per_s = max(slots, MIN_SLOTS) / demand.work_s
+    if _late(demand, now):
+        slots_per_s = max(slots_per_s - CLAIM * arrivals_per_s, LEAST_SHARE * slots_per_s)
+    return (ahead + 1) / slots_per_s
 
 
 class WaitingCalls:
@@ -71,21 +101,29 @@
         """List the calls, the next one first."""
         return sorted(self.calls, key=lambda call: _rank(call.demand, now))
 
-    def hopeless(self, now: float, slots: float) -> list[WaitingCall]:
+    def hopeless(self, now: float, slots: float, arrivals_per_s: float) -> list[WaitingCall]:
         """List the calls whose work can no longer end before they are given up.
 
         Those are also calls that others, more urgent ones, have pushed too far back.
         """
-        found = []
-        for ahead, call in enumerate(self.in_order(now)):
-            demand = call.demand
-            left_s = demand.give_up_at - demand.work_s - now
-            if left_s < 0 or wait_s(ahead, slots, demand.work_s) > DOUBT * left_s + demand.work_s:
-                found.append(call)
-        return found
+        return [
+            call
+            for ahead, call in enumerate(self.in_order(now))
+            if not in_time(ahead, call.demand, slots, arrivals_per_s, now)
+        ]
+
+
+def in_time(ahead: int, demand: Demand, slots: float, arrivals_per_s: float, now: float) -> bool:
+    """Tell whether a call behind `ahead` others is likely to be answered before it is given up."""
+    ends_at = now + wait_s(ahead, demand, slots, arrivals_per_s, now) + demand.work_s
+    return ends_at <= demand.give_up_at
+
+
+def _late(demand: Demand, now: float) -> bool:
+    return now + LIKELY * demand.work_s > demand.target_at - demand.waited_before_s
 
 
 def _rank(demand: Demand, now: float) -> tuple[bool, int, float]:
-    target_at = demand.target_at - demand.waited_before_s
-    late = now + demand.work_s > target_at
-    return late, demand.priority, demand.give_up_at if late else target_at
+    late = _late(demand, now)
+    due_at = demand.give_up_at if late else demand.target_at - demand.waited_before_s
+    return late, demand.priority, due_at
--- a/heatherhead/fleet/homes.py
+++ b/heatherhead/fleet/homes.py
@@ -22,7 +22,9 @@
 
 CALLS_PER_HOME = 150  # calls/s that keep 0.43 of a core half busy, at 1.4 ms a call
 SHRINK_BELOW = 0.6  # of what one home less would carry, so that waves of load don't move homes
-HOMES_PER_REGION = 3  # one may be lost, and another one be leaving
+HOMES_PER_REGION = (
+    2  # more would race for the same slots; the next one replaces a lost one in a second
+)
 FULL_CORES = 1.0  # a larger instance is not preferred any further
 FULL_LINK_MBPS = 50.0  # carries the uploads of a region
 SIZE_POWER = 8  # a machine of half the size counts as 1/256: it is drawn if no other is there
