Spare calls to the store at a start: one write for an announcement, no look beside the first reading

Waiting watches of instances without a configuration (185 at the first start) are left as they are: the configuration must reach an instance whose peers have none either.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -99,7 +99,11 @@
             store, "", self.replica, self._verify_rank, self._relay_peers, lambda: self.table.loaded
         )
         self.announcement = create_announcement(
-            store, self.members.own, self.homes.is_home, self.follower.note_store_failure
+            store,
+            self.members.own,
+            self.homes.is_home,
+            self.follower.note_store_failure,
+            self.replica.revision_of,
         )
         self.crashes = create_crash_table()
         self.forwarder = create_forwarder(
--- a/heatherhead/fleet/announcement.py
+++ b/heatherhead/fleet/announcement.py
@@ -26,6 +26,7 @@
 LEASE_S = 20.0  # of a lost instance; its peers leave it out as soon as it falls silent
 RENEW_S = 6.0  # two renewals may fail
 HOME_RENEW_S = 1.0  # a home's renewals also tell that the store is away while its watch waits
+START_DELAY_S = 0.15  # the first reading tells the revision of what an earlier start left
 FIRST_RETRY_S = 0.2
 LONGEST_RETRY_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
@@ -40,8 +41,10 @@
         member: Member,
         is_home: Callable[[], bool],
         on_failure: Callable[[str], None],
+        revision_of: Callable[[str], int],
     ) -> None:
         self._store = store
+        self._revision_of = revision_of
         self._is_home = is_home
         self._on_failure = on_failure
         self._member = member
@@ -56,6 +59,7 @@
         self._task = asyncio.get_running_loop().create_task(self._keep())
 
     async def _keep(self) -> None:
+        await asyncio.sleep(START_DELAY_S)
         while True:
             done = await (self._announce() if self._lease_id is None else self._renew())
             if isinstance(done, Err):
@@ -75,6 +79,7 @@
             return granted
         lease_id = granted.ok_value.id
         value = self._member.encode()
+        self._revision = max(self._revision, self._revision_of(self._key))
         for _ in range(2):  # the key of an earlier start may still be there
             written = await self._store.compare_and_swap(self._key, self._revision, value, lease_id)
             if isinstance(written, Err):
@@ -105,7 +110,15 @@
 
 
 def create_announcement(
-    store: Store, member: Member, is_home: Callable[[], bool], on_failure: Callable[[str], None]
+    store: Store,
+    member: Member,
+    is_home: Callable[[], bool],
+    on_failure: Callable[[str], None],
+    revision_of: Callable[[str], int],
 ) -> Announcement:
-    """Create the announcement of an instance; `on_failure` hears of failed calls."""
-    return Announcement(store, member, is_home, on_failure)
+    """Create the announcement of an instance.
+
+    `on_failure` hears of failed calls; `revision_of` tells at which revision a key is known, 0 if it
+    is not: an earlier start of the instance may have left its key.
+    """
+    return Announcement(store, member, is_home, on_failure, revision_of)
--- a/heatherhead/fleet/replica.py
+++ b/heatherhead/fleet/replica.py
@@ -33,6 +33,11 @@
         """Call `listener(event, after_outage)` with each change."""
         self._listeners.append(listener)
 
+    def revision_of(self, key: str) -> int:
+        """Tell at which revision a key is held, 0 if it is not."""
+        held = self.value_by_key.get(key)
+        return 0 if held is None else held[1]
+
     def apply(self, event: WatchEvent, *, after_outage: bool = False) -> bool:
         """Take in a change; tell whether it was news."""
         key, revision = event.key, event.mod_revision
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -191,9 +191,11 @@
             await asyncio.sleep(self._backoff.next_s())
 
     async def _read(self) -> None:
+        asked_at = self._loop.time()
         listing = await self._store.read_prefix(self._prefix)
         if isinstance(listing, Err):
             raise listing.err_value
+        self._verified_at = max(self._verified_at, asked_at)
         answer = listing.ok_value
         after_outage = self.after_outage
         self._note_answer()
@@ -234,7 +236,9 @@
         while True:
             await asyncio.sleep(CHECK_S / 2)
             rank = self._verify_rank()
-            if rank is None or self.verified_age_s < VERIFY_S + rank * VERIFY_RANK_S:
+            if rank is None or not self._replica.revision:
+                continue  # the first reading tells the revision as well
+            if self.verified_age_s < VERIFY_S + rank * VERIFY_RANK_S:
                 continue
             asked_at = self._loop.time()
             listing = await self._store.read_prefix(NO_KEY)
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
 from heatherhead.entry.settings import HostPort
 from heatherhead.fleet import store_follower
+from heatherhead.fleet.announcement import create_announcement
 from heatherhead.fleet.home_view import create_home_view
 from heatherhead.fleet.homes import (
     CALLS_PER_HOME,
@@ -17,7 +18,7 @@
     home_count,
     rank_members,
 )
-from heatherhead.fleet.members import Member, create_member_table, decode_member
+from heatherhead.fleet.members import MEMBER_PREFIX, Member, create_member_table, decode_member
 from heatherhead.fleet.peer_messages import (
     CallCounts,
     CrashNotice,
@@ -360,3 +361,62 @@
 
     monkeypatch.setattr(store_follower, "follow_peer", follow_empty_peer)
     run_paused(main())
+
+
+class _CountingStore(MemoryStore):
+    """Counts writes and readings."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writes = self.readings = 0
+
+    async def compare_and_swap(self, *arguments: Any, **named: Any) -> Any:
+        """Count a write."""
+        self.writes += 1
+        return await super().compare_and_swap(*arguments, **named)
+
+    async def read_prefix(self, prefix: str) -> Any:
+        """Count a reading."""
+        self.readings += 1
+        return await super().read_prefix(prefix)
+
+
+def test_restarted_instance_replaces_its_announcement_in_one_write() -> None:
+    """After a power loss all instances write at once, and each call has its price."""
+
+    async def main() -> None:
+        store = _CountingStore()
+        member = _member("m")
+        await store.compare_and_swap(MEMBER_PREFIX + "m", 0, b"of an earlier start")
+        store.writes = 0
+        replica = create_store_replica()
+        listing = (await store.read_prefix("")).ok_value
+        for item in listing.by_key.values():
+            replica.apply(_put(item.key, item.value, item.mod_revision))
+        announcement = create_announcement(
+            store, member, lambda: False, lambda _: None, replica.revision_of
+        )
+        announcement.start()
+        await asyncio.sleep(1.0)
+        held = (await store.read_prefix(MEMBER_PREFIX)).ok_value.by_key[MEMBER_PREFIX + "m"]
+        assert decode_member(held.value) == member
+        assert store.writes == 1
+        await announcement.leave()
+
+    run_paused(main())
+
+
+def test_first_reading_counts_as_a_look_at_the_revision() -> None:
+    async def main() -> None:
+        store = _CountingStore()
+        await store.compare_and_swap("op/config", 0, b"7")
+        replica = create_store_replica()
+        follower = create_store_follower(store, "", replica, lambda: 0, list, lambda: True)
+        follower.start()
+        await asyncio.sleep(store_follower.VERIFY_S / 2)
+        assert store.readings == 1
+        await asyncio.sleep(store_follower.VERIFY_S)
+        assert store.readings == 2
+        await follower.stop()
+
+    run_paused(main())
