--- a/heatherhead/tests/platform/fake_platform_store.py
+++ b/heatherhead/tests/platform/fake_platform_store.py
@@ -23,6 +23,7 @@
     events: list[dict[str, Any]] = field(default_factory=list)
     compacted: int = 0
     leases: dict[int, float] = field(default_factory=dict)
+    renewed_at_by_lease: dict[int, float] = field(default_factory=dict)
     faults: list[Any] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -50,7 +51,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def start(self) -> str:
+    async def start(self, host: str = "127.0.0.1") -> str:
         """Listen; gives the address."""
 
         @web.middleware
@@ -66,9 +67,9 @@
         app.router.add_delete("/kv-lease-end/{id}", self._end)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        site = web.TCPSite(self._runner, host, 0)
         await site.start()
-        host, port = self._runner.addresses[0][:2]
+        port = self._runner.addresses[0][1]
         return f"{host}:{port}"
 
     async def stop(self) -> None:
@@ -117,22 +118,34 @@
 
     async def _lease(self, request: web.Request) -> web.Response:
         ttl_s = (await request.json())["TtlS_time"]
-        lease_id = len(self.leases) + 1
+        lease_id = len(self.renewed_at_by_lease) + 1
         self.leases[lease_id] = ttl_s
+        self.renewed_at_by_lease[lease_id] = asyncio.get_running_loop().time()
         return _json({"LeaseId": lease_id, "TtlS_time": ttl_s})
 
     async def _keep(self, request: web.Request) -> web.Response:
         lease_id = int(request.match_info["id"])
         if lease_id not in self.leases:
             return web.Response(status=404)
+        self.renewed_at_by_lease[lease_id] = asyncio.get_running_loop().time()
         return _json({"TtlS_time": self.leases[lease_id]})
 
     async def _end(self, request: web.Request) -> web.Response:
         lease_id = int(request.match_info["id"])
+        self.end_lease(lease_id)
+        return _json({})
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
         self.leases.pop(lease_id, None)
         for key in [key for key, item in self.items.items() if item["LeaseId"] == lease_id]:
             self.remove(key)
-        return _json({})
+
+    def expire_leases(self, now: float) -> None:
+        """End the leases that were not renewed in time."""
+        for lease_id, ttl_s in list(self.leases.items()):
+            if now - self.renewed_at_by_lease[lease_id] > ttl_s:
+                self.end_lease(lease_id)
 
 
 def _json(body: dict[str, Any], status: int = 200) -> web.Response:
--- /dev/null
+++ b/soak/server.py
@@ -0,0 +1,226 @@
+"""A back end of the soak: slots, stamps, load, drains, and answers that are wrong at times.
+
+Run as `python -m soak.server ID SERVICE HOST PORT ADVERTISED STORE RUN_LOG SEED`. Each run is appended
+to the log before it begins, where a kill of the process leaves it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import hashlib
+import json
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+import aiohttp
+
+from heatherhead.backoff import create_backoff
+
+__all__ = ["answer_body", "digest_of", "main"]
+
+SLOTS = 4
+QUEUE = 4
+HEARTBEAT_S = 0.5
+LEASE_S = 1.5  # three heartbeats
+DRAIN_S = 2.5
+ENDS_AFTER_DRAIN_S = 1.0
+WORK_S = (0.005, 0.06)
+WRONG_ANSWERS = 0.04  # share of the answers of a back end with an odd number
+ANSWER_BYTES = 2000
+
+
+def digest_of(method: str, target: str, body: bytes) -> str:
+    """Fingerprint a request as callers and back ends see it."""
+    return hashlib.sha256(f"{method} {target} ".encode() + body).hexdigest()[:16]
+
+
+def answer_body(request_id: str) -> bytes:
+    """Give the only right body for a request."""
+    return (request_id.encode() * (ANSWER_BYTES // len(request_id) + 1))[:ANSWER_BYTES]
+
+
+@dataclass
+class _Backend:
+    id: str
+    service: str
+    store: str
+    advertised: str
+    run_log: int
+    rng: Random
+    wrong: bool
+    running: int = 0
+    state: str = "ready"
+    born: int = field(default_factory=lambda: int(time.time() * 1000))
+    slots: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(SLOTS))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection, one request at a time."""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                method, target, _ = head.split(" ", 2)
+                headers = {
+                    name.lower(): value.strip()
+                    for name, _, value in (line.partition(":") for line in head.split("\r\n")[1:])
+                }
+                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                if not await self._answer(method, target, headers, body, writer):
+                    return
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        finally:
+            writer.close()
+
+    async def _answer(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if target == "/healthz":
+            self._write(writer, 200 if self.state == "ready" else 503, "", b"")
+            return True
+        request_id = headers.get("x-heatherhead-request-id", "")
+        if headers.get("x-heatherhead-expect-instance", self.id) != self.id:
+            self._write(writer, 421, request_id, b"", not_run=True)
+            return True
+        if self.running >= SLOTS + QUEUE:
+            self._write(writer, 503, request_id, b"", not_run=True)
+            return True
+        self.running += 1
+        try:
+            async with self.slots:
+                row = [request_id, self.id, self.service, digest_of(method, target, body)]
+                os.write(self.run_log, (json.dumps([*row, time.time()]) + "\n").encode())
+                await asyncio.sleep(self.rng.uniform(*WORK_S))
+        finally:
+            self.running -= 1
+        return self._finish(writer, request_id)
+
+    def _finish(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
+        body = answer_body(request_id)
+        if not self.wrong or self.rng.random() > WRONG_ANSWERS:
+            self._write(writer, 200, request_id, body)
+            return True
+        match self.rng.choice(["lost", "cut", "extra", "error", "other"]):
+            case "lost":
+                writer.transport.abort()
+                return False
+            case "cut":
+                self._write(writer, 200, request_id, body[: len(body) // 2], length=len(body))
+                return False
+            case "extra":
+                self._write(writer, 200, request_id, body)
+                self._write(writer, 200, "f" * 16, answer_body("f" * 16))
+            case "error":
+                self._write(writer, 500, request_id, b"failed")
+            case _:
+                self._write(writer, 200, "e" * 16, answer_body("e" * 16))
+        return True
+
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        request_id: str,
+        body: bytes,
+        *,
+        not_run: bool = False,
+        length: int | None = None,
+    ) -> None:
+        queued = max(0, self.running - SLOTS)
+        lines = [
+            f"HTTP/1.1 {status} Status",
+            f"Content-Length: {len(body) if length is None else length}",
+            f"X-Heatherhead-Server-Load: {min(self.running, SLOTS)},{queued},{SLOTS},100",
+            f"X-Heatherhead-Instance-Id: {self.id}",
+        ]
+        if request_id:
+            lines.append(f"X-Heatherhead-Request-Id: {request_id}")
+        if not_run:
+            lines.append("X-Heatherhead-Not-Executed: 1")
+        elif request_id:
+            lines.append(f"X-Heatherhead-Server-Stamp: {self.id}.{request_id}")
+        if self.state != "ready":
+            lines.append("Connection: close")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def register(self) -> None:
+        """Keep the entry in the store until the process ends."""
+        backoff = create_backoff(0.1, 0.5)
+        lease, sequence, told = 0, 0, ""
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
+            while True:
+                try:
+                    if lease:
+                        async with session.post(f"{self.store}/kv-keep/{lease}") as answer:
+                            lease = lease if answer.status == 200 else 0
+                    if not lease or told != self.state:
+                        sequence += 1
+                        lease, told = await self._write_entry(session, lease, sequence), self.state
+                    backoff.reset()
+                    await asyncio.sleep(HEARTBEAT_S)
+                except (aiohttp.ClientError, TimeoutError, OSError, KeyError):
+                    await asyncio.sleep(backoff.next_s())
+
+    async def _write_entry(self, session: aiohttp.ClientSession, lease: int, sequence: int) -> int:
+        if not lease:
+            body = json.dumps({"TtlS_time": LEASE_S})
+            async with session.post(f"{self.store}/kv-lease", data=body) as answer:
+                lease = (await answer.json())["LeaseId"]
+        entry = {
+            "Service": self.service,
+            "Address": self.advertised,
+            "Zone": "z1",
+            "ConfigVersion": "v1",
+            "Slots": SLOTS,
+            "State": self.state,
+            "WarmupLeftS": 0,
+            "Sequence": sequence,
+            "born": self.born,
+        }
+        value = base64.b64encode(json.dumps(entry).encode()).decode()
+        write = {"Key": f"servers/{self.id}", "Value": value, "LeaseId": lease}
+        body = json.dumps({"ExpectedRev": [], "Writes": [write], "Remove": []})
+        async with session.post(f"{self.store}/kv-txn", data=body) as answer:
+            answer.raise_for_status()
+        return lease
+
+
+async def _main(arguments: list[str]) -> None:
+    backend_id, service, host, port, advertised, store, run_log, seed = arguments
+    descriptor = os.open(run_log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+    number = int(backend_id.rpartition("-")[2])
+    backend = _Backend(
+        backend_id,
+        service,
+        f"http://{store}",
+        advertised,
+        descriptor,
+        Random(seed),
+        number % 2 == 1,
+    )
+    await asyncio.start_server(backend.serve, host, int(port))
+    left = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, left.set)
+    registering = asyncio.create_task(backend.register())
+    await left.wait()
+    backend.state = "draining"
+    await asyncio.sleep(HEARTBEAT_S + DRAIN_S + ENDS_AFTER_DRAIN_S)
+    registering.cancel()
+
+
+def main() -> None:
+    """Run until SIGTERM, and a drain longer."""
+    asyncio.run(_main(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
