Divide a large region's upstreams among cells of homes

Each home read, priced and told all of its region's 1,000 servers; whether a home reads an upstream ranked all members anew for each upstream, four times a second. Ruled out: the store (acknowledgements within 0.14 s), memory (37 MB). Now two homes form a cell where a region has more than four; a cell reads, counts and fills its part (rendezvous hashing), and draws eight others where that is full.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from itertools import count
+from random import sample
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch import placement
@@ -30,7 +31,8 @@
 SAME_ZONE_TRANSIT_S = 0.001
 SAME_REGION_TRANSIT_S = 0.003
 OTHER_REGION_TRANSIT_S = 0.045
-MAX_SLACK_INSTANCES = 10_000
+FEW_UPSTREAMS = 64  # of a service; so many are priced for each call
+FAR_SAMPLE = 8  # two random choices are good, a few more find one in the own region
 
 
 class RejectedError(Exception):
@@ -61,6 +63,8 @@
     name: str
     budget: RepeatBudget
     state_by_id: dict[str, UpstreamState] = field(default_factory=dict)
+    near: list[UpstreamState] = field(default_factory=list)
+    far: list[UpstreamState] = field(default_factory=list)
     waiting: WaitingCalls = field(default_factory=WaitingCalls)
     arrivals: Arrivals = field(default_factory=Arrivals)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
@@ -74,7 +78,7 @@
         slots, as `homes` instances share them.
         """
         own = shared = 0.0
-        for state in self.state_by_id.values():
+        for state in self.near:
             if now < state.ejected_until or state.misdirected:
                 continue
             pace = 1.0 / max(1.0, state.slowdown_now(now, self.usual.value))
@@ -83,6 +87,37 @@
                 shared += state.usable_slots * pace
         return max(own, shared / homes)
 
+    def add(self, state: UpstreamState, fills: Callable[[UpstreamState], bool]) -> None:
+        """Take an upstream in."""
+        self.state_by_id[state.entry.id] = state
+        if len(self.state_by_id) == FEW_UPSTREAMS + 1:
+            self.sort(fills)
+        else:
+            self._put(state, fills)
+
+    def drop(self, state: UpstreamState, fills: Callable[[UpstreamState], bool]) -> None:
+        """Forget an upstream."""
+        if self.state_by_id.pop(state.entry.id, None) is None:
+            return
+        (self.near if state.near else self.far).remove(state)
+        if len(self.state_by_id) == FEW_UPSTREAMS:
+            self.sort(fills)
+
+    def sort(self, fills: Callable[[UpstreamState], bool]) -> None:
+        """Tell the upstreams that are filled first from those that are used where these are full."""
+        self.near, self.far = [], []
+        for state in self.state_by_id.values():
+            self._put(state, fills)
+
+    def _put(self, state: UpstreamState, fills: Callable[[UpstreamState], bool]) -> None:
+        few = len(self.state_by_id) <= FEW_UPSTREAMS
+        state.near = fills(state) and (few or state.local_region)
+        (self.near if state.near else self.far).append(state)
+
+    def some_far(self) -> list[UpstreamState]:
+        """Draw a few of the upstreams that other instances fill."""
+        return sample(self.far, min(FAR_SAMPLE, len(self.far)))
+
 
 class Dispatcher:
     """Places calls of all services."""
@@ -103,6 +138,8 @@
         self._transit_by_zone: dict[str, float] = {}
         self._numbers = count(1)
         self._homes = 1
+        self._share = (0, 1)
+        self._fills: Callable[[UpstreamState], bool] = lambda _: True
         self._tick: asyncio.TimerHandle | None = None
         self.on_slower: Callable[[UpstreamState], None] = lambda _: None
         self.on_count: Callable[[UpstreamState], None] = lambda _: None
@@ -125,9 +162,19 @@
         for service in self._service_by_name.values():
             service.budget.slack = slack / max(1, instances)
 
-    def set_homes(self, homes: int) -> None:
-        """Take in how many instances place calls in this region."""
+    def set_share(
+        self, share: tuple[int, int], fills: Callable[[UpstreamState], bool], homes: int
+    ) -> None:
+        """Take in which upstreams this instance fills first, together with how many homes.
+
+        `share` names the part, so that upstreams are sorted anew only when it changes.
+        """
         self._homes = max(1, homes)
+        if share == self._share:
+            return
+        self._share, self._fills = share, fills
+        for service in self._service_by_name.values():
+            service.sort(fills)
 
     def budget(self, service: str) -> RepeatBudget:
         """Give the repeat budget of a service."""
@@ -164,7 +211,7 @@
         state = UpstreamState(entry, self._transit_s(zone), zone == self._zone, local_region)
         self._state_by_id[entry.id] = state
         service = self._service(entry.service)
-        service.state_by_id[entry.id] = state
+        service.add(state, self._fills)
         self._set_usable_slots(service, state)
         return state
 
@@ -194,7 +241,7 @@
 
     def _drop(self, state: UpstreamState) -> None:
         del self._state_by_id[state.entry.id]
-        self._service(state.entry.service).state_by_id.pop(state.entry.id, None)
+        self._service(state.entry.service).drop(state, self._fills)
 
     def _transit_s(self, zone: str) -> float:
         measured = self._transit_by_zone.get(zone)
@@ -273,15 +320,15 @@
         if service.waiting.calls:
             return None
         now = self._loop.time()
-        states = service.state_by_id.values()
-        found = placement.place(states, demand, avoid, now, service.usual.value)
+        found = placement.place(service.near, demand, avoid, now, service.usual.value)
         return found.expected_s if found.upstream is not None else None
 
     def _take(self, service: _Service, demand: Demand, avoid: Collection[str]) -> Slot | None:
         now = self._loop.time()
         usual = service.usual.value
-        states = service.state_by_id.values()
-        upstream = placement.place(states, demand, avoid, now, usual).upstream
+        upstream = placement.place(service.near, demand, avoid, now, usual).upstream
+        if upstream is None and service.far:
+            upstream = placement.place(service.some_far(), demand, avoid, now, usual).upstream
         return None if upstream is None else self._occupy(upstream, demand, now, usual)
 
     def _occupy(self, state: UpstreamState, demand: Demand, now: float, usual: float) -> Slot:
@@ -372,7 +419,7 @@
             return
         now = self._loop.time()
         self._reject_hopeless(service, now)
-        states = service.state_by_id.values()
+        states = service.near
         if not any(state.free_slots(now) > 0 for state in states):
             return
         usual = service.usual.value
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -45,6 +45,7 @@
     transit_s: float  # there and back
     local_zone: bool
     local_region: bool
+    near: bool = True  # one of those that this instance fills first
     cold_until: float = 0.0
     own_in_flight: int = 0
     told_by_peer: dict[str, int] = field(default_factory=dict)  # calls in flight of other homes
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -15,6 +15,7 @@
 from heatherhead.entry.store_view import create_entry_view
 from heatherhead.entry.suspensions import create_suspension_watch
 from heatherhead.fleet.announcement import create_announcement
+from heatherhead.fleet.cells import cell_of_upstream
 from heatherhead.fleet.exchange import create_fleet_exchange
 from heatherhead.fleet.home_view import create_home_view
 from heatherhead.fleet.members import create_member_table, own_member
@@ -43,6 +44,7 @@
     from heatherhead.entry.pages import PageHandlers
     from heatherhead.entry.settings import EntrySettings
     from heatherhead.entry.store_view import Decoder
+    from heatherhead.fleet.members import Member
     from heatherhead.fleet.peer_messages import PeerMessage
     from heatherhead.proxy.dialect import Dialect
     from heatherhead.registry.entries import UpstreamEntry
@@ -132,6 +134,7 @@
         )
         self.leaving = False
         self._took_part = False
+        self._cell_homes: list[Member] = []  # as of the last tick
         self._rated_at, self._rated_calls = self._loop.time(), 0
         self._servers: list[asyncio.Server] = []
         self._expiry: asyncio.TimerHandle | None = None
@@ -210,9 +213,13 @@
             self.follower.note_store_failure("the process stood still")
         self.homes.own_ready = self.ready
         self._measure_rate()
+        self._cell_homes = self.homes.cell_homes()
+        cell, cells = self.homes.own_cell, self.homes.cells
+        self.dispatcher.set_share(
+            (cell, cells), lambda state: _is_of_cell(state, cell, cells), len(self._cell_homes)
+        )
         self.reader.update()
         self.dispatcher.forget_peers(self.homes.heard_lately())
-        self.dispatcher.set_homes(len(self.homes.current))
         self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
 
     def _measure_rate(self) -> None:
@@ -249,13 +256,15 @@
         return [HostPort(host, self.settings.peer_port) for host in hosts]
 
     def _reads(self, state: UpstreamState) -> bool:
-        """Tell whether this home reads an upstream: the best home of its zone, or of the region."""
-        if not state.local_region or not self.homes.is_home():
+        """Tell whether this home reads an upstream: the cell's best home of its zone, or of all."""
+        if not state.near or not state.local_region or not self.homes.is_home():
             return False
-        homes = self.homes.homes()
+        homes = self._cell_homes
         zone = state.entry.availability_zone
-        near = [home for home in homes if home.availability_zone == zone] or homes
-        return bool(near) and near[0].id == self.members.own.id
+        reader = next((home for home in homes if home.availability_zone == zone), None)
+        if reader is None and homes:
+            reader = homes[0]
+        return reader is not None and reader.id == self.members.own.id
 
     def _on_reading(self, state: UpstreamState, reading: LoadReading) -> None:
         self.exchange.add_reading(state.entry.id, reading)
@@ -362,6 +371,12 @@
         log_event("stopped")
 
 
+def _is_of_cell(state: UpstreamState, cell: int, cells: int) -> bool:
+    if cells == 1:
+        return True
+    return state.local_region and cell_of_upstream(state.entry.id, cells) == cell
+
+
 def create_entry_service(
     settings: EntrySettings, store: Store, decoder: Decoder, dialect: Dialect
 ) -> EntryService:
--- /dev/null
+++ b/heatherhead/fleet/cells.py
@@ -0,0 +1,48 @@
+"""Divides the upstreams of a region among groups of its homes.
+
+Load pattern answered: a region with many homes. If each read, counted and priced all upstreams, and
+told all others, the work of a home would grow with the region. So a few homes form a cell, which
+reads and fills its own part of the upstreams; others are used where the own part has no room.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heatherhead.fleet.homes import hash_of
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from heatherhead.fleet.members import Member
+
+__all__ = ["cell_count", "cell_of_home", "cell_of_upstream", "homes_of_cell"]
+
+HOMES_PER_CELL = 2  # one may be lost; more would race for the same slots
+MOST_SHARING = 4  # so many homes share all upstreams of a region
+
+
+def cell_count(homes: int) -> int:
+    """Tell how many cells the homes of a region form."""
+    return 1 if homes <= MOST_SHARING else homes // HOMES_PER_CELL
+
+
+def cell_of_home(homes: Sequence[Member], member_id: str) -> int:
+    """Tell the cell of an instance; one that is no home joins any."""
+    cells = cell_count(len(homes))
+    for place, home in enumerate(homes):
+        if home.id == member_id:
+            return place % cells
+    return hash_of(member_id) % cells
+
+
+def homes_of_cell(homes: Sequence[Member], cell: int) -> list[Member]:
+    """List the homes of a cell."""
+    return list(homes[cell :: cell_count(len(homes))])
+
+
+def cell_of_upstream(upstream_id: str, cells: int) -> int:
+    """Draw the cell of an upstream; few upstreams move when the number of cells changes."""
+    if cells == 1:
+        return 0
+    return max(range(cells), key=lambda cell: hash_of(f"{upstream_id}/{cell}"))
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -29,7 +29,6 @@
 COUNTS_S = 0.002  # changes of that time go out in one datagram; about a zone's round trip
 REPORT_S = 0.04  # readings of that time go out in one datagram
 LONGEST_AGE_S = 60.0  # older is told as that
-MAX_COUNT_PEERS = 5  # more would cost more datagrams than calls; they read loads instead
 MAX_ROWS = 40  # of a datagram; fits one packet
 
 
@@ -70,13 +69,13 @@
         self._channel.close()
 
     def add_reading(self, upstream_id: str, reading: LoadReading) -> None:
-        """Tell a reading to the other homes of the region."""
+        """Tell a reading to the other homes of the cell."""
         self._reading_by_id[upstream_id] = reading
         if self._report is None:
             self._report = self._loop.call_later(REPORT_S, self._tell_loads)
 
     def set_count(self, upstream_id: str, count: int) -> None:
-        """Tell the other homes of the region how many calls this one has at an upstream."""
+        """Tell the other homes of the cell how many calls this one has at an upstream."""
         if count:
             self._count_by_id[upstream_id] = count
         else:
@@ -90,15 +89,12 @@
         counts = {each: self._count_by_id.get(each, 0) for each in self._changed_ids}
         self._changed_ids.clear()
         own = self._members.own
-        self._channel.send(self._count_peers(), CallCounts(own.id, False, counts))
-
-    def _count_peers(self) -> list[Member]:
-        """List the homes that hear this one's counts: few, however large the region."""
-        return self._co_homes()[:MAX_COUNT_PEERS]
+        self._channel.send(self._co_homes(), CallCounts(own.id, False, counts))
 
     def _co_homes(self) -> list[Member]:
+        """List the other homes of the own cell: few, however large the region."""
         own_id = self._members.own.id
-        return [home for home in self._homes.current if home.id != own_id]
+        return [home for home in self._homes.cell_homes() if home.id != own_id]
 
     def tell_crash(self, fingerprint: int, crashes: int) -> None:
         """Tell all instances of a request that crashes upstreams."""
@@ -140,7 +136,7 @@
         self._channel.send(self._others(own.region), status)
         self._channel.send(self._far_homes(), status)
         # Whole lists repair what was lost on the way.
-        self._channel.send(self._count_peers(), CallCounts(own.id, True, self._count_by_id))
+        self._channel.send(self._co_homes(), CallCounts(own.id, True, self._count_by_id))
 
     def _far_homes(self) -> list[Member]:
         """List the homes of other regions, by rank and by what is heard of them."""
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from heatherhead.fleet.cells import cell_count, cell_of_home, homes_of_cell
 from heatherhead.fleet.homes import (
     HOMES_PER_REGION,
     choose_homes,
@@ -112,6 +113,20 @@
         """Tell whether this instance is a home."""
         return self._members.own.id in self._home_ids
 
+    @property
+    def cells(self) -> int:
+        """Tell how many cells the homes form."""
+        return cell_count(len(self.current))
+
+    @property
+    def own_cell(self) -> int:
+        """Tell this instance's cell."""
+        return cell_of_home(self.current, self._members.own.id)
+
+    def cell_homes(self) -> list[Member]:
+        """List the homes of this instance's cell, as of the last look."""
+        return homes_of_cell(self.current, self.own_cell)
+
     def far_homes(self, region: str) -> list[Member]:
         """List the probable homes of another region."""
         ranked = rank_members(self._members.by_id.values(), region)
--- a/heatherhead/tests/dispatch/homes_replay_tests.py
+++ b/heatherhead/tests/dispatch/homes_replay_tests.py
@@ -67,7 +67,7 @@
 
     def _create_home(self, number: int) -> _Home:
         dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=HOMES)
-        dispatcher.set_homes(HOMES)
+        dispatcher.set_share((0, 1), lambda _: True, HOMES)
         for name in self._upstream_by_id:
             dispatcher.on_entry(None, create_entry(name, slots=SLOTS))
         dispatcher.on_count = lambda state: self._tell_count(number, state)
--- a/heatherhead/tests/dispatch/replay_tests.py
+++ b/heatherhead/tests/dispatch/replay_tests.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch import placement
-from heatherhead.dispatch.dispatcher import Dispatcher, RejectedError, create_dispatcher
+from heatherhead.dispatch.dispatcher import FAR_SAMPLE, Dispatcher, RejectedError, create_dispatcher
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.tests.base import run_paused
 from heatherhead.tests.dispatch.fakes import create_demand, create_entry
@@ -225,7 +225,7 @@
     async def main() -> None:
         loop = asyncio.get_running_loop()
         dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
-        dispatcher.set_homes(3)
+        dispatcher.set_share((0, 1), lambda _: True, 3)
         for number in range(3):
             dispatcher.on_entry(None, create_entry(f"u{number}"))
         for state in dispatcher.states:
@@ -251,6 +251,42 @@
     run_paused(main())
 
 
+def test_calls_of_a_large_service_price_the_own_part_and_a_few_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A region of hundreds of upstreams: a home fills its part, and others where that is full."""
+    priced: list[str] = []
+
+    def note_price(state: UpstreamState, now: float, usual: float) -> placement.Prospect:
+        priced.append(state.entry.id)
+        return price(state, now, usual)
+
+    price = placement.prospect_of
+    monkeypatch.setattr(placement, "prospect_of", note_price)
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        own = {f"u{number}" for number in range(10)}
+        for number in range(300):
+            dispatcher.on_entry(None, create_entry(f"u{number}", slots=1))
+        dispatcher.set_share((0, 30), lambda state: state.entry.id in own, 2)
+        for state in dispatcher.states:
+            dispatcher.note_reading(state, LoadReading(0, 0, 1, 1.0, loop.time()))
+        slots = [await dispatcher.acquire(create_demand(loop.time()), ()) for _ in range(10)]
+        assert {slot.state.entry.id for slot in slots} == own
+        assert set(priced) == own
+        priced.clear()
+        spilled = await dispatcher.acquire(create_demand(loop.time()), ())
+        assert spilled.state.entry.id not in own
+        assert len(priced) <= len(own) + FAR_SAMPLE
+        dispatcher.on_entry(spilled.state.entry, None)
+        dispatcher.on_entry(slots[0].state.entry, None)
+        assert len(list(dispatcher.states)) == 298
+
+    run_paused(main())
+
+
 def test_slot_that_is_given_to_a_caller_who_left_is_free_again() -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
