--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -292,14 +292,7 @@
             return slot
         service = self._service(demand.service)
         now = self._loop.time()
-        error = self._hopeless(service, demand, now)
-        if error is not None:
-            # A slow or far upstream that nobody else wants is better than none.
-            ahead = service.waiting.ahead_of(demand, now)
-            slot = self._take(service, demand, avoid, ahead)
-            if slot is None:
-                raise error
-            return slot
+        self._check_hopeful(service, demand, now)
         call = WaitingCall(demand, avoid, self._loop.create_future(), now)
         service.waiting.add(call)
         if self._tick is None:
@@ -330,15 +323,12 @@
         found = placement.place(service.near, demand, avoid, now, service.usual.value)
         return found.expected_s if found.upstream is not None else None
 
-    def _take(
-        self, service: _Service, demand: Demand, avoid: Collection[str], ahead: int = 0
-    ) -> Slot | None:
+    def _take(self, service: _Service, demand: Demand, avoid: Collection[str]) -> Slot | None:
         now = self._loop.time()
         usual = service.usual.value
-        upstream = placement.place(service.near, demand, avoid, now, usual, ahead).upstream
+        upstream = placement.place(service.near, demand, avoid, now, usual).upstream
         if upstream is None and service.far:
-            far = service.some_far()
-            upstream = placement.place(far, demand, avoid, now, usual, ahead).upstream
+            upstream = placement.place(service.some_far(), demand, avoid, now, usual).upstream
         return None if upstream is None else self._occupy(upstream, demand, now, usual)
 
     def _occupy(self, state: UpstreamState, demand: Demand, now: float, usual: float) -> Slot:
@@ -395,8 +385,7 @@
                 state.track(self._loop.time())
                 del state.told_by_peer[peer]
 
-    def _hopeless(self, service: _Service, demand: Demand, now: float) -> RejectedError | None:
-        """Tell why a call need not wait."""
+    def _check_hopeful(self, service: _Service, demand: Demand, now: float) -> None:
         slots = service.own_slots(now, self._homes)
         arrivals_per_s = service.arrivals.per_s(now)
         ahead = service.waiting.ahead_of(demand, now)
@@ -407,10 +396,9 @@
             reason = "too many calls wait"
         elif not in_time(ahead, demand, slots, arrivals_per_s, now):
             reason = "the wait is longer than the time left"
-        if reason is None:
-            return None
-        waiting_s = wait_s(ahead, demand, slots, arrivals_per_s, now)
-        return RejectedError(reason, self._retry_after_s(service, demand, waiting_s, now))
+        if reason is not None:
+            waiting_s = wait_s(ahead, demand, slots, arrivals_per_s, now)
+            raise RejectedError(reason, self._retry_after_s(service, demand, waiting_s, now))
 
     def _retry_after_s(
         self, service: _Service, demand: Demand, waiting_s: float, now: float
@@ -430,10 +418,7 @@
         if not service.waiting.calls:
             return
         now = self._loop.time()
-        self._fill_slots(service, now)
         self._reject_hopeless(service, now)
-
-    def _fill_slots(self, service: _Service, now: float) -> None:
         states = service.near
         if not any(state.free_slots(now) > 0 for state in states):
             return
@@ -444,7 +429,7 @@
             if free <= 0:
                 return
             state = placement.choose(prospects, call.demand, call.avoid, ahead).upstream
-            if state is None or now + call.demand.work_s > call.demand.give_up_at:
+            if state is None:
                 continue
             service.waiting.discard(call)
             if call.future.done():
