--- a/heatherhead/dispatch/budget.py
+++ b/heatherhead/dispatch/budget.py
@@ -1,18 +1,21 @@
 """Bounds how many attempts beyond the first go to a service, over all instances together.
 
 Load pattern answered: most upstreams shed or fail at once, and each failed call would be sent again.
-An instance may repeat a share of the calls it saw itself, plus an equal part of the slack, so that
-the sum over instances stays below the bound without their talking to each other.
+An instance may repeat a share of the calls it saw itself, plus its part of the slack, so that the sum
+over instances stays below the bound without their talking to each other.
 """
 
 from __future__ import annotations
 
 from collections import deque
 
-__all__ = ["RepeatBudget", "create_repeat_budget"]
+__all__ = ["RepeatBudget", "create_repeat_budget", "slack_of"]
 
 RATIO_PART = 0.75  # of the allowed ratio; calls are counted a little later than by the upstreams
-SLACK_PART = 0.5  # of the allowed slack; instances that restart forget what they spent
+HOMES_PART = (
+    0.5  # of the allowed slack; homes that restart, or have just changed, forget what was spent
+)
+OTHERS_PART = 0.25  # likewise; other instances see few calls
 
 
 class RepeatBudget:
@@ -49,8 +52,13 @@
                 times.popleft()
 
 
-def create_repeat_budget(
-    ratio: float, window_s: float, slack: float, instances: int
-) -> RepeatBudget:
-    """Create an instance's part of a budget that `instances` share."""
-    return RepeatBudget(ratio * RATIO_PART, window_s, slack * SLACK_PART / max(1, instances))
+def slack_of(slack: float, homes: int, instances: int, *, is_home: bool) -> float:
+    """Give an instance's part of the slack: homes share one half, all others a quarter."""
+    if is_home:
+        return slack * HOMES_PART / max(1, homes)
+    return slack * OTHERS_PART / max(1, instances - homes)
+
+
+def create_repeat_budget(ratio: float, window_s: float, own_slack: float) -> RepeatBudget:
+    """Create an instance's part of a budget that all instances share."""
+    return RepeatBudget(ratio * RATIO_PART, window_s, own_slack)
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -126,8 +126,10 @@
         self,
         zone: str,
         region_by_zone: dict[str, str],
-        create_budget: Callable[[], RepeatBudget],
+        create_budget: Callable[[float], RepeatBudget],
+        own_slack: float,
     ) -> None:
+        self._own_slack = own_slack
         self._loop = asyncio.get_running_loop()
         self._zone = zone
         self._region = region_by_zone.get(zone, "")
@@ -157,10 +159,11 @@
         """Tell the region of a zone."""
         return self._region_by_zone.get(zone)
 
-    def set_instances(self, instances: int, slack: float) -> None:
-        """Divide the slack of the repeat budgets anew."""
+    def set_own_slack(self, own_slack: float) -> None:
+        """Take in this instance's part of the slack of the repeat budgets."""
+        self._own_slack = own_slack
         for service in self._service_by_name.values():
-            service.budget.slack = slack / max(1, instances)
+            service.budget.slack = own_slack
 
     def set_share(
         self, share: tuple[int, int], fills: Callable[[UpstreamState], bool], homes: int
@@ -452,7 +455,9 @@
     def _service(self, name: str) -> _Service:
         service = self._service_by_name.get(name)
         if service is None:
-            service = self._service_by_name[name] = _Service(name, self._create_budget())
+            service = self._service_by_name[name] = _Service(
+                name, self._create_budget(self._own_slack)
+            )
         return service
 
 
@@ -461,12 +466,15 @@
     region_by_zone: dict[str, str],
     ratio: float,
     window_s: float,
-    slack: float,
-    instances: int,
+    own_slack: float,
 ) -> Dispatcher:
-    """Create a dispatcher without upstreams; must be called inside the running loop."""
+    """Create a dispatcher without upstreams; must be called inside the running loop.
+
+    `ratio` and `own_slack` bound repeats in `window_s`: a share of the calls, and this instance's part.
+    """
     return Dispatcher(
         zone,
         region_by_zone,
-        lambda: create_repeat_budget(ratio, window_s, slack, instances),
+        lambda slack: create_repeat_budget(ratio, window_s, slack),
+        own_slack,
     )
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
+from heatherhead.dispatch.budget import slack_of
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.upstream_state import LoadReading
@@ -83,8 +84,7 @@
             settings.region_by_zone,
             settings.retry_ratio,
             settings.retry_window_s,
-            settings.retry_slack,
-            instances=8,
+            own_slack=0.0,
         )
         self.pool = create_upstream_pool()
         self.metrics = create_entry_metrics()
@@ -220,7 +220,15 @@
         )
         self.reader.update()
         self.dispatcher.forget_peers(self.homes.heard_lately())
-        self.dispatcher.set_instances(len(self.members.by_id), self.settings.retry_slack)
+        self._share_slack()
+
+    def _share_slack(self) -> None:
+        regions = len(set(self.settings.region_by_zone.values()))
+        homes = len(self.homes.current) * max(1, regions)
+        members = len(self.members.by_id)
+        slack = self.settings.retry_slack
+        own_slack = slack_of(slack, homes, members, is_home=self.homes.is_home())
+        self.dispatcher.set_own_slack(own_slack)
 
     def _measure_rate(self) -> None:
         now = self._loop.time()
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from heatherhead.dispatch.budget import create_repeat_budget
+from heatherhead.dispatch.budget import create_repeat_budget, slack_of
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.crowding import Crowding
 from heatherhead.dispatch.estimates import UsualPatience
@@ -176,7 +176,8 @@
 
 
 def test_budget_bounds_repeats_of_all_instances_in_any_window() -> None:
-    budgets = [create_repeat_budget(0.2, 10.0, 56.0, instances=4) for _ in range(4)]
+    slacks = [slack_of(56.0, 2, 4, is_home=is_home) for is_home in (True, True, False, False)]
+    budgets = [create_repeat_budget(0.2, 10.0, slack) for slack in slacks]
     calls = repeats = 0
     for step in range(1000):
         now = NOW + step * 0.01
@@ -187,8 +188,16 @@
     assert repeats <= 0.2 * calls + 56.0
 
 
+def test_slack_is_not_overspent_by_homes_that_have_just_changed() -> None:
+    """A home is lost, the next one takes its place, and another instance believes it is one too."""
+    homes, members = 6, 14
+    spent = 8 * slack_of(56.0, homes, members, is_home=True)
+    spent += (members - homes) * slack_of(56.0, homes, members, is_home=False)
+    assert spent <= 56.0
+
+
 def test_budget_forgets_what_left_the_window() -> None:
-    budget = create_repeat_budget(0.0, 10.0, 4.0, instances=1)
+    budget = create_repeat_budget(0.0, 10.0, 2.0)
     assert [budget.take(NOW) for _ in range(3)] == [True, True, False]
     assert budget.take(NOW + 10.1)
 
--- a/heatherhead/tests/dispatch/homes_replay_tests.py
+++ b/heatherhead/tests/dispatch/homes_replay_tests.py
@@ -66,7 +66,7 @@
         self.held_s = 0.0  # by calls that were turned away
 
     def _create_home(self, number: int) -> _Home:
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=HOMES)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0 / HOMES)
         dispatcher.set_share((0, 1), lambda _: True, HOMES)
         for name in self._upstream_by_id:
             dispatcher.on_entry(None, create_entry(name, slots=SLOTS))
--- a/heatherhead/tests/dispatch/replay_tests.py
+++ b/heatherhead/tests/dispatch/replay_tests.py
@@ -67,7 +67,7 @@
     """Give the share of calls that were answered within the target."""
     loop = asyncio.get_running_loop()
     rng = Random(7)
-    dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+    dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
     by_name = {upstream.name: upstream for upstream in pattern.upstreams}
     for upstream in pattern.upstreams:
         dispatcher.on_entry(None, create_entry(upstream.name, slots=upstream.slots))
@@ -147,7 +147,7 @@
 def test_overload_turns_calls_away_at_once_and_serves_the_rest() -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         dispatcher.on_entry(None, create_entry("u", slots=2))
         state = dispatcher.state("u")
         assert state is not None
@@ -192,7 +192,7 @@
     async def main() -> None:
         nonlocal priced
         loop = asyncio.get_running_loop()
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         for number in range(12):
             dispatcher.on_entry(None, create_entry(f"u{number}"))
         for state in dispatcher.states:
@@ -224,7 +224,7 @@
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         dispatcher.set_share((0, 1), lambda _: True, 3)
         for number in range(3):
             dispatcher.on_entry(None, create_entry(f"u{number}"))
@@ -266,7 +266,7 @@
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         own = {f"u{number}" for number in range(10)}
         for number in range(300):
             dispatcher.on_entry(None, create_entry(f"u{number}", slots=1))
@@ -290,7 +290,7 @@
 def test_slot_that_is_given_to_a_caller_who_left_is_free_again() -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         dispatcher.on_entry(None, create_entry("u", slots=1))
         state = dispatcher.state("u")
         assert state is not None
@@ -308,7 +308,7 @@
 
 def test_draining_or_restarted_upstream_gets_no_new_call() -> None:
     async def main() -> None:
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         first = create_entry("u", started_ms=1)
         dispatcher.on_entry(None, first)
         before = dispatcher.state("u")
@@ -326,7 +326,7 @@
 
 def test_counts_of_a_home_that_is_no_longer_heard_are_dropped() -> None:
     async def main() -> None:
-        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 50.0, instances=1)
+        dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 25.0)
         dispatcher.on_entry(None, create_entry("u"))
         dispatcher.take_counts("peer", {"u": 3}, whole=False)
         state = dispatcher.state("u")
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -118,7 +118,7 @@
 
     def __init__(self, port_by_upstream: dict[str, int], max_attempts: int = 2) -> None:
         self.table = create_route_table()
-        self.dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 200.0, instances=1)
+        self.dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 100.0)
         self.crash_notices: list[tuple[int, int]] = []
         self.crashes = create_crash_table()
         self.pool = create_upstream_pool()
