--- a/heatherhead/commands/__init__.py
+++ b/heatherhead/commands/__init__.py
@@ -15,6 +15,7 @@
     services_get,
     services_list,
     services_put,
+    trace,
     upstreams_drain,
     upstreams_list,
     upstreams_undrain,
@@ -54,5 +55,6 @@
     ("histograms",): histograms,
     ("config", "status"): config_status,
     ("events",): events,
+    ("trace",): trace,
     ("version",): version,
 }
