--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: install test lint format prove demo run generate docs capacity
+.PHONY: install test lint format prove demo run generate docs capacity soak
 .PHONY: bench-health bench-operators bench-control bench-policy bench-choose bench-path bench-kill bench-keys
 
 install: $(STAMP)
@@ -68,5 +68,10 @@
 bench-drain: $(STAMP)
 	$(BIN)/python -m bench.drain
 
+SEEDS ?= 1-8
+
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds=$(SEEDS) --side-by-side=2
+
 capacity: $(STAMP)
 	$(BIN)/python -m bench.capacity --take
