--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -26,6 +26,7 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 MAX_FOLLOWERS = 256
+MAX_PACKED = 8  # batches that are kept; most followers are at one of the last revisions
 
 
 class RelayError(Exception):
@@ -40,12 +41,15 @@
         self._changed = asyncio.Event()
         self._outage_at_by_key: dict[str, bool] = {}
         self._followers = 0
+        self._packed_at = -1  # the replica's revision that the packed batches lead to
+        self._packed_by_revision: dict[int, bytes] = {}
         replica.subscribe(self._on_change)
 
     def _on_change(self, event: WatchEvent, after_outage: bool) -> None:
         self._outage_at_by_key.pop(event.key, None)
         if after_outage and event.value is None:
             self._outage_at_by_key[event.key] = True
+        self._packed_at = -1  # a late change may be older than the replica's revision
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -74,6 +78,18 @@
             writer.close()
 
     def _batch(self, revision: int) -> bytes:
+        """Pack what a follower at `revision` lacks, once for all followers at that revision."""
+        if self._packed_at != self._replica.revision:
+            self._packed_at = self._replica.revision
+            self._packed_by_revision.clear()
+        packed = self._packed_by_revision.get(revision)
+        if packed is None:
+            packed = self._pack(revision)
+            if len(self._packed_by_revision) < MAX_PACKED:
+                self._packed_by_revision[revision] = packed
+        return packed
+
+    def _pack(self, revision: int) -> bytes:
         whole, events = self._replica.changes_since(revision)
         if revision >= self._replica.revision:
             whole, events = False, []
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -420,3 +420,39 @@
         await follower.stop()
 
     run_paused(main())
+
+
+def test_change_is_packed_once_for_all_followers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A hundred instances of a region follow two watchers; each change goes to all of them."""
+
+    async def main() -> None:
+        replica = create_store_replica()
+        relay = create_relay_server(replica)
+        replica.apply(_put("k", b"1", 1))
+        asked = []
+        changes_since = replica.changes_since
+        monkeypatch.setattr(
+            replica, "changes_since", lambda at: asked.append(at) or changes_since(at)
+        )
+        server = await asyncio.start_server(relay.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        replicas = [create_store_replica() for _ in range(20)]
+        address = HostPort("127.0.0.1", port)
+        tasks = [
+            asyncio.create_task(follow_peer(address, each, lambda _: None)) for each in replicas
+        ]
+        async with asyncio.timeout(20):
+            while any(each.revision < 1 for each in replicas):
+                await asyncio.sleep(0.01)
+            asked.clear()
+            replica.apply(_put("k", b"2", 2))
+            while any(each.revision < 2 for each in replicas):
+                await asyncio.sleep(0.01)
+        assert all(each.value_by_key["k"][0] == b"2" for each in replicas)
+        assert asked.count(1) == 1
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        server.close()
+
+    asyncio.run(main())
