Never skip a change that comes while a relay's batch is on its way

A relay took the replica's revision after it had waited for its batch to be taken by the socket; a change that came in that time was counted as sent and never was. The follower then held the newest revision without the change, and no heartbeat could tell. Ruled out: the store (acknowledged, others had it), the batches kept for several followers (cleared with each change), lost datagrams (relays are streams). The new test replays it: without the line the change never arrives, with it the next batch brings it.

--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -65,8 +65,8 @@
             while True:
                 changed = self._changed
                 writer.write(self._batch(revision))
+                revision = self._replica.revision  # what the batch leads to, before anything waits
                 await asyncio.wait_for(writer.drain(), SILENCE_S)
-                revision = self._replica.revision
                 try:
                     await asyncio.wait_for(changed.wait(), HEARTBEAT_S)
                 except TimeoutError:
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+import msgpack
 import pytest
 
 from heatherhead.entry.settings import HostPort
@@ -456,3 +457,48 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_change_that_comes_while_a_batch_is_on_its_way_is_not_skipped() -> None:
+    """A follower missed that an upstream drains, and sent to it for 13 s."""
+
+    async def main() -> None:
+        replica = create_store_replica()
+        relay = create_relay_server(replica)
+        replica.apply(_put("first", b"x", 1))
+        reader = asyncio.StreamReader()
+        reader.feed_data(msgpack.packb(0))
+        writer = _SlowWriter(lambda: replica.apply(_put("meanwhile", b"x", 2)))
+        serving = asyncio.create_task(relay.serve(reader, writer))  # type: ignore[arg-type]
+        await asyncio.sleep(1.5)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        assert writer.keys() == ["first", "meanwhile"]
+
+    run_paused(main())
+
+
+class _SlowWriter:
+    """A stream whose first bytes take a while; something happens meanwhile."""
+
+    def __init__(self, meanwhile: Callable[[], object]) -> None:
+        self._meanwhile: Callable[[], object] | None = meanwhile
+        self._unpacker = msgpack.Unpacker()
+
+    def write(self, data: bytes) -> None:
+        """Take bytes."""
+        self._unpacker.feed(data)
+
+    async def drain(self) -> None:
+        """Let the other thing happen at the first call."""
+        await asyncio.sleep(0.1)
+        if self._meanwhile is not None:
+            self._meanwhile()
+            self._meanwhile = None
+
+    def close(self) -> None:
+        """End."""
+
+    def keys(self) -> list[str]:
+        """List the keys that were sent, in order."""
+        return [row[0] for _, _, rows in self._unpacker for row in rows]
