Tell followers what was removed before their relay started

A home is killed at 3.86 s, an upstream's entry is removed at 4.0 s (revision 190), the home is back and reads the store as of 197. Now a replica that took a listing of a newer revision sends older followers the whole listing, and a relay says whether missing keys may be lapses, so that others are dropped at once. Tests fail without the line in apply_listing.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -100,6 +100,7 @@
         self.follower = create_store_follower(
             store, "", self.replica, self._verify_rank, self._relay_peers, lambda: self.table.loaded
         )
+        self.relay.after_outage = lambda: self.follower.after_outage
         self.announcement = create_announcement(
             store,
             self.members.own,
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -42,7 +42,8 @@
         self._outage_at_by_key: dict[str, bool] = {}
         self._followers = 0
         self._packed_at = -1  # the replica's revision that the packed batches lead to
-        self._packed_by_revision: dict[int, bytes] = {}
+        self._packed_by_asked: dict[tuple[int, bool], bytes] = {}
+        self.after_outage: Callable[[], bool] = lambda: False  # whether missing keys may be lapses
         replica.subscribe(self._on_change)
 
     def _on_change(self, event: WatchEvent, after_outage: bool) -> None:
@@ -81,15 +82,16 @@
         """Pack what a follower at `revision` lacks, once for all followers at that revision."""
         if self._packed_at != self._replica.revision:
             self._packed_at = self._replica.revision
-            self._packed_by_revision.clear()
-        packed = self._packed_by_revision.get(revision)
+            self._packed_by_asked.clear()
+        asked = (revision, self.after_outage())
+        packed = self._packed_by_asked.get(asked)
         if packed is None:
-            packed = self._pack(revision)
-            if len(self._packed_by_revision) < MAX_PACKED:
-                self._packed_by_revision[revision] = packed
+            packed = self._pack(*asked)
+            if len(self._packed_by_asked) < MAX_PACKED:
+                self._packed_by_asked[asked] = packed
         return packed
 
-    def _pack(self, revision: int) -> bytes:
+    def _pack(self, revision: int, outage: bool) -> bytes:
         whole, events = self._replica.changes_since(revision)
         if revision >= self._replica.revision:
             whole, events = False, []
@@ -97,7 +99,7 @@
             [event.key, event.value, event.mod_revision, event.key in self._outage_at_by_key]
             for event in events
         ]
-        packed: bytes = msgpack.packb([whole, self._replica.revision, rows])
+        packed: bytes = msgpack.packb([whole, self._replica.revision, rows, outage])
         return packed
 
 
@@ -128,10 +130,10 @@
 
 
 def _take_batch(batch: list[Any], replica: StoreReplica) -> None:
-    whole, revision, rows = batch
+    whole, revision, rows, outage = batch
     if whole:
         events = [WatchEvent(key, value, at) for key, value, at, _ in rows]
-        replica.apply_listing(events, revision, after_outage=True)
+        replica.apply_listing(events, revision, after_outage=outage)
         return
     for key, value, at, after_outage in rows:
         replica.apply(WatchEvent(key, value, at), after_outage=after_outage)
--- a/heatherhead/fleet/replica.py
+++ b/heatherhead/fleet/replica.py
@@ -62,6 +62,8 @@
         self, events: Iterable[WatchEvent], revision: int, *, after_outage: bool
     ) -> None:
         """Take in all keys as of a revision; those it lacks were removed by then."""
+        if revision > self.revision:
+            self._forgotten_revision = revision  # what was removed since, unseen here, is not known
         listed = set()
         for event in events:
             listed.add(event.key)
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -501,4 +501,46 @@
 
     def keys(self) -> list[str]:
         """List the keys that were sent, in order."""
-        return [row[0] for _, _, rows in self._unpacker for row in rows]
+        return [row[0] for _, _, rows, _ in self._unpacker for row in rows]
+
+
+def test_relay_that_has_just_started_tells_followers_what_was_removed_before_its_start() -> None:
+    """A home is killed, an upstream leaves, and the home's followers come back to it."""
+    started = create_store_replica()
+    started.apply_listing([_put("stays", b"x", 2)], 9, after_outage=False)
+    whole, events = started.changes_since(5)
+    assert whole
+    assert [event.key for event in events] == ["stays"]
+    started.apply(_put("later", b"x", 10))
+    assert not started.changes_since(9)[0]
+    follower = create_store_replica()
+    for key, revision in (("left", 1), ("stays", 2), ("other", 5)):
+        follower.apply(_put(key, b"x", revision))
+    _, listing = started.changes_since(follower.revision)
+    follower.apply_listing(listing, started.revision, after_outage=False)
+    assert set(follower.value_by_key) == {"stays", "later"}
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_follower_hears_whether_missing_keys_may_be_lapses(outage: bool) -> None:
+    async def main() -> None:
+        replica = create_store_replica()
+        replica.apply_listing([_put("stays", b"x", 2)], 9, after_outage=False)
+        relay = create_relay_server(replica)
+        relay.after_outage = lambda: outage
+        server = await asyncio.start_server(relay.serve, "127.0.0.1", 0)
+        address = HostPort("127.0.0.1", server.sockets[0].getsockname()[1])
+        follower = create_store_replica()
+        follower.apply(_put("left", b"x", 1))
+        told = []
+        follower.subscribe(lambda event, after_outage: told.append((event.key, after_outage)))
+        task = asyncio.create_task(follow_peer(address, follower, lambda _: None))
+        async with asyncio.timeout(20):
+            while follower.revision < 9:
+                await asyncio.sleep(0.01)
+        assert ("left", outage) in told
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        server.close()
+
+    asyncio.run(main())
