--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from soak.links import Fault
@@ -11,7 +12,7 @@
 
 if TYPE_CHECKING:
     from collections import Counter
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
 
     from soak.world import Backend, Daemon, World
 
@@ -32,6 +33,23 @@
     return world.rng.choice(free) if len(free) > len(world.backends) // 2 else None
 
 
+@contextmanager
+def _busy(target: Daemon | Backend) -> Iterator[None]:
+    """Keep other faults away from a process meanwhile."""
+    target.busy = True
+    try:
+        yield
+    finally:
+        target.busy = False
+
+
+async def _pause(world: World, target: Daemon | Backend) -> None:
+    with _busy(target):
+        target.process.signal(signal.SIGSTOP)
+        await _some_time(world)
+        target.process.signal(signal.SIGCONT)
+
+
 async def _some_time(world: World) -> None:
     await asyncio.sleep(world.rng.uniform(*LENGTH_S))
 
@@ -40,24 +58,22 @@
     """End a daemon in order and start it again."""
     daemon = _free_daemon(world)
     if daemon is not None:
-        daemon.busy = True
-        await daemon.process.end(GRACE_S)
-        daemon.process.start()
-        await wait_ready(daemon)
-        daemon.busy = False
+        with _busy(daemon):
+            await daemon.process.end(GRACE_S)
+            daemon.process.start()
+            await wait_ready(daemon)
 
 
 async def kill_daemon(world: World) -> None:
     """Kill a daemon and start it again; it may be killed at its start."""
     daemon = _free_daemon(world)
     if daemon is not None:
-        daemon.busy = True
-        for _ in range(world.rng.randint(1, 2)):
-            daemon.process.signal(signal.SIGKILL)
-            await asyncio.sleep(world.rng.uniform(0.05, 0.8))
-            daemon.process.start()
-        await wait_ready(daemon)
-        daemon.busy = False
+        with _busy(daemon):
+            for _ in range(world.rng.randint(1, 2)):
+                daemon.process.signal(signal.SIGKILL)
+                await asyncio.sleep(world.rng.uniform(0.05, 0.8))
+                daemon.process.start()
+            await wait_ready(daemon)
 
 
 async def kill_all_daemons(world: World) -> None:
@@ -79,43 +95,33 @@
     """Let a daemon stand still for a while."""
     daemon = _free_daemon(world)
     if daemon is not None:
-        daemon.busy = True
-        daemon.process.signal(signal.SIGSTOP)
-        await _some_time(world)
-        daemon.process.signal(signal.SIGCONT)
-        daemon.busy = False
+        await _pause(world, daemon)
 
 
 async def kill_backend(world: World) -> None:
     """Kill a back end and start it again under its id, as another boot."""
     backend = _free_backend(world)
     if backend is not None:
-        backend.busy = True
-        backend.process.signal(signal.SIGKILL)
-        await _some_time(world)
-        backend.process.start()
-        backend.busy = False
+        with _busy(backend):
+            backend.process.signal(signal.SIGKILL)
+            await _some_time(world)
+            backend.process.start()
 
 
 async def pause_backend(world: World) -> None:
     """Let a back end stand still for a while."""
     backend = _free_backend(world)
     if backend is not None:
-        backend.busy = True
-        backend.process.signal(signal.SIGSTOP)
-        await _some_time(world)
-        backend.process.signal(signal.SIGCONT)
-        backend.busy = False
+        await _pause(world, backend)
 
 
 async def drain_backend(world: World) -> None:
     """End a back end in order and start it again."""
     backend = _free_backend(world)
     if backend is not None:
-        backend.busy = True
-        await backend.process.end(GRACE_S)
-        backend.process.start()
-        backend.busy = False
+        with _busy(backend):
+            await backend.process.end(GRACE_S)
+            backend.process.start()
 
 
 async def harm_backend_link(world: World) -> None:
