Log on which evidence a call is rejected, and count rejections beside free upstreams

The line of a rejected call named a reason only. It couldn't tell full upstreams from upstreams that were forecast as too slow, nor how old the forecast's evidence was. It now has the time waited and left, the estimates with their ages, and how many upstreams were free or excluded. The counter rejected_beside_free_upstreams makes such refusals visible without reading logs.

--- a/heatherhead/dispatch/demand.py
+++ b/heatherhead/dispatch/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 __all__ = ["Demand"]
@@ -21,6 +22,7 @@
     idempotent: bool
     request_id: str = ""
     waited_before_s: float = 0.0  # by the caller, in earlier requests for the same call
+    work_measured_at: float = -math.inf  # the last answer that `work_s` rests on
 
     def time_to_target(self, now: float) -> float:
         """Return the seconds left until the latency target, less the caller's earlier waits."""
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from itertools import count
 from random import sample
@@ -30,7 +31,7 @@
     from heatherhead.dispatch.upstream_state import LoadReading
     from heatherhead.registry.entries import UpstreamEntry
 
-__all__ = ["Dispatcher", "RejectedError", "Slot", "create_dispatcher"]
+__all__ = ["Dispatcher", "RejectedError", "RejectionEvidence", "Slot", "create_dispatcher"]
 
 SLOWDOWN_RISE_FACTOR = 1.5  # a slowdown that rose by this factor makes calls in flight late
 SLOWDOWN_TOLERANCE_FRACTION = 0.1  # a slowdown that changed by less counts as unchanged
@@ -45,13 +46,31 @@
 OVERFLOW_SAMPLE_SIZE = 8
 
 
+@dataclass(frozen=True, slots=True)
+class RejectionEvidence:
+    """What an instance knew when it rejected a call; durations in seconds."""
+
+    waited_s: float
+    left_s: float  # until the caller gives up
+    ahead: int  # waiting calls that preceded this one
+    work_s: float  # estimated service time
+    work_age_s: float  # since the answer that the estimate rests on
+    baseline: float  # average slowdown of the service
+    reading_age_s: float  # since the last load reading of the service
+    upstreams: int  # filled first by this instance
+    excluded: int  # ejected or misdirected
+    free: int  # upstreams with a free slot that are not excluded
+    fastest_s: float  # least forecast time to an answer from these
+
+
 class RejectedError(Exception):
     """A call that can't be answered before its caller gives up; it was not sent to an upstream."""
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    def __init__(self, reason: str, retry_after_s: float, evidence: RejectionEvidence) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.evidence = evidence
 
 
 @dataclass(slots=True, eq=False)
@@ -80,6 +99,7 @@
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
     baseline: BaselineSlowdown = field(default_factory=BaselineSlowdown)
     contention: Contention = field(default_factory=Contention)
+    reading_at: float = -math.inf  # the last load reading of any upstream
     applied_speed_when_full: float = 1.0  # for which `usable_slots` of the upstreams were set
 
     def capacity_slots(self, now: float, homes: int) -> float:
@@ -323,6 +343,7 @@
             self.on_slowdown(state)
         if reading.slowdown is not None:
             service.baseline.record(reading.slowdown)
+            service.reading_at = max(service.reading_at, reading.read_at)
         return service.name
 
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
@@ -455,7 +476,11 @@
             reason = "the wait is longer than the time left"
         if reason is not None:
             waiting_s = wait_s(ahead, demand, slots, arrivals_per_s, now)
-            raise RejectedError(reason, self._retry_after_s(service, demand, waiting_s, now))
+            raise RejectedError(
+                reason,
+                self._retry_after_s(service, demand, waiting_s, now),
+                _rejection_evidence(service, demand, ahead, now),
+            )
 
     def _retry_after_s(
         self, service: _Service, demand: Demand, waiting_s: float, now: float
@@ -505,10 +530,12 @@
     def _reject_infeasible(self, service: _Service, now: float) -> None:
         slots = service.capacity_slots(now, self._homes)
         for call in service.queue.infeasible(now, slots, service.arrival_rate.per_s(now)):
+            ahead = service.queue.ahead_of(call.demand, now) - 1
             service.queue.discard(call)
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
-                call.future.set_exception(RejectedError("no slot in time", retry_s))
+                evidence = _rejection_evidence(service, call.demand, ahead, now)
+                call.future.set_exception(RejectedError("no slot in time", retry_s, evidence))
 
     def _service(self, name: str) -> _Service:
         service = self._service_by_name.get(name)
@@ -519,6 +546,27 @@
         return service
 
 
+def _rejection_evidence(
+    service: _Service, demand: Demand, ahead: int, now: float
+) -> RejectionEvidence:
+    baseline = service.baseline.value
+    prospects = placement.prospects_of(service.preferred, now, baseline)
+    free = [each for each in prospects if each.free > 0]
+    return RejectionEvidence(
+        waited_s=now - demand.received_at,
+        left_s=demand.give_up_at - now,
+        ahead=ahead,
+        work_s=demand.work_s,
+        work_age_s=now - demand.work_measured_at,
+        baseline=baseline,
+        reading_age_s=now - service.reading_at,
+        upstreams=len(service.preferred),
+        excluded=len(service.preferred) - len(prospects),
+        free=len(free),
+        fastest_s=min((each.answer_s(demand.work_s) for each in free), default=math.inf),
+    )
+
+
 def create_dispatcher(
     zone: str,
     region_by_zone: dict[str, str],
--- a/heatherhead/dispatch/estimates.py
+++ b/heatherhead/dispatch/estimates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 __all__ = ["BaselineSlowdown", "ClientTimeoutEstimate", "RouteEstimate"]
@@ -47,14 +48,16 @@
     work_s: float = DEFAULT_SERVICE_TIME_S
     answer_bytes: float = INITIAL_ANSWER_BYTES
     answers: int = 0
+    answered_at: float = -math.inf  # the last answer whose service time is known
     client_timeout: ClientTimeoutEstimate = field(default_factory=ClientTimeoutEstimate)
 
-    def record(self, work_s: float | None, answer_bytes: int) -> None:
+    def record(self, work_s: float | None, answer_bytes: int, now: float) -> None:
         """Record an answer; `work_s` is its service time at normal speed, None if unknown."""
         self.answer_bytes += ANSWER_EWMA_WEIGHT * (answer_bytes - self.answer_bytes)
         if work_s is None:
             return
         self.answers += 1
+        self.answered_at = now
         weight = (
             max(ANSWER_EWMA_WEIGHT, 1.0 / self.answers)
             if self.answers <= EWMA_WARMUP_ANSWERS
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -59,6 +59,10 @@
     occupancy: int
     free: int  # slots; zero or less if the upstream is full
 
+    def answer_s(self, work_s: float) -> float:
+        """Estimate the time to the answer of a call whose service time at normal speed is given."""
+        return self.transit_s + work_s * self.slowdown + self.overdue_s
+
 
 def _expected_slowdown(state: UpstreamState, occupancy: int, now: float, baseline: float) -> float:
     share = min(1.0, occupancy / state.entry.slots)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -177,6 +177,7 @@
             target_at=received_at + (route.target_latency_s or remaining_s),
             give_up_at=give_up_at,
             work_s=estimate.work_s,
+            work_measured_at=estimate.answered_at,
             size_bytes=len(request.body) + int(estimate.answer_bytes) + 600,
             idempotent=route.idempotent,
             request_id=request_id or "",
@@ -241,20 +242,38 @@
         try:
             slot = await self._dispatcher.acquire(call.demand, frozenset(call.tried_ids))
         except RejectedError as error:
-            log_event(
-                "rejected",
-                id=call.demand.request_id,
-                service=call.demand.service,
-                reason=error.reason,
-                retry_after_s=f"{error.retry_after_s:.3f}",
-                sent=call.sent,
-            )
+            self._log_rejection(call, error)
             if call.may_have_run:
                 return self._own_answer_to(call, 502, "an attempt failed and none is left")
             return self._own_answer_to(call, 503, error.reason, error.retry_after_s)
         self._launch_attempt(call, slot)
         return None
 
+    def _log_rejection(self, call: _Call, error: RejectedError) -> None:
+        evidence = error.evidence
+        self.metrics.events["rejected"] += 1
+        if evidence.free:
+            self.metrics.events["rejected_beside_free_upstreams"] += 1
+        log_event(
+            "rejected",
+            id=call.demand.request_id,
+            service=call.demand.service,
+            reason=error.reason,
+            retry_after_s=f"{error.retry_after_s:.3f}",
+            sent=call.sent,
+            waited_s=f"{evidence.waited_s:.3f}",
+            left_s=f"{evidence.left_s:.3f}",
+            ahead=evidence.ahead,
+            work_s=f"{evidence.work_s:.3f}",
+            work_age_s=f"{min(99.0, evidence.work_age_s):.3f}",
+            baseline=f"{evidence.baseline:.2f}",
+            reading_age_s=f"{min(99.0, evidence.reading_age_s):.3f}",
+            upstreams=evidence.upstreams,
+            excluded=evidence.excluded,
+            free=evidence.free,
+            fastest_s=f"{min(99.0, evidence.fastest_s):.3f}",
+        )
+
     def _launch_attempt(self, call: _Call, slot: Slot) -> None:
         now = self._loop.time()
         state = slot.state
@@ -486,7 +505,7 @@
         self.metrics.observe("upstream", call.demand.service, duration_s)
         estimate = self._estimate(call.route)
         work_s = self._dispatcher.record_answer(slot, estimate.work_s, duration_s)
-        estimate.record(work_s, len(answer.body))
+        estimate.record(work_s, len(answer.body), now)
         return _AttemptOutcome(_AttemptEnd.ANSWERED, "answered", answer)
 
     def _handle_refusal(
--- a/heatherhead/tests/dispatch/homes_replay.py
+++ b/heatherhead/tests/dispatch/homes_replay.py
@@ -272,7 +272,7 @@
         if answered:
             duration_s = self._loop.time() - slot.acquired_at
             normal_s = home.dispatcher.record_answer(slot, home.estimate.work_s, duration_s)
-            home.estimate.record(normal_s, 1000)
+            home.estimate.record(normal_s, 1000, self._loop.time())
         home.dispatcher.release(slot)
         return answered
 
