--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, field
+from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
 
 from heatherhead.dispatch.dispatcher import RejectedError, create_dispatcher
+from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.tests.base import run_with_paused_clock
 from heatherhead.tests.dispatch.fakes import create_demand, create_entry
+from heatherhead.tests.dispatch.replayed_upstream import ReplayedUpstream
 
 if TYPE_CHECKING:
     from heatherhead.dispatch.dispatcher import Dispatcher
 
 SLOTS = 3
+TARGET_S = 1.0
+CLIENT_TIMEOUT_S = 1.0
 
 
 def _create_dispatcher(upstreams: int) -> Dispatcher:
@@ -48,3 +54,90 @@
         assert evidence.baseline > 2.0
 
     run_with_paused_clock(main())
+
+
+@dataclass
+class _Instance:
+    """An instance that nobody reports loads to; it knows only the answers to its own calls."""
+
+    dispatcher: Dispatcher
+    estimate: RouteEstimate
+    upstream_by_id: dict[str, ReplayedUpstream]
+    rejections: list[RejectedError] = field(default_factory=list)
+
+    async def call(self, work_s: float, timeout_s: float) -> None:
+        """Send one call, and learn from its answer as the forwarder does."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        demand = create_demand(
+            now,
+            target_at=now + TARGET_S,
+            give_up_at=now + timeout_s,
+            work_s=self.estimate.work_s,
+            work_measured_at=self.estimate.answered_at,
+        )
+        try:
+            slot = await self.dispatcher.acquire(demand, ())
+        except RejectedError as error:
+            self.rejections.append(error)
+            return
+        upstream = self.upstream_by_id[slot.state.entry.id]
+        try:
+            async with asyncio.timeout_at(demand.give_up_at):
+                await upstream.run(work_s)
+        except TimeoutError:
+            self.dispatcher.release(slot)
+            return
+        now = loop.time()
+        reading = LoadReading(upstream.in_flight, 0, upstream.slots, upstream.slowdown, now)
+        self.dispatcher.apply_reading(slot.state, reading)
+        known_s = self.dispatcher.record_answer(slot, self.estimate.work_s, now - slot.acquired_at)
+        self.estimate.record(known_s, 1000, now)
+        self.dispatcher.release(slot)
+
+
+def _create_instance(upstreams: int) -> _Instance:
+    upstream_by_id = {
+        f"u{number}": ReplayedUpstream(f"u{number}", SLOTS, keeps_initial_slowdown=True)
+        for number in range(upstreams)
+    }
+    estimate = RouteEstimate(work_s=INITIAL_SERVICE_TIME_SHARE * TARGET_S)
+    return _Instance(_create_dispatcher(upstreams), estimate, upstream_by_id)
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 26", strict=True)
+def test_average_slowdown_alone_does_not_reject_calls_beside_free_upstreams() -> None:
+    """Two answers, one of them from a slow upstream, made an instance refuse a service for good."""
+
+    async def main() -> None:
+        instance = _create_instance(4)
+        for slowdown in (1.0, 7.0):
+            for upstream in instance.upstream_by_id.values():
+                upstream.slowdown = slowdown
+            await instance.call(0.003, CLIENT_TIMEOUT_S)
+            await asyncio.sleep(2.0)
+        before = asyncio.get_running_loop().time()
+        await instance.call(0.003, CLIENT_TIMEOUT_S)
+        assert not instance.rejections
+        assert asyncio.get_running_loop().time() - before < 0.1
+
+    run_with_paused_clock(main())
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 26", strict=False)
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("work_s", [0.003, 0.16])
+def test_rare_calls_to_an_instance_that_is_no_home_are_all_sent(seed: int, work_s: float) -> None:
+    """A third of the upstreams is slow at any time, and no home reports which ones."""
+
+    async def main() -> list[RejectedError]:
+        rng = Random(seed)
+        instance = _create_instance(12)
+        for _ in range(60):
+            for upstream in instance.upstream_by_id.values():
+                upstream.slowdown = 7.0 if rng.random() < 0.35 else 1.0
+            await instance.call(work_s, CLIENT_TIMEOUT_S)
+            await asyncio.sleep(rng.expovariate(1.0))
+        return instance.rejections
+
+    assert not run_with_paused_clock(main())
