Let counts of calls in flight expire when a peer no longer reports them

Homes of one cell report their calls in flight to each other, four times a second in full. An instance that is a home no longer, or is in another cell now, gets no more reports. As the peers stay alive, it kept their last counts, and with them took upstreams for full until these restarted: calls that still reached it waited and were rejected beside free slots.

Counts now expire after a second without a report; so far only those of peers that had died were removed. test_counts_of_a_peer_that_reports_no_more_expire failed before (occupancy 3 instead of 0 after two seconds).

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -41,6 +41,7 @@
 SAME_ZONE_TRANSIT_S = 0.001
 SAME_REGION_TRANSIT_S = 0.003
 OTHER_REGION_TRANSIT_S = 0.045
+COUNTS_TTL_S = 1.0  # homes of a cell report complete counts four times as often
 SMALL_SERVICE_UPSTREAMS = 64  # up to this number, each call also considers other regions
 # Two random choices balance well; a few more are likely to include one in the own region.
 OVERFLOW_SAMPLE_SIZE = 8
@@ -169,6 +170,7 @@
         self._service_by_name: dict[str, _Service] = {}
         self._state_by_id: dict[str, UpstreamState] = {}
         self._transit_by_zone: dict[str, float] = {}
+        self._counts_at_by_peer: dict[str, float] = {}  # the last report of calls in flight
         self._numbers = count(1)
         self._homes = 1
         self._share = (0, 1)
@@ -431,6 +433,7 @@
     def apply_peer_counts(self, peer: str, count_by_id: dict[str, int], *, complete: bool) -> None:
         """Apply the calls in flight reported by another home; a `complete` list omits zeros."""
         now = self._loop.time()
+        self._counts_at_by_peer[peer] = now
         freed = set()
         for upstream_id in self._state_by_id if complete else count_by_id:
             state = self._state_by_id.get(upstream_id)
@@ -453,14 +456,26 @@
             self._place_waiting(self._service(name))
 
     def retain_peers(self, live_ids: Collection[str]) -> None:
-        """Remove the reports of all homes that are not in `live_ids`."""
+        """Remove the reports of all homes that are not in `live_ids`.
+
+        Counts of a live home expire too: it reports them to this instance only while both are homes
+        of the same cell.
+        """
+        now = self._loop.time()
+        counts_since = now - COUNTS_TTL_S
+        self._counts_at_by_peer = {
+            peer: reported_at
+            for peer, reported_at in self._counts_at_by_peer.items()
+            if peer in live_ids and reported_at >= counts_since
+        }
         for service in self._service_by_name.values():
             reported = service.contention.reported_by_peer
             for peer in [each for each in reported if each not in live_ids]:
                 del reported[peer]
         for state in self._state_by_id.values():
-            for peer in [each for each in state.reported_by_peer if each not in live_ids]:
-                state.update_time_full(self._loop.time())
+            counted = self._counts_at_by_peer
+            for peer in [each for each in state.reported_by_peer if each not in counted]:
+                state.update_time_full(now)
                 del state.reported_by_peer[peer]
 
     def _check_feasible(self, service: _Service, demand: Demand, now: float) -> None:
--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -139,3 +139,22 @@
         return instance.rejections
 
     assert not run_with_paused_clock(main())
+
+
+def test_counts_of_a_peer_that_reports_no_more_expire() -> None:
+    """An instance that had been a home saw the last counts of the other homes as calls in flight."""
+
+    async def main() -> None:
+        dispatcher = _create_dispatcher(1)
+        dispatcher.apply_peer_counts("home", {"u0": SLOTS}, complete=True)
+        dispatcher.retain_peers(["home"])
+        _read(dispatcher, "u0", SLOTS, 1.0)
+        state = dispatcher.state("u0")
+        assert state is not None
+        now = asyncio.get_running_loop().time()
+        assert state.free_slots(now) == 0
+        await asyncio.sleep(2.0)
+        dispatcher.retain_peers(["home"])
+        assert state.occupancy(now + 2.0) == 0
+
+    run_with_paused_clock(main())
