Reject calls only for a service time that recent attempts support

A home that had learnt 0.95 s (slow upstreams that report normal speed) rejected each call of a route with a client timeout of 1 s, for good, on idle upstreams. So did the first guess of the service time, a share of the latency target, where callers wait for less than that.

The service time that may be a reason to reject now halves with each second without an attempt, so that one call tests the estimate; a guess without answers rejects nothing. An estimate that is seconds old weighs less against a new answer, so that it recovers with the first few. At a home that sends calls all the time nothing changes: both ages are near 0.

test_route_is_served_again_after_all_its_answers_were_slow and test_first_guess_of_the_service_time_rejects_no_call failed before.

--- a/heatherhead/dispatch/admission_queue.py
+++ b/heatherhead/dispatch/admission_queue.py
@@ -123,7 +123,7 @@
     ahead: int, demand: Demand, slots: float, arrivals_per_s: float, now: float
 ) -> bool:
     """Return whether a call behind `ahead` others can be answered before its client timeout."""
-    ends_at = now + wait_s(ahead, demand, slots, arrivals_per_s, now) + demand.work_s
+    ends_at = now + wait_s(ahead, demand, slots, arrivals_per_s, now) + demand.proven_work_s
     return ends_at <= demand.give_up_at
 
 
--- a/heatherhead/dispatch/demand.py
+++ b/heatherhead/dispatch/demand.py
@@ -18,6 +18,7 @@
     target_at: float  # latency target; a later answer is of little use
     give_up_at: float  # client timeout; a later answer is of no use
     work_s: float  # expected service time on an upstream of normal speed
+    proven_work_s: float  # the part of it for which there is recent evidence
     size_bytes: int  # request and answer together
     idempotent: bool
     request_id: str = ""
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -578,7 +578,9 @@
         upstreams=len(service.preferred),
         excluded=len(service.preferred) - len(prospects),
         free=len(free),
-        fastest_s=min((each.proven_answer_s(demand.work_s) for each in free), default=math.inf),
+        fastest_s=min(
+            (each.proven_answer_s(demand.proven_work_s) for each in free), default=math.inf
+        ),
     )
 
 
--- a/heatherhead/dispatch/estimates.py
+++ b/heatherhead/dispatch/estimates.py
@@ -11,6 +11,8 @@
 DEFAULT_SERVICE_TIME_S = 0.1
 ANSWER_EWMA_WEIGHT = 0.05  # of the latest answer
 EWMA_WARMUP_ANSWERS = 20  # the plain average is used up to this number
+ESTIMATE_HALF_LIFE_S = 2.0  # an estimate without an answer for that long has half of the weight
+EVIDENCE_HALF_LIFE_S = 1.0  # of the estimate as a reason to reject calls, since the last attempt
 INITIAL_ANSWER_BYTES = 1500
 # A high quantile of the client timeouts, because callers that retry name shorter ones.
 CLIENT_TIMEOUT_QUANTILE = 0.9
@@ -49,20 +51,29 @@
     answer_bytes: float = INITIAL_ANSWER_BYTES
     answers: int = 0
     answered_at: float = -math.inf  # the last answer whose service time is known
+    attempted_at: float = -math.inf
     client_timeout: ClientTimeoutEstimate = field(default_factory=ClientTimeoutEstimate)
 
+    def proven_work_s(self, now: float) -> float:
+        """Return the service time that may be a reason to reject a call.
+
+        It decays while no call is sent, so that sooner or later one tests the estimate.
+        """
+        if not self.answers:
+            return 0.0
+        return self.work_s * 0.5 ** ((now - self.attempted_at) / EVIDENCE_HALF_LIFE_S)
+
     def record(self, work_s: float | None, answer_bytes: int, now: float) -> None:
         """Record an answer; `work_s` is its service time at normal speed, None if unknown."""
         self.answer_bytes += ANSWER_EWMA_WEIGHT * (answer_bytes - self.answer_bytes)
         if work_s is None:
             return
         self.answers += 1
+        age_weight = 1.0 - 0.5 ** ((now - self.answered_at) / ESTIMATE_HALF_LIFE_S)
+        weight = max(ANSWER_EWMA_WEIGHT, age_weight)
+        if self.answers <= EWMA_WARMUP_ANSWERS:
+            weight = max(weight, 1.0 / self.answers)
         self.answered_at = now
-        weight = (
-            max(ANSWER_EWMA_WEIGHT, 1.0 / self.answers)
-            if self.answers <= EWMA_WARMUP_ANSWERS
-            else ANSWER_EWMA_WEIGHT
-        )
         self.work_s += weight * (work_s - self.work_s)
 
 
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -10,8 +10,8 @@
 target there. They never leave the region to meet it.
 
 A call whose caller is likely to give up before the answer takes no slot, since other calls could
-use it. Only a recent reading of that upstream counts as evidence of that: a call that is held back
-for an estimate would bring the answer that could correct it.
+use it. Only recent answers of its route and a recent reading of that upstream count as evidence of
+that: a call that is held back for an estimate would bring the answer that could correct it.
 """
 
 from __future__ import annotations
@@ -135,7 +135,7 @@
             continue
         service_time_s = work_s * each.slowdown + each.overdue_s
         answer_s = each.transit_s + service_time_s
-        if each.proven_answer_s(work_s) > to_give_up_s:
+        if each.proven_answer_s(demand.proven_work_s) > to_give_up_s:
             continue
         cost_s = answer_s + each.failure_penalty_s + kilobytes * each.s_per_kb
         if each.free > 0:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -177,6 +177,7 @@
             target_at=received_at + (route.target_latency_s or remaining_s),
             give_up_at=give_up_at,
             work_s=estimate.work_s,
+            proven_work_s=estimate.proven_work_s(self._loop.time()),
             work_measured_at=estimate.answered_at,
             size_bytes=len(request.body) + int(estimate.answer_bytes) + 600,
             idempotent=route.idempotent,
@@ -294,6 +295,7 @@
             attempt=call.sent + 1,
         )
         call.tried_ids.add(slot.state.entry.id)
+        self._estimate(call.route).attempted_at = now
         self._active_calls_by_upstream.setdefault(state.entry.id, set()).add(call)
         task = self._loop.create_task(self._run_attempt(call, slot))
         call.slot_by_task[task] = slot
--- a/heatherhead/tests/dispatch/fakes.py
+++ b/heatherhead/tests/dispatch/fakes.py
@@ -54,4 +54,6 @@
         "size_bytes": 1000,
         "idempotent": True,
     }
-    return Demand(**{**fields, **changes})  # type: ignore[arg-type]
+    fields.update(changes)
+    fields.setdefault("proven_work_s", fields["work_s"])
+    return Demand(**fields)  # type: ignore[arg-type]
--- a/heatherhead/tests/dispatch/homes_replay.py
+++ b/heatherhead/tests/dispatch/homes_replay.py
@@ -255,6 +255,7 @@
             target_at=now + self._pattern.target_s,
             give_up_at=deadline_at,
             work_s=home.estimate.work_s,
+            proven_work_s=home.estimate.proven_work_s(now),
             waited_before_s=home.estimate.client_timeout.waited_before_s(deadline_at - now),
         )
         try:
@@ -267,6 +268,7 @@
     async def _run_in_slot(
         self, home: _Home, slot: Slot, work_s: float, deadline_at: float
     ) -> bool:
+        home.estimate.attempted_at = self._loop.time()
         upstream = self._upstream_by_id[slot.state.entry.id]
         answered = await self._run_until(upstream, work_s, deadline_at)
         if answered:
--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -22,6 +22,7 @@
 SLOTS = 3
 TARGET_S = 1.0
 CLIENT_TIMEOUT_S = 1.0
+RECOVERY_S = 15.0
 
 
 def _create_dispatcher(upstreams: int) -> Dispatcher:
@@ -74,6 +75,7 @@
             target_at=now + TARGET_S,
             give_up_at=now + timeout_s,
             work_s=self.estimate.work_s,
+            proven_work_s=self.estimate.proven_work_s(now),
             work_measured_at=self.estimate.answered_at,
         )
         try:
@@ -81,6 +83,7 @@
         except RejectedError as error:
             self.rejections.append(error)
             return
+        self.estimate.attempted_at = loop.time()
         upstream = self.upstream_by_id[slot.state.entry.id]
         try:
             async with asyncio.timeout_at(demand.give_up_at):
@@ -141,6 +144,55 @@
     assert not run_with_paused_clock(main())
 
 
+async def _read_all(instance: _Instance) -> None:
+    """Read all upstreams as a home does; these report normal speed whatever their calls take."""
+    while True:
+        for upstream_id, upstream in instance.upstream_by_id.items():
+            _read(instance.dispatcher, upstream_id, min(SLOTS, upstream.in_flight), 1.0)
+        await asyncio.sleep(0.1)
+
+
+def test_route_is_served_again_after_all_its_answers_were_slow() -> None:
+    """A home had learnt a service time beyond the client timeout, and sent no call to correct it."""
+
+    async def main() -> None:
+        instance = _create_instance(4)
+        loop = asyncio.get_running_loop()
+        reader = loop.create_task(_read_all(instance))
+        calls = []
+
+        async def send(work_s: float, client_timeout_s: float, seconds: float) -> None:
+            end = loop.time() + seconds
+            while loop.time() < end:
+                calls.append(loop.create_task(instance.call(work_s, client_timeout_s)))
+                await asyncio.sleep(0.1)
+
+        await send(0.1, CLIENT_TIMEOUT_S, 3.0)
+        await send(0.95, 4.0, 6.0)
+        await send(0.1, CLIENT_TIMEOUT_S, RECOVERY_S)
+        instance.rejections.clear()
+        await send(0.1, CLIENT_TIMEOUT_S, 3.0)
+        await asyncio.gather(*calls)
+        reader.cancel()
+        assert not instance.rejections
+
+    run_with_paused_clock(main())
+
+
+def test_first_guess_of_the_service_time_rejects_no_call() -> None:
+    """The guess is a share of the latency target, which may be longer than callers wait."""
+
+    async def main() -> None:
+        instance = _create_instance(2)
+        instance.estimate.work_s = 3.0
+        for upstream_id in instance.upstream_by_id:
+            _read(instance.dispatcher, upstream_id, 0, 1.0)
+        await instance.call(0.1, CLIENT_TIMEOUT_S)
+        assert not instance.rejections
+
+    run_with_paused_clock(main())
+
+
 def test_counts_of_a_peer_that_reports_no_more_expire() -> None:
     """An instance that had been a home saw the last counts of the other homes as calls in flight."""
 
