Let short answers correct the service time at an instance without readings

An answer counts only if the slowdown of its upstream is the same as at dispatch. Without a recent reading that was the average of the service, which the answer's own reading hardly ever equals, so that nearly every answer was left out.

The reading that comes with a short answer tells the speed of its upstream if none was known at dispatch. Homes read each upstream ten times a second and go on comparing. test_short_answers_correct_the_service_time_of_an_instance_without_readings failed before (0.3 s).

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -21,7 +21,7 @@
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.estimates import BaselineSlowdown
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
-from heatherhead.dispatch.upstream_state import UpstreamState
+from heatherhead.dispatch.upstream_state import SLOWDOWN_FRESH_S, UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
@@ -41,6 +41,7 @@
 SAME_ZONE_TRANSIT_S = 0.001
 SAME_REGION_TRANSIT_S = 0.003
 OTHER_REGION_TRANSIT_S = 0.045
+RECENT_READING_S = 1.0  # homes read each upstream ten times a second
 COUNTS_TTL_S = 1.0  # homes of a cell report complete counts four times as often
 SMALL_SERVICE_UPSTREAMS = 64  # up to this number, each call also considers other regions
 # Two random choices balance well; a few more are likely to include one in the own region.
@@ -83,6 +84,7 @@
     expected_s: float
     slowdown: float
     acquired_at: float
+    read_at: float  # of the upstream, the last load reading when the slot was acquired
     time_full_s: float  # of the upstream, when the slot was acquired
 
 
@@ -260,14 +262,19 @@
 
         `work_s` is the expected service time. Upstreams serve a call at the speed they had when it
         began. That speed is unknown if the estimated slowdown has changed since then, because the
-        reading used at dispatch may have been outdated.
+        reading used at dispatch may have been outdated. If there was no recent one, the reading that
+        came with a short answer tells the speed.
         """
         state = slot.state
         now = self._loop.time()
         service = self._service(state.entry.service)
         slowdown = state.slowdown_now(now, service.baseline.value) * state.cold_factor(now)
-        if abs(slowdown - slot.slowdown) > SLOWDOWN_TOLERANCE_FRACTION * slot.slowdown:
-            return None
+        read_before = slot.acquired_at - slot.read_at < RECENT_READING_S
+        read_after = state.slowdown_at > slot.acquired_at and duration_s <= SLOWDOWN_FRESH_S
+        if read_before or not read_after:
+            changed = abs(slowdown - slot.slowdown)
+            if changed > SLOWDOWN_TOLERANCE_FRACTION * slot.slowdown:
+                return None
         full_share = min(
             1.0, (state.update_time_full(now) - slot.time_full_s) / max(duration_s, 0.001)
         )
@@ -413,6 +420,7 @@
             placement.expected_s(state, demand, now, baseline),
             state.slowdown_now(now, baseline) * state.cold_factor(now),
             now,
+            state.slowdown_at,
             time_full_s,
         )
         state.dispatched_at_by_call[slot.number] = (now, slot.expected_s * SERVICE_TIME_P90_FACTOR)
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from heatherhead.registry.entries import UpstreamEntry
 
-__all__ = ["LoadReading", "UpstreamState"]
+__all__ = ["SLOWDOWN_FRESH_S", "LoadReading", "UpstreamState"]
 
 SLOWDOWN_FRESH_S = 0.12  # the interval between two readings by a home
 UNATTRIBUTED_TTL_S = 0.3  # calls of unknown origin are assumed to have ended after that
--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -193,6 +193,21 @@
     run_with_paused_clock(main())
 
 
+def test_short_answers_correct_the_service_time_of_an_instance_without_readings() -> None:
+    """The answer's reading differs from the average at dispatch, so each answer was left out."""
+
+    async def main() -> None:
+        instance = _create_instance(4)
+        for slowdown in (1.0, 7.0, 1.0):
+            for upstream in instance.upstream_by_id.values():
+                upstream.slowdown = slowdown
+            await instance.call(0.01, CLIENT_TIMEOUT_S)
+            await asyncio.sleep(3.0)
+        assert instance.estimate.work_s < 0.03
+
+    run_with_paused_clock(main())
+
+
 def test_counts_of_a_peer_that_reports_no_more_expire() -> None:
     """An instance that had been a home saw the last counts of the other homes as calls in flight."""
 
