--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -9,7 +9,11 @@
 
 import pytest
 
-from heatherhead.dispatch.dispatcher import RejectedError, create_dispatcher
+from heatherhead.dispatch.dispatcher import (
+    SMALL_SERVICE_UPSTREAMS,
+    RejectedError,
+    create_dispatcher,
+)
 from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.tests.base import run_with_paused_clock
@@ -225,3 +229,24 @@
         assert state.occupancy(now + 2.0) == 0
 
     run_with_paused_clock(main())
+
+
+def test_call_overflows_to_a_region_that_nobody_reads_for_this_home() -> None:
+    """The average slowdown of the own region was taken for that of all upstreams elsewhere."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        dispatcher = create_dispatcher("a", {"a": "r", "b": "s"}, 0.2, 10.0, 25.0)
+        for number in range(SMALL_SERVICE_UPSTREAMS + 4):
+            zone = "a" if number < 4 else "b"
+            dispatcher.on_entry(None, create_entry(f"u{number}", zone, slots=SLOTS))
+        for _ in range(100):
+            for number in range(4):
+                _read(dispatcher, f"u{number}", SLOTS, 4.0)
+        now = loop.time()
+        demand = create_demand(now, work_s=0.3, target_at=now + 1.0, give_up_at=now + 1.0)
+        slot = await dispatcher.acquire(demand, ())
+        assert loop.time() == now
+        assert not slot.state.local_region
+
+    run_with_paused_clock(main())
