Let a call test a service time that refuses all calls of the own interface

After a spell of slow answers a service whose callers all name shorter deadlines was refused for good, on idle upstreams.

Without an attempt for a second a call is let through. If it is answered, the durations that had ruled it out are forgotten; else the next test comes a second later. test_service_is_used_again_after_all_its_answers_were_slow failed before, at the call after the pause.

--- a/heatherhead/routing/dispatcher.py
+++ b/heatherhead/routing/dispatcher.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from itertools import count
 from typing import TYPE_CHECKING
@@ -44,6 +45,7 @@
 __all__ = ["Dispatcher", "create_dispatcher"]
 
 MAX_SKIPPED_CALLS = 16  # per dispatch: calls that avoid every upstream with a free slot
+SERVICE_TIME_TTL_S = 1.0  # without an attempt for that long, a call tests the service time
 NOT_SENT = AttemptResult(AttemptState.NOT_SENT, cancelled=True)
 
 
@@ -76,6 +78,7 @@
         self._serial = count(1)
         self._in_flight_by_age: deque[RoutedSlot] = deque()
         self._timer: asyncio.TimerHandle | None = None
+        self._started_at = -math.inf  # the last attempt
         self._sync_upstreams(service, cold=False)
 
     async def acquire(
@@ -115,6 +118,9 @@
         state.slot_by_serial.pop(slot.serial, None)
         if slot.is_overdue:
             state.overdue_calls -= 1
+        if slot.tests_service_time and result.state is AttemptState.ANSWERED:
+            self.service_time.restart()
+            self.evidence.min_remaining_s = 0.0
         self.evidence.on_attempt_finished(slot, result, now)
         self.quarantine.on_attempt_ended(slot, result)
         self.policy.refresh(state)
@@ -208,6 +214,8 @@
 
     def _start(self, state: UpstreamState, call: Call, now: float) -> RoutedSlot:
         slot = RoutedSlot(state.upstream, now, state, next(self._serial), call, self)
+        slot.tests_service_time = now + self.service_time.median_s >= call.deadline
+        self._started_at = now
         state.slot_by_serial[slot.serial] = slot
         self._in_flight_by_age.append(slot)
         self.policy.refresh(state)
@@ -279,10 +287,17 @@
     def _refusal_on_arrival(self, call: Call, now: float) -> CallRefusedError | None:
         if not self.state_by_id:
             return no_upstream(self.service)
-        if now + self.service_time.median_s >= call.deadline:
+        if now + self.service_time.median_s >= call.deadline and not self._is_outdated(now):
             return deadline_unreachable()
         return self.quarantine.refusal(call) if self.quarantine else None
 
+    def _is_outdated(self, now: float) -> bool:
+        """Return whether no recent attempt supports the service time.
+
+        Otherwise a service time that refuses all calls would never be corrected.
+        """
+        return now - self._started_at >= SERVICE_TIME_TTL_S
+
     def _expected_wait_s(self, now: float) -> float:
         """Estimate the wait in seconds of a call that arrives now.
 
--- a/heatherhead/routing/service_time.py
+++ b/heatherhead/routing/service_time.py
@@ -36,6 +36,12 @@
         if self._since_sort >= SAMPLES_BETWEEN_SORTS or self._sample_count == MIN_SAMPLES:
             self._update_quantiles()
 
+    def restart(self) -> None:
+        """Forget all durations, after an answer that they had ruled out."""
+        self._samples.clear()
+        self._sample_count = self._since_sort = 0
+        self.p10_s = self.median_s = self.p90_s = 0.0
+
     def _update_quantiles(self) -> None:
         self._since_sort = 0
         if len(self._samples) < MIN_SAMPLES:
--- a/heatherhead/routing/slot.py
+++ b/heatherhead/routing/slot.py
@@ -26,6 +26,7 @@
     dispatcher: Dispatcher
     is_overdue: bool = False
     isolated: bool = False
+    tests_service_time: bool = False  # its deadline is nearer than the service time allows
     finished: bool = False
 
     def finish(self, result: AttemptResult) -> None:
--- a/heatherhead/tests/routing/dispatcher_tests.py
+++ b/heatherhead/tests/routing/dispatcher_tests.py
@@ -62,6 +62,28 @@
     run_with_paused_clock(main())
 
 
+def test_service_is_used_again_after_all_its_answers_were_slow() -> None:
+    """The service time had passed the callers' deadlines, and no call was sent to correct it."""
+
+    async def main() -> None:
+        router = create_single_router(create_service())
+        for _ in range(300):
+            (await router.acquire(create_call(9.0))).unwrap().finish(answered(2.0))
+        assert isinstance(
+            (await router.acquire(create_call(1.0))).unwrap_err(), DeadlineUnreachableError
+        )
+        await asyncio.sleep(1.5)
+        test = (await router.acquire(create_call(1.0))).unwrap()
+        assert isinstance(
+            (await router.acquire(create_call(1.0))).unwrap_err(), DeadlineUnreachableError
+        )
+        test.finish(answered(0.01))
+        for _ in range(20):
+            (await router.acquire(create_call(1.0))).unwrap().finish(answered(0.01))
+
+    run_with_paused_clock(main())
+
+
 def test_refuses_waiting_calls_at_their_deadline_while_no_slot_comes_free() -> None:
     async def main() -> None:
         router = create_single_router(create_service(upstreams=1, slots=1))
