--- a/heatherhead/tests/proxy/path_tests.py
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from heatherhead.proxy.forwarder import fingerprint_of
 from heatherhead.proxy.messages import HttpRequest
+from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
     ScriptedUpstream,
@@ -19,6 +21,9 @@
     run_path,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 REFUSED = answer(status=503, body=b"full", X_Heatherhead_Not_Executed="1")
 
 
@@ -383,3 +388,45 @@
         assert 'heatherhead_call_seconds_bucket{le="+Inf",part="total",service="stock"} 1.0' in page
 
     run_path(scenario, [answer()])
+
+
+def test_read_is_sent_although_the_only_answer_so_far_came_from_a_slow_upstream() -> None:
+    """The average of its readings let later reads look hopeless, so that none was sent again."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert _status(await path.send(request())) == 200
+        await asyncio.sleep(1.0)
+        assert _status(await path.send(request(X_Heatherhead_Deadline_Ms="400"))) == 200
+        assert len(upstreams[0].requests) == 2
+
+    run_path(scenario, [answer(X_Heatherhead_Server_Load="1,0,4,700")])
+
+
+def test_rejected_call_is_logged_with_its_evidence_and_counted() -> None:
+    lines = []
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        state = path.dispatcher.state("u0")
+        assert state is not None
+        path.dispatcher.on_entry(state.entry, None)
+        assert _status(await path.send(request())) == 503
+        assert path.forwarder.metrics.events["rejected"] == 1
+        assert path.forwarder.metrics.events["rejected_beside_free_upstreams"] == 0
+
+    def record(event: str, _level: str, fields: Mapping[str, object]) -> None:
+        if event == "rejected":
+            lines.append(fields)
+
+    add_event_listener(record)
+    try:
+        run_path(scenario, [])
+    finally:
+        remove_event_listener(record)
+    assert [(each["reason"], each["upstreams"], each["free"]) for each in lines] == [
+        ("no upstream", 0, 0)
+    ]
+    assert {"waited_s", "left_s", "work_s", "work_age_s", "baseline", "reading_age_s"} <= set(
+        lines[0]
+    )
