--- a/bench/kill.py
+++ b/bench/kill.py
@@ -35,7 +35,7 @@
 from heatherhead.configuration.replica import create_replica
 from heatherhead.configuration.schema import ServiceSchema
 from heatherhead.settings.store import StoreSettings
-from heatherhead.store import create_store
+from heatherhead.store.factory import create_store
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -36,7 +36,8 @@
 from heatherhead.runtime import create_loop, tune_garbage_collector
 from heatherhead.settings import parse_settings
 from heatherhead.settings.telemetry import TelemetrySettings
-from heatherhead.telemetry import CallOutcome, HistogramKind, create_telemetry
+from heatherhead.telemetry import CallOutcome, HistogramKind
+from heatherhead.telemetry.recorder import create_telemetry
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
