Pause before 'heatherhead events' watches again, and connect anew after a lost connection

Operators saw the tool take a whole core and print its note without an end once the watched instance was lost. The client kept the dead connection, on which each new watch failed at once, and the verb started the next watch without a pause. The connection is discarded now, so that another address is tried, or the tool ends with an error if none is reached; and the verb waits from half a second up to ten between watches.

--- a/heatherhead/commands/events.py
+++ b/heatherhead/commands/events.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
+from heatherhead.backoff import create_backoff
 from heatherhead.commands.exit_codes import CommandError, ExitCode
 from heatherhead.commands.options import parse_number
 from heatherhead.commands.output import document_of
@@ -29,6 +31,9 @@
   --count=N          Exit after N events.
 """
 
+INITIAL_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 10.0
+
 _KIND_BY_NAME = {
     "services": pb.EVENT_KIND_SERVICE_CHANGED,
     "instances": pb.EVENT_KIND_INSTANCE_CHANGED,
@@ -45,10 +50,12 @@
     remaining = float("inf")
     if arguments["--count"]:
         remaining = int(parse_number("--count", arguments["--count"]))
+    backoff = create_backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
     while True:
         events = session.client.stream(lambda channel: EventsStub(channel).Watch, request)
         try:
             async for event in events:
+                backoff.reset()
                 _print_event(session, event)
                 remaining -= not event.HasField("watch_started")
                 if remaining <= 0:
@@ -56,6 +63,7 @@
                     return ExitCode.DONE
         except ReplyLostError as error:
             session.output.print_note(f"{error.reason}; events may be missing here")
+            await asyncio.sleep(backoff.next_delay_s())
 
 
 def _parse_kind(text: str) -> pb.EventKind:
--- a/heatherhead/operators/client.py
+++ b/heatherhead/operators/client.py
@@ -158,6 +158,7 @@
         except GRPCError as error:
             raise _error_from_grpc(error, address) from error
         except (OSError, ProtocolError, StreamTerminatedError) as error:
+            self._discard_channel(address)
             raise _reply_lost_error(address, "the connection was lost") from error
 
     def for_address(self, address: Address) -> OperatorsClient:
