Read a malformed datagram of a known kind as unreadable

A datagram with a field of another type, a missing field or a figure that is not finite raised out of the socket's callback (AttributeError, IndexError, OverflowError), or brought NaN into estimates. It is now logged as peer_message_unreadable, as one of another version is. test_malformed_datagram_of_a_known_kind_is_unreadable failed before.

--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import astuple, dataclass
 from functools import singledispatch
 from typing import Any
@@ -23,6 +24,15 @@
 ]
 
 VERSION = 1
+# Raised by fields of another type, number or range than a message has.
+_MALFORMED = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    LookupError,
+    ArithmeticError,
+    msgpack.UnpackException,
+)
 _STATUS, _LOADS, _CRASH, _LEAVE, _COUNTS, _CONTENTION = range(6)
 
 
@@ -155,7 +165,7 @@
                 str(incarnation),
                 bool(ready),
                 int(revision),
-                age_ms / 1000,
+                _finite(age_ms) / 1000,
                 bool(store_ok),
                 int(calls_per_s),
             )
@@ -171,15 +181,21 @@
             return CrashNotice(str(sender), int(rest[0]), int(rest[1]))
         if kind == _LEAVE:
             return LeaveNotice(str(sender), str(rest[0]))
-    except (ValueError, TypeError, msgpack.UnpackException):
+    except _MALFORMED:
         return None
     return None
 
 
+def _finite(figure: Any) -> float:
+    """Return a figure as a float; raises `ValueError` if it is not finite."""
+    number = float(figure)
+    if not math.isfinite(number):
+        raise ValueError(f"{number} is not finite")
+    return number
+
+
 def _evidence(row: list[Any]) -> ContentionEvidence:
-    answers, full_share, full_share_squared, service_time, product = (
-        float(figure) for figure in row
-    )
+    answers, full_share, full_share_squared, service_time, product = map(_finite, row)
     return ContentionEvidence(answers, full_share, full_share_squared, service_time, product)
 
 
@@ -189,5 +205,5 @@
 
 def _load_row(row: list[Any]) -> tuple[str, int, int, int, float | None, float]:
     name, running, waiting, slots, percent, age_ms = row
-    slowdown = None if percent is None else percent / 100
-    return str(name), int(running), int(waiting), int(slots), slowdown, age_ms / 1000
+    slowdown = None if percent is None else _finite(percent) / 100
+    return str(name), int(running), int(waiting), int(slots), slowdown, _finite(age_ms) / 1000
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any
 
 import msgpack
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from heatherhead.dispatch.contention import ContentionEvidence
 from heatherhead.entry.settings import HostPort
@@ -169,6 +172,30 @@
     assert decode_message(data) is None
 
 
+_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=6) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=12,
+)
+
+
+@given(kind=st.integers(-1, 7), fields=st.lists(_VALUES, max_size=8))
+@example(kind=4, fields=[True, 5])
+@example(kind=1, fields=[])
+@example(kind=0, fields=["i", True, math.inf, 0, True, 0])
+def test_malformed_datagram_of_a_known_kind_is_unreadable(kind: int, fields: list[object]) -> None:
+    """A datagram whose fields had another type or number raised out of the socket's callback."""
+    message = decode_message(msgpack.packb([1, kind, "sender", *fields]))
+    if isinstance(message, HomeStatus):
+        assert math.isfinite(message.verified_age_s)
+
+
+@given(st.binary(max_size=64))
+@example(b"\x91" * 600)
+def test_bytes_that_are_no_message_are_unreadable(data: bytes) -> None:
+    decode_message(data)
+
+
 def test_member_is_decoded_as_encoded_and_another_version_is_not_decoded() -> None:
     member = _member("m")
     assert decode_member(member.encode()) == member
