--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -43,6 +43,7 @@
 NON_IDEMPOTENT_MAX_IDLE_S = 1.0  # upstreams may have dropped connections that were idle for longer
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5  # a starting instance usually has one by then
 CRASH_CHECK_DELAY_S = 0.15  # by then a crashed upstream refuses connections
+OLD_EVIDENCE_S = 1.0  # ten readings by a home
 FINGERPRINT_BYTES = 8
 
 
@@ -255,6 +256,8 @@
         self.metrics.events["rejected"] += 1
         if evidence.free:
             self.metrics.events["rejected_beside_free_upstreams"] += 1
+            if max(evidence.work_age_s, evidence.reading_age_s) > OLD_EVIDENCE_S:
+                self.metrics.events["rejected_on_old_evidence"] += 1
         log_event(
             "rejected",
             id=call.demand.request_id,
--- a/heatherhead/tests/proxy/path_tests.py
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -414,6 +414,7 @@
         assert _status(await path.send(request())) == 503
         assert path.forwarder.metrics.events["rejected"] == 1
         assert path.forwarder.metrics.events["rejected_beside_free_upstreams"] == 0
+        assert path.forwarder.metrics.events["rejected_on_old_evidence"] == 0
 
     def record(event: str, _level: str, fields: Mapping[str, object]) -> None:
         if event == "rejected":
@@ -430,3 +431,14 @@
     assert {"waited_s", "left_s", "work_s", "work_age_s", "baseline", "reading_age_s"} <= set(
         lines[0]
     )
+
+
+def test_rejection_for_an_old_estimate_beside_a_free_upstream_is_counted() -> None:
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        call = request(X_Heatherhead_Deadline_Ms="1")
+        assert _status(await path.send(call)) == 503
+        assert path.forwarder.metrics.events["rejected_beside_free_upstreams"] == 1
+        assert path.forwarder.metrics.events["rejected_on_old_evidence"] == 1
+
+    run_path(scenario, [])
