--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -20,6 +20,7 @@
 from heatherhead.dispatch.budget import RetryBudget, create_retry_budget
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.estimates import BaselineSlowdown
+from heatherhead.dispatch.rejection import RejectedError, create_rejection_evidence
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
 from heatherhead.dispatch.upstream_state import SLOWDOWN_FRESH_S, UpstreamState
 
@@ -28,10 +29,11 @@
 
     from heatherhead.dispatch.contention import ContentionEvidence
     from heatherhead.dispatch.demand import Demand
+    from heatherhead.dispatch.rejection import RejectionEvidence
     from heatherhead.dispatch.upstream_state import LoadReading
     from heatherhead.registry.entries import UpstreamEntry
 
-__all__ = ["Dispatcher", "RejectedError", "RejectionEvidence", "Slot", "create_dispatcher"]
+__all__ = ["Dispatcher", "Slot", "create_dispatcher"]
 
 SLOWDOWN_RISE_FACTOR = 1.5  # a slowdown that rose by this factor makes calls in flight late
 SLOWDOWN_TOLERANCE_FRACTION = 0.1  # a slowdown that changed by less counts as unchanged
@@ -48,33 +50,6 @@
 OVERFLOW_SAMPLE_SIZE = 8
 
 
-@dataclass(frozen=True, slots=True)
-class RejectionEvidence:
-    """What an instance knew when it rejected a call; durations in seconds."""
-
-    waited_s: float
-    left_s: float  # until the caller gives up
-    ahead: int  # waiting calls that preceded this one
-    work_s: float  # estimated service time
-    work_age_s: float  # since the answer that the estimate rests on
-    baseline: float  # average slowdown of the service
-    reading_age_s: float  # since the last load reading of the service
-    upstreams: int  # filled first by this instance
-    excluded: int  # ejected or misdirected
-    free: int  # upstreams with a free slot that are not excluded
-    fastest_s: float  # least time to an answer from these, by recent evidence
-
-
-class RejectedError(Exception):
-    """A call that can't be answered before its caller gives up; it was not sent to an upstream."""
-
-    def __init__(self, reason: str, retry_after_s: float, evidence: RejectionEvidence) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-        self.evidence = evidence
-
-
 @dataclass(slots=True, eq=False)
 class Slot:
     """A slot of an upstream, held by one attempt."""
@@ -148,6 +123,19 @@
         state.preferred = is_preferred(state) and (few or state.local_region)
         (self.preferred if state.preferred else self.overflow).append(state)
 
+    def rejection_evidence(self, demand: Demand, ahead: int, now: float) -> RejectionEvidence:
+        """Return what is known of a call behind `ahead` others that is rejected."""
+        prospects = placement.prospects_of(self.preferred, now, self.baseline.value)
+        return create_rejection_evidence(
+            demand,
+            prospects,
+            upstreams=len(self.preferred),
+            ahead=ahead,
+            baseline=self.baseline.value,
+            reading_at=self.reading_at,
+            now=now,
+        )
+
     def sample_overflow(self) -> list[UpstreamState]:
         """Return a random sample of the upstreams that other instances fill first."""
         return sample(self.overflow, min(OVERFLOW_SAMPLE_SIZE, len(self.overflow)))
@@ -502,7 +490,7 @@
             raise RejectedError(
                 reason,
                 self._retry_after_s(service, demand, waiting_s, now),
-                _rejection_evidence(service, demand, ahead, now),
+                service.rejection_evidence(demand, ahead, now),
             )
 
     def _retry_after_s(
@@ -557,7 +545,7 @@
             service.queue.discard(call)
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
-                evidence = _rejection_evidence(service, call.demand, ahead, now)
+                evidence = service.rejection_evidence(call.demand, ahead, now)
                 call.future.set_exception(RejectedError("no slot in time", retry_s, evidence))
 
     def _service(self, name: str) -> _Service:
@@ -569,29 +557,6 @@
         return service
 
 
-def _rejection_evidence(
-    service: _Service, demand: Demand, ahead: int, now: float
-) -> RejectionEvidence:
-    baseline = service.baseline.value
-    prospects = placement.prospects_of(service.preferred, now, baseline)
-    free = [each for each in prospects if each.free > 0]
-    return RejectionEvidence(
-        waited_s=now - demand.received_at,
-        left_s=demand.give_up_at - now,
-        ahead=ahead,
-        work_s=demand.work_s,
-        work_age_s=now - demand.work_measured_at,
-        baseline=baseline,
-        reading_age_s=now - service.reading_at,
-        upstreams=len(service.preferred),
-        excluded=len(service.preferred) - len(prospects),
-        free=len(free),
-        fastest_s=min(
-            (each.proven_answer_s(demand.proven_work_s) for each in free), default=math.inf
-        ),
-    )
-
-
 def create_dispatcher(
     zone: str,
     region_by_zone: dict[str, str],
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch.demand import Demand
-from heatherhead.dispatch.dispatcher import RejectedError
 from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
 from heatherhead.dispatch.hedging import CHECK_INTERVAL_S, first_check_s, worth_hedging
+from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.entry.settings import HostPort
 from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
 from heatherhead.proxy.messages import Answer, end_to_end_headers, own_answer
--- a/heatherhead/tests/dispatch/homes_replay.py
+++ b/heatherhead/tests/dispatch/homes_replay.py
@@ -12,8 +12,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from heatherhead.dispatch.dispatcher import Dispatcher, RejectedError, create_dispatcher
+from heatherhead.dispatch.dispatcher import Dispatcher, create_dispatcher
 from heatherhead.dispatch.estimates import RouteEstimate
+from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.fleet.homes import MIN_HOMES_PER_REGION
 from heatherhead.tests.base import run_with_paused_clock
--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -11,10 +11,10 @@
 
 from heatherhead.dispatch.dispatcher import (
     SMALL_SERVICE_UPSTREAMS,
-    RejectedError,
     create_dispatcher,
 )
 from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
+from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.tests.base import run_with_paused_clock
 from heatherhead.tests.dispatch.fakes import create_demand, create_entry
--- a/heatherhead/tests/dispatch/replay_tests.py
+++ b/heatherhead/tests/dispatch/replay_tests.py
@@ -11,9 +11,9 @@
 from heatherhead.dispatch.dispatcher import (
     OVERFLOW_SAMPLE_SIZE,
     Dispatcher,
-    RejectedError,
     create_dispatcher,
 )
+from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.tests.base import run_with_paused_clock
 from heatherhead.tests.dispatch.fakes import create_demand, create_entry
