--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -314,6 +314,15 @@
     assert place([slow], long_timeout, (), NOW, BASELINE).upstream is slow
 
 
+def test_average_slowdown_holds_no_call_back_from_an_unread_upstream() -> None:
+    """The average of a few readings stood for each upstream, so that none got a call."""
+    unread = create_state("unread", 7.0, now=NOW - 10.0)
+    demand = create_demand(work_s=0.3, target_at=NOW + 1.0, give_up_at=NOW + 0.97)
+    assert place([unread], demand, (), NOW, 3.1).upstream is unread
+    just_read = create_state("read", 7.0)
+    assert place([just_read], demand, (), NOW, 3.1).upstream is None
+
+
 @pytest.mark.parametrize(("slots", "usable"), [(2, 2), (3, 2)])
 def test_last_slot_is_used_if_it_adds_capacity(slots: int, usable: int) -> None:
     """Full upstreams run at 0.59 of normal speed: two slots have a capacity of 1.18, three 1.76."""
--- a/heatherhead/tests/dispatch/rejection_tests.py
+++ b/heatherhead/tests/dispatch/rejection_tests.py
@@ -9,10 +9,7 @@
 
 import pytest
 
-from heatherhead.dispatch.dispatcher import (
-    SMALL_SERVICE_UPSTREAMS,
-    create_dispatcher,
-)
+from heatherhead.dispatch.dispatcher import SMALL_SERVICE_UPSTREAMS, create_dispatcher
 from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
 from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.dispatch.upstream_state import LoadReading
