Let rare answers change the service time of a route no faster than frequent ones

Cause: the weight by age made the estimate that of the last answer where a home gets a call every few seconds.

The weight by age is left for an answer that takes less than half of the estimate, which is how one that kept calls away is disproved. test_rare_answers_change_the_service_time_no_faster_than_frequent_ones failed before; test_route_is_served_again_after_all_its_answers_were_slow still holds.

--- a/heatherhead/dispatch/estimates.py
+++ b/heatherhead/dispatch/estimates.py
@@ -11,7 +11,8 @@
 DEFAULT_SERVICE_TIME_S = 0.1
 ANSWER_EWMA_WEIGHT = 0.05  # of the latest answer
 EWMA_WARMUP_ANSWERS = 20  # the plain average is used up to this number
-ESTIMATE_HALF_LIFE_S = 2.0  # an estimate without an answer for that long has half of the weight
+ESTIMATE_HALF_LIFE_S = 2.0  # of the weight of an estimate that an answer disproves
+DISPROVING_FRACTION = 0.5  # service times of a route seldom differ by more than that
 EVIDENCE_HALF_LIFE_S = 1.0  # of the estimate as a reason to reject calls, since the last attempt
 INITIAL_ANSWER_BYTES = 1500
 # A high quantile of the client timeouts, because callers that retry name shorter ones.
@@ -69,10 +70,13 @@
         if work_s is None:
             return
         self.answers += 1
-        age_weight = 1.0 - 0.5 ** ((now - self.answered_at) / ESTIMATE_HALF_LIFE_S)
-        weight = max(ANSWER_EWMA_WEIGHT, age_weight)
+        weight = ANSWER_EWMA_WEIGHT
         if self.answers <= EWMA_WARMUP_ANSWERS:
             weight = max(weight, 1.0 / self.answers)
+        if work_s < DISPROVING_FRACTION * self.work_s:
+            # An estimate that kept calls away is old by then, and must not last for many answers.
+            age_s = now - self.answered_at
+            weight = max(weight, 1.0 - 0.5 ** (age_s / ESTIMATE_HALF_LIFE_S))
         self.answered_at = now
         self.work_s += weight * (work_s - self.work_s)
 
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -11,7 +11,7 @@
 from heatherhead.dispatch.budget import create_retry_budget, slack_of
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.crashes import create_crash_table
-from heatherhead.dispatch.estimates import ClientTimeoutEstimate
+from heatherhead.dispatch.estimates import ClientTimeoutEstimate, RouteEstimate
 from heatherhead.dispatch.hedging import worth_hedging
 from heatherhead.dispatch.placement import place
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
@@ -170,6 +170,17 @@
     assert all(0.8 < waited_s < 1.4 for waited_s in retries)
 
 
+def test_rare_answers_change_the_service_time_no_faster_than_frequent_ones() -> None:
+    """At a home with a call every few seconds the estimate was that of the last answer."""
+    estimate = RouteEstimate()
+    for _ in range(30):
+        estimate.record(0.1, 1000, NOW)
+    estimate.record(0.15, 1000, NOW + 5.0)
+    assert estimate.work_s < 0.105
+    estimate.record(0.07, 1000, NOW + 10.0)
+    assert estimate.work_s > 0.098
+
+
 def test_one_very_long_client_timeout_does_not_make_all_other_callers_late() -> None:
     timeouts = ClientTimeoutEstimate()
     for _ in range(100):
