Read the rate limits that upstreams name, and log each change of one

Each instance now keeps the newest evidence for each upstream and logs 'rate_limit' when it changes, with its source and age. No call is placed differently yet.

An answer without a limit counts from the time its request was sent, so that answers under way don't end a limit just named. A health check's answer without one counts only if such answers have named it.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -23,12 +23,14 @@
 from heatherhead.dispatch.rejection import RejectedError, create_rejection_evidence
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
 from heatherhead.dispatch.upstream_state import SLOWDOWN_FRESH_S, UpstreamState
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable
 
     from heatherhead.dispatch.contention import ContentionEvidence
     from heatherhead.dispatch.demand import Demand
+    from heatherhead.dispatch.rate_limits import RateLimitEvidence
     from heatherhead.dispatch.rejection import RejectionEvidence
     from heatherhead.dispatch.upstream_state import LoadReading
     from heatherhead.registry.entries import UpstreamEntry
@@ -343,6 +345,24 @@
             service.reading_at = max(service.reading_at, reading.read_at)
         return service.name
 
+    def record_rate_limit(
+        self, state: UpstreamState, evidence: RateLimitEvidence, *, in_health_answer: bool = False
+    ) -> None:
+        """Record whether an answer of an upstream named a rate limit."""
+        limit = state.rate_limit
+        before = limit.calls_per_s
+        apply = limit.apply_health_answer if in_health_answer else limit.apply
+        if apply(evidence):
+            log_event(
+                "rate_limit",
+                upstream=state.entry.id,
+                service=state.entry.service,
+                calls_per_s="none" if limit.calls_per_s is None else limit.calls_per_s,
+                before="none" if before is None else before,
+                source="health answer" if in_health_answer else "answer",
+                evidence_age_s=f"{self._loop.time() - evidence.at:.3f}",
+            )
+
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
         """Wait for a slot; raise `RejectedError` as soon as the call is infeasible."""
         if not demand.waited_before_s:
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from heatherhead.dispatch.rate_limits import RateLimit
+
 if TYPE_CHECKING:
     from heatherhead.registry.entries import UpstreamEntry
 
@@ -63,6 +65,7 @@
     ejected_until: float = 0.0
     ejections: int = 0
     misdirected: bool = False  # another upstream answers at its address
+    rate_limit: RateLimit = field(default_factory=RateLimit)
     usable_slots: int = 1
     time_full_s: float = 0.0  # total time with all slots in use, up to `time_full_at`
     time_full_at: float = 0.0
--- a/heatherhead/platform/dialect.py
+++ b/heatherhead/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch.upstream_state import LoadReading
@@ -10,6 +11,7 @@
     EXPECT_UPSTREAM,
     LOAD,
     NOT_RUN,
+    RATE_LIMIT,
     REQUEST_ID,
     STAMP,
     UPSTREAM_ID,
@@ -76,3 +78,20 @@
             return LoadReading(int(numbers[0]), int(numbers[1]), int(numbers[2]), slowdown, now)
         except (ValueError, IndexError):
             return None
+
+    def rate_limit(self, headers: Headers) -> float | None:
+        """Return the requests a second that an upstream takes from all instances together.
+
+        `None` if it names no limit; raises `ValueError` if the limit is malformed.
+        """
+        text = headers.get(RATE_LIMIT)
+        if text is None:
+            return None
+        limit = float(text)
+        if not math.isfinite(limit) or limit < 0:
+            raise ValueError(f"{text!r} is no rate")
+        return limit
+
+    def answering_upstream(self, headers: Headers) -> str | None:
+        """Return the id of the upstream that sent the answer, if the answer names it."""
+        return headers.get(UPSTREAM_ID)
--- a/heatherhead/platform/names.py
+++ b/heatherhead/platform/names.py
@@ -7,6 +7,7 @@
     "EXPECT_UPSTREAM",
     "LOAD",
     "NOT_RUN",
+    "RATE_LIMIT",
     "REQUEST_ID",
     "STAMP",
     "UPSTREAM_ID",
@@ -18,4 +19,5 @@
 EXPECT_UPSTREAM = "X-Heatherhead-Expect-Instance"  # an upstream's id, not an instance's
 UPSTREAM_ID = "X-Heatherhead-Instance-Id"  # also an upstream's id
 LOAD = "X-Heatherhead-Server-Load"
+RATE_LIMIT = "Server-Limit"
 NOT_RUN = "X-Heatherhead-Not-Executed"
--- a/heatherhead/proxy/dialect.py
+++ b/heatherhead/proxy/dialect.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from heatherhead.dispatch.rate_limits import RateLimitEvidence
+from heatherhead.telemetry.logs import log_event
+
 if TYPE_CHECKING:
     from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -12,7 +15,7 @@
 
     Headers = CIMultiDict[str] | CIMultiDictProxy[str]
 
-__all__ = ["AnswerMetadata", "Dialect"]
+__all__ = ["AnswerMetadata", "Dialect", "read_rate_limit"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,3 +60,29 @@
     def load_reading(self, headers: Headers, now: float) -> LoadReading | None:
         """Return the load that an upstream reports, or `None` if absent or malformed."""
         ...
+
+    def rate_limit(self, headers: Headers) -> float | None:
+        """Return the requests a second that an upstream takes from all instances together.
+
+        `None` if it names no limit; raises `ValueError` if the limit is malformed.
+        """
+        ...
+
+    def answering_upstream(self, headers: Headers) -> str | None:
+        """Return the id of the upstream that sent the answer, if the answer names it."""
+        ...
+
+
+def read_rate_limit(
+    dialect: Dialect, headers: Headers, upstream_id: str, *, sent_at: float, now: float
+) -> RateLimitEvidence | None:
+    """Return what an answer tells of its upstream's rate limit, `None` if it is malformed.
+
+    `sent_at` is when the request was sent that it answers.
+    """
+    try:
+        limit = dialect.rate_limit(headers)
+    except ValueError as error:
+        log_event("rate_limit_unreadable", upstream=upstream_id, reason=error)
+        return None
+    return RateLimitEvidence(limit, sent_at if limit is None else now)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -14,6 +14,7 @@
 from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.entry.settings import HostPort
 from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
+from heatherhead.proxy.dialect import read_rate_limit
 from heatherhead.proxy.messages import Answer, end_to_end_headers, own_answer
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
@@ -487,6 +488,12 @@
         reading = self._dialect.load_reading(headers, now)
         if reading is not None:
             self._dispatcher.apply_reading(state, reading)
+        if not metadata.wrong_upstream:
+            evidence = read_rate_limit(
+                self._dialect, headers, state.entry.id, sent_at=now - duration_s, now=now
+            )
+            if evidence is not None:
+                self._dispatcher.record_rate_limit(state, evidence)
         if metadata.not_run:
             return self._handle_refusal(call, state, answer, metadata, now)
         if answer.status < 300 and not _is_authentic(call, metadata):
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.entry.settings import HostPort
+from heatherhead.proxy.dialect import read_rate_limit
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
 
@@ -123,6 +124,12 @@
         if reading is not None:
             self._dispatcher.apply_reading(state, reading)
             self._on_reading(state, reading)
+        if self._dialect.answering_upstream(answer.message.headers) == state.entry.id:
+            evidence = read_rate_limit(
+                self._dialect, answer.message.headers, state.entry.id, sent_at=started_at, now=now
+            )
+            if evidence is not None:
+                self._dispatcher.record_rate_limit(state, evidence, in_health_answer=True)
 
     def stop(self) -> None:
         """Stop reading all upstreams."""
--- a/heatherhead/tests/platform/documents_tests.py
+++ b/heatherhead/tests/platform/documents_tests.py
@@ -159,3 +159,15 @@
     assert dialect.answer_metadata(421, CIMultiDict()).wrong_upstream
     assert not dialect.answer_metadata(503, CIMultiDict()).not_run
     assert not dialect.answer_metadata(500, CIMultiDict()).not_run
+
+
+@pytest.mark.parametrize(("text", "limit"), [("3.5", 3.5), ("0", 0.0), ("12", 12.0)])
+def test_rate_limit_is_read(text: str, limit: float) -> None:
+    assert PlatformDialect().rate_limit(CIMultiDict({"server-limit": text})) == limit
+    assert PlatformDialect().rate_limit(CIMultiDict()) is None
+
+
+@pytest.mark.parametrize("text", ["", "many", "-1", "nan", "inf", "1e999"])
+def test_malformed_rate_limit_is_no_limit(text: str) -> None:
+    with pytest.raises(ValueError):
+        PlatformDialect().rate_limit(CIMultiDict({"Server-Limit": text}))
