Lose no cancellation of a peer stream whose peer closes at the same moment

Three of twelve instances in one process that stopped one after the other never ended their stop: the peer that they followed had closed its stream in the same turn of the loop, and 'asyncio.wait_for' of Python 3.11 then returns the result instead of the cancellation, so the task went on. A process on the platform would be ended by SIGKILL after its grace.

--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -144,7 +144,9 @@
         writer.write(msgpack.packb(replica.revision))
         unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
         while True:
-            data = await asyncio.wait_for(reader.read(65536), STREAM_TIMEOUT_S)
+            # Unlike `wait_for` of Python 3.11, this loses no cancellation when the peer closes.
+            async with asyncio.timeout(STREAM_TIMEOUT_S):
+                data = await reader.read(65536)
             if not data:
                 raise RelayError("the peer closed the stream")
             unpacker.feed(data)
