--- /dev/null
+++ b/heatherhead/tests/entry/instances.py
@@ -0,0 +1,227 @@
+"""Several instances in one process, each on its own loopback address, with upstreams and calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING, Any
+
+from heatherhead.entry.service import create_entry_service
+from heatherhead.platform.daemon import PlatformDecoder
+from heatherhead.platform.dialect import PlatformDialect
+from heatherhead.platform.pages import PlatformPages
+from heatherhead.platform.settings_file import settings_from_text
+from heatherhead.tests.proxy.fakes import answer, read_answer, request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from heatherhead.entry.service import EntryService
+    from heatherhead.entry.settings import EntrySettings
+    from heatherhead.store.interface import Store
+
+__all__ = ["Instances", "LimitedUpstream", "create_settings", "most_arrivals", "write"]
+
+PORTS = {"Front": 18481, "Readiness": 18488, "Directory": 18483}
+PEER_PORTS = "17600,17615"
+UPSTREAM_PORT = 18500
+REGION_BY_ZONE = {f"z{n}": f"r{n % 3}" for n in range(6)}
+START_TIMEOUT_S = 10.0
+CALL_TIMEOUT_S = 3.0  # longer than any deadline of the calls
+WINDOW_S = 4.0  # in which the platform counts the requests at an upstream that names a limit
+SETTINGS = """
+NodeName={name}
+Ip={ip}
+Zone={zone}
+Region={region}
+{zones}
+{listen}
+InternalPorts={peers}
+SeedNodes={ip}:18482
+Limits.CpuShare=1.0
+Bounds=DrainS=2.5,GraceS=6,RetryBudgetRatio=0.2,BudgetWindowS=10,BudgetSlack=56
+PlatformConfig.Address=127.0.0.1:1
+"""
+CONFIGURATION = {
+    "ConfigVersion": 1,
+    "Routes": {
+        "read": {
+            "Hostname": "shop.example",
+            "Prefix": "/read/",
+            "RouteType": "idempotent",
+            "Service": "stock",
+            "MaxAttempts": 2,
+            "TimeoutS": 1.0,
+            "TargetLatencyS": 0.2,
+            "Priority": 1,
+        }
+    },
+    "Services": {"stock": {"HealthCheck": "/healthz"}},
+    "Limits": {},
+}
+
+
+async def write(store: Store, key: str, document: object) -> None:
+    """Write a document to a key, whatever its revision."""
+    listing = (await store.read_prefix(key)).unwrap()
+    held = listing.by_key.get(key)
+    revision = 0 if held is None else held.mod_revision
+    written = await store.compare_and_swap(key, revision, json.dumps(document).encode(), 0)
+    assert written.unwrap().succeeded
+
+
+def create_settings(number: int, ip: str) -> EntrySettings:
+    """Create the settings of an instance; zones and regions take turns."""
+    zone = f"z{number % len(REGION_BY_ZONE)}"
+    return settings_from_text(
+        SETTINGS.format(
+            name=f"edge-{number}",
+            ip=ip,
+            zone=zone,
+            region=REGION_BY_ZONE[zone],
+            zones="\n".join(f"Zones.{each}={region}" for each, region in REGION_BY_ZONE.items()),
+            listen="\n".join(f"Listen.{key}={ip}:{port}" for key, port in PORTS.items()),
+            peers=PEER_PORTS,
+        )
+    )
+
+
+def most_arrivals(arrivals: Sequence[float], since: float) -> int:
+    """Return the most arrivals within `WINDOW_S` of those since a time."""
+    times = sorted(each for each in arrivals if each >= since)
+    return max((sum(at <= each < at + WINDOW_S for each in times) for at in times), default=0)
+
+
+@dataclass(eq=False)
+class LimitedUpstream:
+    """An upstream that may name a limit in its answers to calls and to health checks."""
+
+    id: str
+    host: str
+    work_s: float = 0.02
+    slots: int = 4
+    limit: str | None = None
+    limit_in_health_answers: bool = False
+    arrivals: list[float] = field(default_factory=list)
+    running: int = 0
+
+    def entry(self, number: int) -> dict[str, object]:
+        """Return the entry that the upstream writes about itself."""
+        return {
+            "Service": "stock",
+            "Address": f"{self.host}:{UPSTREAM_PORT}",
+            "Zone": f"z{number % len(REGION_BY_ZONE)}",
+            "Slots": self.slots,
+            "State": "ready",
+            "Sequence": 1,
+            "born": 1_700_000_000_000 + number,
+        }
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                load = f"{self.running},0,{self.slots},100"
+                extra = {"X_Heatherhead_Server_Load": load}
+                if head.startswith("GET /healthz"):
+                    if self.limit is not None and self.limit_in_health_answers:
+                        extra["Server_Limit"] = self.limit
+                    extra["X_Heatherhead_Instance_Id"] = self.id
+                    data = answer("", **extra).replace(b"X-Heatherhead-Request-Id: \r\n", b"")
+                    writer.write(data)
+                    continue
+                self.arrivals.append(asyncio.get_running_loop().time())
+                self.running += 1
+                await asyncio.sleep(self.work_s)
+                self.running -= 1
+                if self.limit is not None:
+                    extra["Server_Limit"] = self.limit
+                request_id = head.split("X-Heatherhead-Request-Id: ")[1].split("\r\n")[0]
+                writer.write(answer(request_id, **extra))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+@dataclass(eq=False)
+class Instances:
+    """Instances that share a store, and the upstreams of one service."""
+
+    store: Any  # a `Store`, or a function that creates one for an instance
+    ip_prefix: str
+    services: list[EntryService] = field(default_factory=list)
+    upstreams: list[LimitedUpstream] = field(default_factory=list)
+    statuses: Counter[int] = field(default_factory=Counter)
+    _servers: list[asyncio.Server] = field(default_factory=list)
+    _numbers: count[int] = field(default_factory=count)
+
+    async def add_upstreams(self, number: int, **changes: Any) -> None:
+        """Start upstreams and write their entries."""
+        for _ in range(number):
+            position = len(self.upstreams)
+            host = f"{self.ip_prefix}.{100 + position}"
+            upstream = LimitedUpstream(f"i-{position}", host, **changes)
+            self.upstreams.append(upstream)
+            server = await asyncio.start_server(upstream.serve, host, UPSTREAM_PORT)
+            self._servers.append(server)
+            await write(self.store, f"servers/{upstream.id}", upstream.entry(position))
+
+    async def start(self, instances: int) -> None:
+        """Write the configuration, start instances and wait until all are ready."""
+        await write(self.store, "op/config", CONFIGURATION)
+        await asyncio.gather(*(self.add_instance(number) for number in range(instances)))
+
+    async def add_instance(self, number: int) -> EntryService:
+        """Start an instance and wait until it is ready."""
+        settings = create_settings(number, f"{self.ip_prefix}.{10 + number}")
+        dialect = PlatformDialect()
+        service = create_entry_service(settings, self.store, PlatformDecoder(), dialect)
+        self.services.append(service)
+        await service.start(PlatformPages(service))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not (service.ready and service.dispatcher.states):
+                await asyncio.sleep(0.02)
+        return service
+
+    async def call(self, service: EntryService) -> int:
+        """Send one call to an instance and return the status of the answer, 0 for none."""
+        request_id = f"r{next(self._numbers)}"
+        host = service.settings.host
+        reader, writer = await asyncio.open_connection(host, PORTS["Front"])
+        headers = {"X_Heatherhead_Request_Id": request_id, "X_Heatherhead_Deadline_Ms": "1000"}
+        writer.write(request("/read/1", **headers))
+        try:
+            received = await asyncio.wait_for(read_answer(reader), CALL_TIMEOUT_S)
+        except TimeoutError:
+            received = b""
+        writer.close()
+        status = int(received.split(b" ", 2)[1]) if received else 0
+        self.statuses[status] += 1
+        return status
+
+    async def send_calls(
+        self, calls_per_s: float, for_s: float, choose: Callable[[int], EntryService] | None = None
+    ) -> None:
+        """Send calls at a constant rate, to each instance in turn unless `choose` names one."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(int(calls_per_s * for_s)):
+                await asyncio.sleep(began + number / calls_per_s - loop.time())
+                service = choose(number) if choose else self.services[number % len(self.services)]
+                tasks.create_task(self.call(service))
+
+    async def stop(self) -> None:
+        """Stop all instances and upstreams."""
+        for service in self.services:
+            for server in service._servers:
+                server.close()
+            await service.announcement.leave()
+            await service.stop()
+        for server in self._servers:
+            server.close()
