--- a/heatherhead/dispatch/admission_queue.py
+++ b/heatherhead/dispatch/admission_queue.py
@@ -22,12 +22,19 @@
 
     from heatherhead.dispatch.demand import Demand
 
-__all__ = ["AdmissionQueue", "ArrivalRate", "WaitingCall", "is_feasible", "wait_s"]
+__all__ = [
+    "AdmissionQueue",
+    "ArrivalRate",
+    "CapacityEstimate",
+    "WaitingCall",
+    "is_feasible",
+    "wait_s",
+]
 
 SERVICE_TIME_P90_FACTOR = 1.5  # times the expected service time; nine in ten calls end within that
 ARRIVALS_WINDOW_S = 1.0  # bursts last for seconds
 MAX_ARRIVALS = 4096  # in `ARRIVALS_WINDOW_S`; more than an instance can handle
-MIN_CAPACITY_SLOTS = 0.5  # of normal speed; used if the estimated capacity is lower
+MIN_CALLS_PER_S = 0.01  # a service that serves less is as good as down
 ON_TIME_ARRIVALS_SHARE = 0.85  # of first requests; these precede late calls, the rest become late
 MIN_LATE_CALLS_SHARE = 0.05  # of the slots; left for late calls at any arrival rate
 MAX_WAITING_CALLS = 512  # of one service; more could not be served before their client timeouts
@@ -60,13 +67,28 @@
         return len(self._times) / ARRIVALS_WINDOW_S
 
 
-def wait_s(ahead: int, demand: Demand, slots: float, arrivals_per_s: float, now: float) -> float:
+@dataclass(frozen=True, slots=True)
+class CapacityEstimate:
+    """What an instance can serve of one service, its share of rate limits included."""
+
+    slots: float  # of normal speed, of upstreams that name no limit
+    limited_calls_per_s: float = 0.0  # of those that name one
+    permits_awaited: int = 0
+
+    def calls_per_s(self, work_s: float) -> float:
+        """Return the calls a second that take `work_s` each at normal speed."""
+        return max(self.slots / work_s + self.limited_calls_per_s, MIN_CALLS_PER_S)
+
+
+def wait_s(
+    ahead: int, demand: Demand, capacity: CapacityEstimate, arrivals_per_s: float, now: float
+) -> float:
     """Estimate how long a call waits behind `ahead` others while all slots are in use.
 
-    `slots` is the capacity in slots of normal speed, `arrivals_per_s` the rate of first requests.
-    A late call gets only the slots that calls on time leave free.
+    `arrivals_per_s` is the rate of first requests. A late call gets only the slots that calls on
+    time leave free.
     """
-    slots_per_s = max(slots, MIN_CAPACITY_SLOTS) / demand.work_s
+    slots_per_s = capacity.calls_per_s(demand.work_s)
     if _is_late(demand, now):
         slots_per_s = max(
             slots_per_s - ON_TIME_ARRIVALS_SHARE * arrivals_per_s,
@@ -107,7 +129,9 @@
         """List the calls, the next one to be placed first."""
         return sorted(self.calls, key=lambda call: _rank(call.demand, now))
 
-    def infeasible(self, now: float, slots: float, arrivals_per_s: float) -> list[WaitingCall]:
+    def infeasible(
+        self, now: float, capacity: CapacityEstimate, arrivals_per_s: float
+    ) -> list[WaitingCall]:
         """List the calls that can no longer be answered before their callers give up.
 
         They include calls that more urgent ones have moved too far back.
@@ -115,16 +139,22 @@
         return [
             call
             for ahead, call in enumerate(self.in_order(now))
-            if not is_feasible(ahead, call.demand, slots, arrivals_per_s, now)
+            if not is_feasible(ahead, call.demand, capacity, arrivals_per_s, now)
         ]
 
 
 def is_feasible(
-    ahead: int, demand: Demand, slots: float, arrivals_per_s: float, now: float
+    ahead: int,
+    demand: Demand,
+    capacity: CapacityEstimate,
+    arrivals_per_s: float,
+    now: float,
 ) -> bool:
     """Return whether a call behind `ahead` others can be answered before its client timeout."""
-    ends_at = now + wait_s(ahead, demand, slots, arrivals_per_s, now) + demand.proven_work_s
-    return ends_at <= demand.give_up_at
+    if ahead < capacity.permits_awaited:
+        return now + demand.proven_work_s <= demand.give_up_at
+    waiting_s = wait_s(ahead, demand, capacity, arrivals_per_s, now)
+    return now + waiting_s + demand.proven_work_s <= demand.give_up_at
 
 
 def _is_late(demand: Demand, now: float) -> bool:
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 from heatherhead.dispatch.admission_queue import (
     AdmissionQueue,
     ArrivalRate,
+    CapacityEstimate,
     WaitingCall,
     is_feasible,
     wait_s,
@@ -50,6 +51,7 @@
 SMALL_SERVICE_UPSTREAMS = 64  # up to this number, each call also considers other regions
 # Two random choices balance well; a few more are likely to include one in the own region.
 OVERFLOW_SAMPLE_SIZE = 8
+MIN_CAPACITY_SLOTS = 0.5  # of normal speed; used if less is estimated of unlimited upstreams
 
 
 @dataclass(slots=True, eq=False)
@@ -79,24 +81,32 @@
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
     baseline: BaselineSlowdown = field(default_factory=BaselineSlowdown)
     contention: Contention = field(default_factory=Contention)
+    limited_by_id: dict[str, UpstreamState] = field(default_factory=dict)  # with a rate limit
     reading_at: float = -math.inf  # the last load reading of any upstream
     applied_speed_when_full: float = 1.0  # for which `usable_slots` of the upstreams were set
 
-    def capacity_slots(self, now: float, homes: int) -> float:
-        """Estimate the capacity of this instance in slots of normal speed.
+    def capacity(self, now: float, homes: int) -> CapacityEstimate:
+        """Estimate what this instance can serve.
 
         It is the total speed of the slots that its own calls occupy, and at least an equal part of
-        the region's slots, which `homes` instances share.
+        the region's slots, which `homes` instances share, as they do the rate limits.
         """
-        own = shared = 0.0
+        own = shared = limited = 0.0
+        unlimited = not self.preferred
         for state in self.preferred:
-            if now < state.ejected_until or state.misdirected:
+            unlimited = unlimited or not state.limited
+            if state.excluded(now):
+                continue
+            if state.rate_limit.calls_per_s is not None:
+                limited += state.rate_limit.calls_per_s
                 continue
             speed = 1.0 / max(1.0, state.slowdown_now(now, self.baseline.value))
             own += min(state.own_in_flight, state.usable_slots) * speed
             if state.local_region:
                 shared += state.usable_slots * speed
-        return max(own, shared / homes)
+        slots = max(own, shared / homes, MIN_CAPACITY_SLOTS if unlimited else 0.0)
+        awaited = sum(each.rate_limit.permits_awaited(now) for each in self.limited_by_id.values())
+        return CapacityEstimate(slots, limited / homes, awaited)
 
     def add(self, state: UpstreamState, is_preferred: Callable[[UpstreamState], bool]) -> None:
         """Add an upstream."""
@@ -110,6 +120,7 @@
         """Remove an upstream."""
         if self.state_by_id.pop(state.entry.id, None) is None:
             return
+        self.limited_by_id.pop(state.entry.id, None)
         (self.preferred if state.preferred else self.overflow).remove(state)
         if len(self.state_by_id) == SMALL_SERVICE_UPSTREAMS:
             self.partition(is_preferred)
@@ -132,6 +143,7 @@
             demand,
             prospects,
             upstreams=len(self.preferred),
+            limited=sum(each.limited for each in self.preferred),
             ahead=ahead,
             baseline=self.baseline.value,
             reading_at=self.reading_at,
@@ -170,6 +182,9 @@
         self._tick: asyncio.TimerHandle | None = None
         self.on_slowdown: Callable[[UpstreamState], None] = lambda _: None
         self.on_count: Callable[[UpstreamState], None] = lambda _: None
+        self.on_rate_limit: Callable[[UpstreamState], None] = lambda _: None
+        self.may_request: Callable[[UpstreamState], bool] = lambda _: False
+        self.request_permits: Callable[[UpstreamState], None] = lambda _: None
 
     @property
     def states(self) -> Collection[UpstreamState]:
@@ -346,22 +361,61 @@
         return service.name
 
     def record_rate_limit(
-        self, state: UpstreamState, evidence: RateLimitEvidence, *, in_health_answer: bool = False
+        self, state: UpstreamState, evidence: RateLimitEvidence, reported_by: str | None = None
     ) -> None:
-        """Record whether an answer of an upstream named a rate limit."""
+        """Record whether an answer of an upstream named a rate limit.
+
+        `reported_by` is the instance that got the answer, if it is another one.
+        """
         limit = state.rate_limit
         before = limit.calls_per_s
-        apply = limit.apply_health_answer if in_health_answer else limit.apply
-        if apply(evidence):
-            log_event(
-                "rate_limit",
-                upstream=state.entry.id,
-                service=state.entry.service,
-                calls_per_s="none" if limit.calls_per_s is None else limit.calls_per_s,
-                before="none" if before is None else before,
-                source="health answer" if in_health_answer else "answer",
-                evidence_age_s=f"{self._loop.time() - evidence.at:.3f}",
-            )
+        if not limit.apply(evidence):
+            return
+        log_event(
+            "rate_limit",
+            upstream=state.entry.id,
+            service=state.entry.service,
+            calls_per_s="none" if limit.calls_per_s is None else limit.calls_per_s,
+            before="none" if before is None else before,
+            source=reported_by or ("health answer" if evidence.in_health_answer else "answer"),
+            evidence_age_s=f"{self._loop.time() - evidence.at:.3f}",
+        )
+        service = self._service(state.entry.service)
+        if state.limited:
+            service.limited_by_id[state.entry.id] = state
+        else:
+            service.limited_by_id.pop(state.entry.id, None)
+        if reported_by is None:
+            self.on_rate_limit(state)
+        self._place_waiting(service)
+
+    def limited_states(self) -> list[UpstreamState]:
+        """List the upstreams that name a rate limit."""
+        return [
+            state
+            for service in self._service_by_name.values()
+            for state in service.limited_by_id.values()
+        ]
+
+    def add_permits(self, state: UpstreamState, permits: int) -> None:
+        """Add permits issued by another instance, then place waiting calls or reject them."""
+        state.rate_limit.add_permits(permits, self._loop.time())
+        self._place_waiting(self._service(state.entry.service))
+
+    def _request_permits(
+        self, service: _Service, states: Collection[UpstreamState], demand: Demand
+    ) -> None:
+        """Request permits for those of some upstreams that would serve the call best."""
+        now = self._loop.time()
+        requestable = [
+            state
+            for state in states
+            if state.lacks_permit(now) and not state.excluded(now) and self.may_request(state)
+        ]
+        if requestable:
+            baseline = service.baseline.value
+            for state in placement.worth_permits(states, requestable, demand, now, baseline):
+                self.request_permits(state)
 
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
         """Wait for a slot; raise `RejectedError` as soon as the call is infeasible."""
@@ -411,16 +465,20 @@
     ) -> Slot | None:
         now = self._loop.time()
         baseline = service.baseline.value
+        if service.limited_by_id:
+            self._request_permits(service, service.preferred, demand)
         upstream = placement.place(service.preferred, demand, avoid, now, baseline).upstream
         if upstream is None and service.overflow:
-            upstream = placement.place(
-                service.sample_overflow(), demand, avoid, now, baseline
-            ).upstream
+            sampled = service.sample_overflow()
+            self._request_permits(service, sampled, demand)
+            upstream = placement.place(sampled, demand, avoid, now, baseline).upstream
         return None if upstream is None else self._occupy(upstream, demand, now, baseline)
 
     def _occupy(self, state: UpstreamState, demand: Demand, now: float, baseline: float) -> Slot:
         time_full_s = state.update_time_full(now)
         state.own_in_flight += 1
+        if state.limited:
+            state.rate_limit.use_permit(now)
         self.on_count(state)
         slot = Slot(
             next(self._numbers),
@@ -495,7 +553,7 @@
                 del state.reported_by_peer[peer]
 
     def _check_feasible(self, service: _Service, demand: Demand, now: float) -> None:
-        slots = service.capacity_slots(now, self._homes)
+        capacity = service.capacity(now, self._homes)
         arrivals_per_s = service.arrival_rate.per_s(now)
         ahead = service.queue.ahead_of(demand, now)
         reason = None
@@ -503,10 +561,10 @@
             reason = "no upstream"
         elif service.queue.full:
             reason = "too many calls wait"
-        elif not is_feasible(ahead, demand, slots, arrivals_per_s, now):
+        elif not is_feasible(ahead, demand, capacity, arrivals_per_s, now):
             reason = "the wait is longer than the time left"
         if reason is not None:
-            waiting_s = wait_s(ahead, demand, slots, arrivals_per_s, now)
+            waiting_s = wait_s(ahead, demand, capacity, arrivals_per_s, now)
             raise RejectedError(
                 reason,
                 self._retry_after_s(service, demand, waiting_s, now),
@@ -516,7 +574,10 @@
     def _retry_after_s(
         self, service: _Service, demand: Demand, waiting_s: float, now: float
     ) -> float:
-        interval_s = demand.work_s / max(1.0, service.capacity_slots(now, self._homes))
+        capacity = service.capacity(now, self._homes)
+        interval_s = 1.0 / capacity.calls_per_s(demand.work_s)
+        if capacity.slots:
+            interval_s = min(interval_s, demand.work_s)
         return service.retry_after.next_retry_after_s(now, waiting_s, interval_s)
 
     def _on_tick(self) -> None:
@@ -531,9 +592,12 @@
         if not service.queue.calls:
             return
         now = self._loop.time()
-        self._reject_infeasible(service, now)
         states = service.preferred
-        if not any(state.free_slots(now) > 0 for state in states):
+        if service.limited_by_id:
+            first = service.queue.in_order(now)[0]
+            self._request_permits(service, states, first.demand)
+        self._reject_infeasible(service, now)
+        if not any(state.usable_now(now) > 0 for state in states):
             return
         baseline = service.baseline.value
         prospects = placement.prospects_of(states, now, baseline)
@@ -555,12 +619,13 @@
             prospects = [
                 each if each.state is not state else placement.prospect_of(state, now, baseline)
                 for each in prospects
+                if each.state is not state or not state.lacks_permit(now)
             ]
             free -= 1
 
     def _reject_infeasible(self, service: _Service, now: float) -> None:
-        slots = service.capacity_slots(now, self._homes)
-        for call in service.queue.infeasible(now, slots, service.arrival_rate.per_s(now)):
+        capacity = service.capacity(now, self._homes)
+        for call in service.queue.infeasible(now, capacity, service.arrival_rate.per_s(now)):
             ahead = service.queue.ahead_of(call.demand, now) - 1
             service.queue.discard(call)
             if not call.future.done():
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -25,7 +25,16 @@
     from heatherhead.dispatch.demand import Demand
     from heatherhead.dispatch.upstream_state import UpstreamState
 
-__all__ = ["Placement", "Prospect", "choose", "expected_s", "place", "prospect_of", "prospects_of"]
+__all__ = [
+    "Placement",
+    "Prospect",
+    "choose",
+    "expected_s",
+    "place",
+    "prospect_of",
+    "prospects_of",
+    "worth_permits",
+]
 
 # Latency worth accepting to keep a kilobyte in the zone or in the region. Bytes between regions
 # cost at least four times as much as bytes between zones.
@@ -35,6 +44,7 @@
 MISSED_TARGET_PENALTY_S = 1.5  # equals 100 KB between zones or 15 KB between regions
 FAILURE_PENALTY_S = 0.8  # a failed attempt costs about a whole timeout
 FULL_SLOWDOWN_FRACTION = 0.15  # slowdown by contention that is expected of a full upstream
+RECENT_LIMIT_S = 2.0  # since an upstream's last answer; its rate limit may have ended since
 IN_FLIGHT_PENALTY_S = 0.002  # per call in flight; spreads calls among equal upstreams
 
 
@@ -59,7 +69,7 @@
     failure_penalty_s: float
     s_per_kb: float  # penalty for bytes between zones and regions
     occupancy: int
-    free: int  # slots; zero or less if the upstream is full
+    free: int  # slots, with permits if needed; zero or less if the upstream is full
 
     def proven_answer_s(self, work_s: float) -> float:
         """Return the time to the answer of a call that takes `work_s` at normal speed.
@@ -93,7 +103,7 @@
         state.failure_rate(now) * FAILURE_PENALTY_S,
         s_per_kb,
         occupancy,
-        state.free_slots(now),
+        state.free_slots(now) if state.lacks_permit(now) else state.usable_now(now),
     )
 
 
@@ -102,10 +112,37 @@
     return [
         prospect_of(state, now, baseline)
         for state in states
-        if not state.misdirected and now >= state.ejected_until
+        if not (state.excluded(now) or state.lacks_permit(now))
     ]
 
 
+def worth_permits(
+    states: Collection[UpstreamState],
+    requestable: Iterable[UpstreamState],
+    demand: Demand,
+    now: float,
+    baseline: float,
+) -> list[UpstreamState]:
+    """List the `requestable` upstreams that the call would take if this instance had a permit.
+
+    Permits that are requested but not used are lost to the other instances. Among equal upstreams
+    those without a limit go first, unless nothing has been heard of the limit lately.
+    """
+    prospects = prospects_of(states, now, baseline)
+    to_target_s, to_give_up_s = demand.time_to_target(now), demand.give_up_at - now
+    wanted = []
+    for state in requestable:
+        position = len(prospects)
+        if now - state.rate_limit.evidence_at > RECENT_LIMIT_S:
+            position = 0
+        compared = list(prospects)
+        compared.insert(position, prospect_of(state, now, baseline))
+        chosen = choose(compared, demand, (), 0, to_target_s, to_give_up_s).upstream
+        if chosen is state:
+            wanted.append(state)
+    return wanted
+
+
 def expected_s(state: UpstreamState, demand: Demand, now: float, baseline: float) -> float:
     """Estimate the time from dispatch to answer."""
     slowdown = state.slowdown_now(now, baseline) * _load_factor(state, state.occupancy(now), now)
--- a/heatherhead/dispatch/rate_limits.py
+++ b/heatherhead/dispatch/rate_limits.py
@@ -1,14 +1,22 @@
-"""What an instance knows of the rate limits that upstreams name in their answers.
+"""Rate limits that upstreams name in their answers, and the permits to send calls under one.
 
 A limit is the number of calls a second that an upstream takes from all instances together, for as
-long as its answers name it.
+long as its answers name it. So an instance sends a call there only with a permit. One instance of
+the upstream's region issues them (`fleet/permits.py`); a permit that is not used soon expires.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
-__all__ = ["RateLimit", "RateLimitEvidence"]
+__all__ = ["PermitBucket", "RateLimit", "RateLimitEvidence"]
+
+PERMIT_TTL_S = 0.5  # permits of a second still in use keep four seconds below 1.5 times the limit
+MAX_SAVED_S = 0.25  # of the limit; an issuer saves at most that many permits, but at least one
+# Without answers, nobody would notice the end of a low limit.
+TRIAL_CALLS_PER_S = 0.2
+NO_PERMITS_WAIT_S = 1.0  # until the next request while no permits are issued at all
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,34 +29,99 @@
 
     calls_per_s: float | None
     at: float
+    in_health_answer: bool = False
 
 
 @dataclass(slots=True)
 class RateLimit:
-    """The newest evidence of an upstream's limit."""
+    """The newest evidence of an upstream's limit, and this instance's permits."""
 
     calls_per_s: float | None = None
     evidence_at: float = -1.0
     health_answers_name_it: bool = False
+    awaited: int = 0  # permits that were requested, until `awaited_until`
+    awaited_until: float = -1.0
+    _expires_at_by_permit: deque[float] = field(default_factory=deque)
 
     def apply(self, evidence: RateLimitEvidence) -> bool:
-        """Apply evidence unless newer one is known; return whether the limit changed."""
+        """Apply evidence unless newer one is known; return whether the limit changed.
+
+        Health checks may never name limits, so that an answer to one without a limit counts only
+        after one with it.
+        """
         if evidence.at <= self.evidence_at:
             return False
-        changed = evidence.calls_per_s != self.calls_per_s
-        self.calls_per_s, self.evidence_at = evidence.calls_per_s, evidence.at
-        return changed
+        if evidence.in_health_answer:
+            if evidence.calls_per_s is None and not self.health_answers_name_it:
+                return False
+            # If answers to calls still name it, the next health check ends nothing.
+            self.health_answers_name_it = evidence.calls_per_s is not None
+        before, self.calls_per_s = self.calls_per_s, evidence.calls_per_s
+        self.evidence_at = evidence.at
+        if self.calls_per_s is None or (before is not None and self.calls_per_s < before):
+            self._expires_at_by_permit.clear()
+        return before != self.calls_per_s
+
+    def permits(self, now: float) -> int:
+        """Count the permits that have not expired."""
+        expires_at = self._expires_at_by_permit
+        while expires_at and expires_at[0] <= now:
+            expires_at.popleft()
+        return len(expires_at)
 
-    def apply_health_answer(self, evidence: RateLimitEvidence) -> bool:
-        """Apply the evidence of a health check's answer; return whether the limit changed.
+    def add_permits(self, permits: int, now: float) -> None:
+        """Add permits that have just been issued; those awaited have come."""
+        self.awaited = 0
+        self._expires_at_by_permit.extend([now + PERMIT_TTL_S] * permits)
 
-        Such answers may never name limits, so one without a limit counts only after one with it.
+    def use_permit(self, now: float) -> None:
+        """Use the permit that expires first."""
+        if self.permits(now):
+            self._expires_at_by_permit.popleft()
+
+    def await_permits(self, permits: int, until: float) -> None:
+        """Record that permits were requested; the answer is due at `until`."""
+        self.awaited, self.awaited_until = permits, until
+
+    def permits_awaited(self, now: float) -> int:
+        """Count the permits that may still come in answer to a request."""
+        return self.awaited if now < self.awaited_until else 0
+
+    def issued_per_s(self, share: float) -> float:
+        """Return the permits to issue a second for a `share` of the limit.
+
+        Some are issued under the lowest limit too, unless health checks will tell of its end.
         """
-        if evidence.calls_per_s is None:
-            if not self.health_answers_name_it:
-                return False
-            # Answers to calls may name it again; the next health check then ends nothing.
-            self.health_answers_name_it = False
-        else:
-            self.health_answers_name_it = True
-        return self.apply(evidence)
+        assert self.calls_per_s is not None
+        rate = self.calls_per_s * share
+        return rate if self.health_answers_name_it else max(rate, TRIAL_CALLS_PER_S)
+
+
+@dataclass(slots=True)
+class PermitBucket:
+    """The permits that an issuer may issue for one upstream.
+
+    It starts empty, since an issuer before this one may just have issued some.
+    """
+
+    created_at: float
+    filled_at: float = field(init=False)
+    tokens: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.filled_at = self.created_at
+
+    def take(self, wanted: int, per_s: float, now: float) -> int:
+        """Take up to `wanted` permits at the rate `per_s`; return how many were taken."""
+        most = max(1.0, per_s * MAX_SAVED_S)
+        self.tokens = min(most, self.tokens + (now - self.filled_at) * per_s)
+        self.filled_at = now
+        taken = min(wanted, int(self.tokens))
+        self.tokens -= taken
+        return taken
+
+    def wait_s(self, per_s: float) -> float:
+        """Return the time until there is a permit."""
+        if per_s <= 0:
+            return NO_PERMITS_WAIT_S
+        return min(NO_PERMITS_WAIT_S / TRIAL_CALLS_PER_S, max(0.0, 1.0 - self.tokens) / per_s)
--- a/heatherhead/dispatch/rejection.py
+++ b/heatherhead/dispatch/rejection.py
@@ -27,7 +27,8 @@
     baseline: float  # average slowdown of the service
     reading_age_s: float  # since the last load reading of the service
     upstreams: int  # filled first by this instance
-    excluded: int  # ejected or misdirected
+    limited: int  # of these, that name a rate limit
+    excluded: int  # ejected or misdirected, or without a permit under their rate limit
     free: int  # upstreams with a free slot that are not excluded
     fastest_s: float  # least time to an answer from these, by recent evidence
 
@@ -47,6 +48,7 @@
     prospects: Collection[Prospect],
     *,
     upstreams: int,
+    limited: int,
     ahead: int,
     baseline: float,
     reading_at: float,
@@ -54,8 +56,8 @@
 ) -> RejectionEvidence:
     """Create the evidence for a call behind `ahead` others.
 
-    `prospects` are the upstreams of the `upstreams` that are not excluded, `reading_at` is the time
-    of the last load reading of the service.
+    `prospects` are the upstreams of the `upstreams` that are not excluded, `limited` of them name a
+    rate limit, `reading_at` is the time of the last load reading of the service.
     """
     free = [each for each in prospects if each.free > 0]
     return RejectionEvidence(
@@ -67,6 +69,7 @@
         baseline=baseline,
         reading_age_s=now - reading_at,
         upstreams=upstreams,
+        limited=limited,
         excluded=upstreams - len(prospects),
         free=len(free),
         fastest_s=min(
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -119,6 +119,24 @@
             return self.usable_slots - self.own_in_flight - self.usable_slots // 2
         return self.usable_slots - self.occupancy(now)
 
+    def usable_now(self, now: float) -> int:
+        """Count the free slots for which there is a permit, if the upstream names a rate limit."""
+        free = self.free_slots(now)
+        return min(free, self.rate_limit.permits(now)) if self.limited else free
+
+    @property
+    def limited(self) -> bool:
+        """Return whether the upstream names a rate limit, so that each call needs a permit."""
+        return self.rate_limit.calls_per_s is not None
+
+    def lacks_permit(self, now: float) -> bool:
+        """Return whether the upstream names a rate limit and this instance has no permit."""
+        return self.limited and not self.rate_limit.permits(now)
+
+    def excluded(self, now: float) -> bool:
+        """Return whether the upstream is ejected, or another one answers at its address."""
+        return self.misdirected or now < self.ejected_until
+
     def slowdown_now(self, now: float, baseline: float) -> float:
         """Estimate the current slowdown; `baseline` is the average of the service."""
         if self.slowdown is None:
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -34,7 +34,11 @@
     HomeStatus,
     LeaveNotice,
     LoadReport,
+    PermitReply,
+    PermitRequest,
+    RateLimitReport,
 )
+from heatherhead.fleet.permits import create_permit_exchange
 from heatherhead.fleet.relay import RelayState, create_relay_server
 from heatherhead.fleet.replica import create_store_replica
 from heatherhead.fleet.store_follower import create_store_follower
@@ -195,6 +199,9 @@
         self.exchange = create_fleet_exchange(
             self.members, self.homes, self.replica, channel, self.follower
         )
+        self.permits = create_permit_exchange(
+            self.dispatcher, self.homes, self.members, self.exchange.send_to, self._loop.time
+        )
         self.exchange.on_tick = self._on_tick
         self.exchange.contention_evidence = self.dispatcher.contention_evidence
         self.dispatcher.on_count = lambda state: self.exchange.set_count(
@@ -273,12 +280,14 @@
             tuple(home.id for home in self.homes.current),
             self.follower.store_ok and self.follower.is_watcher,
             self.crashes.recent(self._loop.time()),
+            self.permits.limits(),
         )
 
     def _on_relay_state(self, relay_state: RelayState) -> None:
         self.homes.apply_reported_homes(relay_state.region, relay_state.home_ids)
         for fingerprint, crashes in relay_state.crashes_by_request:
             self._apply_crash(fingerprint, crashes)
+        self.permits.apply_relayed(relay_state.rate_limits)
 
     def _apply_crash(self, fingerprint: int, crashes: int) -> None:
         now = self._loop.time()
@@ -304,6 +313,7 @@
         self.reader.update()
         self.dispatcher.retain_peers(self.homes.live_home_ids())
         self._update_own_slack()
+        self.permits.tick()
         relay_state = self._relay_state()
         if relay_state != self._published_state:
             self._published_state = relay_state
@@ -377,39 +387,51 @@
         self.relay.notify_followers()
 
     @singledispatchmethod
-    def _on_message(self, message: PeerMessage, _host: str) -> None:
+    def _on_message(self, message: PeerMessage, _sender: HostPort) -> None:
         """Handle a message of a peer by its type."""
         raise TypeError(f"no handler for {type(message).__name__}")
 
     @_on_message.register(HomeStatus)
-    def _(self, message: HomeStatus, host: str) -> None:
-        self.homes.apply_status(message, host)
+    def _(self, message: HomeStatus, sender: HostPort) -> None:
+        self.homes.apply_status(message, sender.host)
         self.follower.record_verified(message.verified_age_s)
         self.follower.record_revision(message.revision)
 
     @_on_message.register(LoadReport)
-    def _(self, message: LoadReport, _host: str) -> None:
+    def _(self, message: LoadReport, _sender: HostPort) -> None:
         self._apply_loads(message)
 
     @_on_message.register(CallCounts)
-    def _(self, message: CallCounts, _host: str) -> None:
+    def _(self, message: CallCounts, _sender: HostPort) -> None:
         self.dispatcher.apply_peer_counts(
             message.sender, message.count_by_id, complete=message.complete
         )
 
     @_on_message.register(ContentionReport)
-    def _(self, message: ContentionReport, _host: str) -> None:
+    def _(self, message: ContentionReport, _sender: HostPort) -> None:
         self.dispatcher.apply_peer_contention(message.sender, message.evidence_by_service)
 
     @_on_message.register(CrashNotice)
-    def _(self, message: CrashNotice, _host: str) -> None:
+    def _(self, message: CrashNotice, _sender: HostPort) -> None:
         self._apply_crash(message.fingerprint, message.crashes)
 
     @_on_message.register(LeaveNotice)
-    def _(self, message: LeaveNotice, _host: str) -> None:
+    def _(self, message: LeaveNotice, _sender: HostPort) -> None:
         self.homes.apply_leave(message)
         log_event("peer_leaves", peer=message.sender)
 
+    @_on_message.register(RateLimitReport)
+    def _(self, message: RateLimitReport, _sender: HostPort) -> None:
+        self.permits.apply_report(message)
+
+    @_on_message.register(PermitRequest)
+    def _(self, message: PermitRequest, sender: HostPort) -> None:
+        self.permits.apply_request(message, sender)
+
+    @_on_message.register(PermitReply)
+    def _(self, message: PermitReply, _sender: HostPort) -> None:
+        self.permits.apply_reply(message)
+
     def _apply_loads(self, report: LoadReport) -> None:
         now = self._loop.time()
         readings = []
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -16,13 +16,15 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from heatherhead.dispatch.contention import ContentionEvidence
     from heatherhead.dispatch.upstream_state import LoadReading
+    from heatherhead.entry.settings import HostPort
     from heatherhead.fleet.home_view import HomeView
     from heatherhead.fleet.members import Member, MemberTable
     from heatherhead.fleet.peer_channel import PeerChannel
+    from heatherhead.fleet.peer_messages import PeerMessage
     from heatherhead.fleet.replica import StoreReplica
     from heatherhead.fleet.store_follower import StoreFollower
 
@@ -99,6 +101,10 @@
         own_id = self._members.own.id
         return [home for home in self._homes.cell_homes() if home.id != own_id]
 
+    def send_to(self, addresses: Iterable[HostPort], message: PeerMessage) -> None:
+        """Send a message to the instances at some addresses."""
+        self._channel.send_to(addresses, message)
+
     def announce_crash(self, fingerprint: int, crashes: int) -> None:
         """Announce to all instances a request that crashes upstreams."""
         notice = CrashNotice(self._members.own.id, fingerprint, crashes)
@@ -137,26 +143,13 @@
             round(self._homes.own_calls_per_s),
         )
         self._channel.send(self._other_members(own.region), status)
-        self._channel.send(self._remote_homes(), status)
+        self._channel.send(self._homes.homes_of_other_regions(), status)
         # Complete lists make up for lost datagrams.
         self._channel.send(self._cell_peers(), CallCounts(own.id, True, self._count_by_id))
         evidence = self.contention_evidence()
         if evidence:
             self._channel.send(self._cell_peers(), ContentionReport(own.id, evidence))
 
-    def _remote_homes(self) -> list[Member]:
-        """List the homes of other regions: by rank, and those that sent a status recently."""
-        own_region = self._members.own.region
-        regions = {each.region for each in self._members.by_id.values()} - {own_region}
-        remote_by_id = {
-            home.id: home for region in regions for home in self._homes.remote_homes(region)
-        }
-        for member_id in self._homes.live_home_ids():
-            member = self._members.by_id.get(member_id)
-            if member is not None and member.region != own_region:
-                remote_by_id[member_id] = member
-        return list(remote_by_id.values())
-
     def _send_loads(self) -> None:
         self._report_timer = None
         own_id = self._members.own.id
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -149,10 +149,25 @@
         return homes_of_cell(self.current, self.own_cell)
 
     def remote_homes(self, region: str) -> list[Member]:
-        """List the probable homes of another region."""
+        """List the probable homes of another region, by rank."""
         ranked = rank_members(self._members.by_id.values() or self.provisional_members, region)
         return ranked[:MAX_REMOTE_HOMES]
 
+    def homes_of_other_regions(self) -> list[Member]:
+        """List them: by rank, and those that sent a status recently."""
+        own_region = self._members.own.region
+        regions = {each.region for each in self._members.by_id.values()} - {own_region}
+        by_id = {home.id: home for region in regions for home in self.remote_homes(region)}
+        for member_id in self.live_home_ids():
+            member = self._members.by_id.get(member_id)
+            if member is not None and member.region != own_region:
+                by_id[member_id] = member
+        return list(by_id.values())
+
+    def homes_of_all_regions(self) -> list[Member]:
+        """List the homes of the own region and the probable ones of the others."""
+        return [*self.current, *self.homes_of_other_regions()]
+
     def live_home_ids(self) -> list[str]:
         """List the homes of all regions that sent a status recently."""
         since = self._now() - SILENT_AFTER_S
--- a/heatherhead/fleet/members.py
+++ b/heatherhead/fleet/members.py
@@ -31,6 +31,11 @@
     link_mbps: float
     ready: bool = True
 
+    @property
+    def peer_address(self) -> HostPort:
+        """Return the address for datagrams and relay streams."""
+        return HostPort(self.callers.host, self.peer_port)
+
     def encode(self) -> bytes:
         """Encode the announcement for the store."""
         packed: bytes = msgpack.packb(
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, field
 from functools import singledispatch
 from typing import Any
 
@@ -19,7 +19,13 @@
     "LeaveNotice",
     "LoadReport",
     "PeerMessage",
+    "PermitReply",
+    "PermitRequest",
+    "RateLimitReport",
+    "RateLimitRow",
+    "decode_limit",
     "decode_message",
+    "encode_limit",
     "encode_message",
 ]
 
@@ -33,7 +39,17 @@
     ArithmeticError,
     msgpack.UnpackException,
 )
-_STATUS, _LOADS, _CRASH, _LEAVE, _COUNTS, _CONTENTION = range(6)
+(
+    _STATUS,
+    _LOADS,
+    _CRASH,
+    _LEAVE,
+    _COUNTS,
+    _CONTENTION,
+    _RATE_LIMITS,
+    _PERMIT_REQUEST,
+    _PERMIT_REPLY,
+) = range(9)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +107,55 @@
     evidence_by_service: dict[str, ContentionEvidence]
 
 
-PeerMessage = HomeStatus | LoadReport | CallCounts | CrashNotice | LeaveNotice | ContentionReport
+@dataclass(frozen=True, slots=True)
+class RateLimitRow:
+    """What an instance knows of the rate limit of one start of an upstream."""
+
+    upstream_id: str
+    started_ms: int
+    calls_per_s: float | None  # None: it names no limit
+    age_s: float = field(compare=False)  # of the evidence
+    named_by_health_checks: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitReport:
+    """Rate limits of upstreams, as an instance knows them."""
+
+    sender: str
+    rows: tuple[RateLimitRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Asks for permits to send calls to an upstream under its rate limit."""
+
+    sender: str
+    wanted: int
+    limit: RateLimitRow  # as the sender knows it
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Issues permits for an upstream; `wait_s` is the time until there may be more."""
+
+    sender: str
+    permits: int
+    wait_s: float
+    limit: RateLimitRow  # as the issuer knows it
+
+
+PeerMessage = (
+    HomeStatus
+    | LoadReport
+    | CallCounts
+    | CrashNotice
+    | LeaveNotice
+    | ContentionReport
+    | RateLimitReport
+    | PermitRequest
+    | PermitReply
+)
 
 
 @singledispatch
@@ -146,6 +210,23 @@
     return [_LEAVE, message.sender, message.incarnation]
 
 
+@_row_of.register
+def _(message: RateLimitReport) -> list[Any]:
+    return [_RATE_LIMITS, message.sender, [encode_limit(row) for row in message.rows]]
+
+
+@_row_of.register
+def _(message: PermitRequest) -> list[Any]:
+    return [_PERMIT_REQUEST, message.sender, message.wanted, encode_limit(message.limit)]
+
+
+@_row_of.register
+def _(message: PermitReply) -> list[Any]:
+    wait_ms = round(message.wait_s * 1000)
+    limit = encode_limit(message.limit)
+    return [_PERMIT_REPLY, message.sender, message.permits, wait_ms, limit]
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message."""
     packed: bytes = msgpack.packb([VERSION, *_row_of(message)])
@@ -181,6 +262,13 @@
             return CrashNotice(str(sender), int(rest[0]), int(rest[1]))
         if kind == _LEAVE:
             return LeaveNotice(str(sender), str(rest[0]))
+        if kind == _RATE_LIMITS:
+            return RateLimitReport(str(sender), tuple(decode_limit(row) for row in rest[0]))
+        if kind == _PERMIT_REQUEST:
+            return PermitRequest(str(sender), int(rest[0]), decode_limit(rest[1]))
+        if kind == _PERMIT_REPLY:
+            wait_s = _finite(rest[1]) / 1000
+            return PermitReply(str(sender), int(rest[0]), wait_s, decode_limit(rest[2]))
     except _MALFORMED:
         return None
     return None
@@ -194,6 +282,23 @@
     return number
 
 
+def encode_limit(row: RateLimitRow) -> list[Any]:
+    """Return the row of a rate limit in messages and relay streams."""
+    age_ms = round(row.age_s * 1000)
+    health = row.named_by_health_checks
+    return [row.upstream_id, row.started_ms, row.calls_per_s, age_ms, health]
+
+
+def decode_limit(row: list[Any]) -> RateLimitRow:
+    """Decode a rate limit; raises `ValueError` or `TypeError` if it is malformed."""
+    upstream_id, started_ms, calls_per_s, age_ms, health = row
+    limit = None if calls_per_s is None else _finite(calls_per_s)
+    if limit is not None and limit < 0:
+        raise ValueError(f"{limit} is no rate")
+    age_s = max(0.0, _finite(age_ms) / 1000)
+    return RateLimitRow(str(upstream_id), int(started_ms), limit, age_s, bool(health))
+
+
 def _evidence(row: list[Any]) -> ContentionEvidence:
     answers, full_share, full_share_squared, service_time, product = map(_finite, row)
     return ContentionEvidence(answers, full_share, full_share_squared, service_time, product)
--- /dev/null
+++ b/heatherhead/fleet/permits.py
@@ -0,0 +1,294 @@
+"""Requests and issues permits for calls to upstreams that name a rate limit.
+
+The first home of the upstream's region issues all permits, so that the limit holds for all
+instances together without being divided in advance. An instance requests permits when it has a
+call, by datagram; without one, it sends the call to another upstream.
+
+Instances that can't reach each other may take different homes for the first. A home that stands in
+for others of the region's ranking issues a third of the limit for each of them, so that all issuers
+together stay below 1.5 times the limit, however many sides a partition has.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from heatherhead.dispatch.rate_limits import PermitBucket, RateLimitEvidence
+from heatherhead.fleet.homes import rank_members
+from heatherhead.fleet.peer_messages import (
+    PermitReply,
+    PermitRequest,
+    RateLimitReport,
+    RateLimitRow,
+)
+from heatherhead.telemetry.bounded_logs import log_routine
+from heatherhead.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from heatherhead.dispatch.dispatcher import Dispatcher
+    from heatherhead.dispatch.upstream_state import UpstreamState
+    from heatherhead.entry.settings import HostPort
+    from heatherhead.fleet.home_view import HomeView
+    from heatherhead.fleet.members import Member, MemberTable
+    from heatherhead.fleet.peer_messages import PeerMessage
+
+__all__ = ["PermitExchange", "create_permit_exchange"]
+
+STAND_IN_SHARE = 1 / 3  # 1 + 1/3 + 1/9 and so on is 1.5
+REQUESTED_S = 0.1  # of the limit; one request asks for that many permits, but at least one
+REPLY_TIMEOUT_S = 0.2  # four round trips between regions
+ALONE_AFTER_REQUESTS = 5  # without a reply: a second
+ALONE_SHARE = 0.5  # of the limit, for all instances together that reach no issuer
+MIN_ALONE_INTERVAL_S = 5.0
+MAX_ALONE_INTERVAL_S = 30.0  # bounds how late an instance that is alone notices the end of a limit
+REPORT_INTERVAL_S = 1.0  # a home that has just started learns of limits by then
+REPORTED_CHANGE = 0.1  # of a limit; smaller ones are told with requests and replies
+RELAYED_AGE_S = (
+    2.0  # of what a followed home tells; newer evidence of the instance's own goes first
+)
+
+
+@dataclass(slots=True)
+class _Requests:
+    """The requests for permits of one upstream."""
+
+    next_at: float = -math.inf
+    unanswered: int = 0  # in a row
+    issuer: int = 0  # position among the possible issuers
+    alone_until: float = -math.inf  # the next permit that is taken without an issuer
+
+
+class PermitExchange:
+    """Requests permits for this instance, and issues them where it is the first home."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        homes: HomeView,
+        members: MemberTable,
+        send: Callable[[Iterable[HostPort], PeerMessage], None],
+        now: Callable[[], float],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._homes = homes
+        self._members = members
+        self._send = send
+        self._now = now
+        self._share: float | None = None
+        self._regions: set[str] = set()
+        self._reported_at = -math.inf
+        self._requests_by_id: dict[str, _Requests] = {}
+        self._bucket_by_start: dict[tuple[str, int], PermitBucket] = {}
+        self._reported_limit_by_id: dict[str, float | None] = {}
+        dispatcher.may_request = self.may_request
+        dispatcher.request_permits = self.request
+        dispatcher.on_rate_limit = self.report_change
+
+    def tick(self) -> None:
+        """Forget ended limits, and report to the homes those that this instance issues for."""
+        self._share = None
+        self._regions = {each.region for each in self._members.by_id.values()}
+        limited = self._dispatcher.limited_states()
+        ids = {state.entry.id for state in limited}
+        starts = {_start_of(state) for state in limited}
+        self._requests_by_id = {k: v for k, v in self._requests_by_id.items() if k in ids}
+        self._bucket_by_start = {k: v for k, v in self._bucket_by_start.items() if k in starts}
+        now = self._now()
+        issued = [state for state in limited if self._issues_for(state)]
+        if issued and now - self._reported_at >= REPORT_INTERVAL_S:
+            self._reported_at = now
+            self._report(issued)
+
+    def limits(self) -> tuple[RateLimitRow, ...]:
+        """List the limits that are in force, for the followers of this instance."""
+        return tuple(self._row(state) for state in self._dispatcher.limited_states())
+
+    def report_change(self, state: UpstreamState) -> None:
+        """Report a limit that this instance has found changed to the homes of all regions."""
+        limit = state.rate_limit.calls_per_s
+        reported = self._reported_limit_by_id.get(state.entry.id)
+        if limit is None:
+            self._reported_limit_by_id.pop(state.entry.id, None)
+        else:
+            self._reported_limit_by_id[state.entry.id] = limit
+        if limit is None or reported is None or abs(limit - reported) > REPORTED_CHANGE * reported:
+            self._report([state])
+
+    def _report(self, states: Iterable[UpstreamState]) -> None:
+        own = self._members.own
+        homes = [home for home in self._homes.homes_of_all_regions() if home.id != own.id]
+        report = RateLimitReport(own.id, tuple(self._row(state) for state in states))
+        self._send(map(_address_of, homes), report)
+
+    def _row(self, state: UpstreamState) -> RateLimitRow:
+        limit = state.rate_limit
+        return RateLimitRow(
+            *_start_of(state),
+            limit.calls_per_s,
+            max(0.0, self._now() - limit.evidence_at),
+            limit.health_answers_name_it,
+        )
+
+    def apply_report(self, report: RateLimitReport) -> None:
+        """Apply the limits that another instance reports."""
+        for row in report.rows:
+            self._apply_row(row, report.sender)
+
+    def apply_relayed(self, rows: Iterable[RateLimitRow]) -> None:
+        """Apply the limits that the followed home knows of."""
+        for row in rows:
+            if row.calls_per_s is not None:
+                self._apply_row(row, "relay", RELAYED_AGE_S)
+
+    def _apply_row(self, row: RateLimitRow, source: str, min_age_s: float = 0.0) -> None:
+        state = self._dispatcher.state(row.upstream_id)
+        if state is None or state.entry.started_ms != row.started_ms:
+            return
+        at = self._now() - max(row.age_s, min_age_s)
+        evidence = RateLimitEvidence(row.calls_per_s, at)
+        if row.named_by_health_checks and evidence.at > state.rate_limit.evidence_at:
+            state.rate_limit.health_answers_name_it = row.calls_per_s is not None
+        self._dispatcher.record_rate_limit(state, evidence, source)
+
+    def _region_of(self, state: UpstreamState) -> str:
+        """Return the region that issues the permits: the upstream's, if it has instances."""
+        region = self._dispatcher.region_of(state.entry.availability_zone) or ""
+        if region in self._regions or not self._regions:
+            return region
+        return min(self._regions)
+
+    def _issuers(self, region: str) -> list[Member]:
+        if region == self._members.own.region:
+            return self._homes.current
+        return self._homes.remote_homes(region)
+
+    def _issues_for(self, state: UpstreamState) -> bool:
+        """Return whether this instance issues the permits of an upstream."""
+        own = self._members.own
+        if self._region_of(state) != own.region:
+            return False
+        homes = self._homes.current
+        return bool(homes) and homes[0].id == own.id
+
+    def may_request(self, state: UpstreamState) -> bool:
+        """Return whether a request for permits may be sent now."""
+        requests = self._requests_by_id.get(state.entry.id)
+        return requests is None or self._now() >= requests.next_at
+
+    def request(self, state: UpstreamState) -> None:
+        """Request permits for an upstream; the issuer itself gets them at once."""
+        now = self._now()
+        requests = self._requests_by_id.setdefault(state.entry.id, _Requests())
+        limit = state.rate_limit
+        assert limit.calls_per_s is not None
+        wanted = max(1, math.ceil(limit.calls_per_s * REQUESTED_S))
+        if self._issues_for(state):
+            permits, wait_s = self._issue(state, wanted)
+            limit.add_permits(permits, now)
+            requests.next_at = now + wait_s
+            return
+        requests.next_at = now + REPLY_TIMEOUT_S
+        requests.unanswered += 1
+        if requests.unanswered > ALONE_AFTER_REQUESTS:
+            self._take_alone(state, requests, now)
+        else:
+            limit.await_permits(wanted, requests.next_at)
+        own_id = self._members.own.id
+        issuers = [each for each in self._issuers(self._region_of(state)) if each.id != own_id]
+        if issuers:
+            if requests.unanswered > 1:
+                requests.issuer += 1
+            issuer = issuers[requests.issuer % len(issuers)]
+            self._send([_address_of(issuer)], PermitRequest(own_id, wanted, self._row(state)))
+
+    def _take_alone(self, state: UpstreamState, requests: _Requests, now: float) -> None:
+        """Take a permit now and then while no issuer replies: the limit may have ended."""
+        if now < requests.alone_until:
+            return
+        per_s = ALONE_SHARE * (state.rate_limit.calls_per_s or 0.0)
+        interval_s = len(self._members.by_id) / per_s if per_s else math.inf
+        requests.alone_until = now + min(
+            MAX_ALONE_INTERVAL_S, max(MIN_ALONE_INTERVAL_S, interval_s)
+        )
+        state.rate_limit.add_permits(1, now)
+        log_event("permit_taken_alone", upstream=state.entry.id, unanswered=requests.unanswered)
+
+    def _issue(self, state: UpstreamState, wanted: int) -> tuple[int, float]:
+        """Issue permits; return their number and, if there are none, the time until the next."""
+        now = self._now()
+        bucket = self._bucket_by_start.get(_start_of(state))
+        if bucket is None:
+            bucket = self._bucket_by_start[_start_of(state)] = PermitBucket(now)
+        per_s = state.rate_limit.issued_per_s(self._own_share())
+        permits = bucket.take(wanted, per_s, now)
+        return permits, 0.0 if permits else bucket.wait_s(per_s)
+
+    def _own_share(self) -> float:
+        """Return the part of a limit for which this instance may issue permits."""
+        if self._share is None:
+            own = self._members.own
+            ranked = rank_members(self._members.by_id.values(), own.region)
+            rank = next((n for n, each in enumerate(ranked) if each.id == own.id), 0)
+            self._share = STAND_IN_SHARE**rank
+        return self._share
+
+    def apply_request(self, request: PermitRequest, sender: HostPort) -> None:
+        """Issue permits to another instance if this one is the first home."""
+        self._apply_row(request.limit, request.sender)
+        state = self._dispatcher.state(request.limit.upstream_id)
+        if (
+            state is None
+            or state.entry.started_ms != request.limit.started_ms
+            or not self._issues_for(state)
+        ):
+            return  # the requester then asks the next home
+        permits, wait_s = 0, 0.0
+        if state.rate_limit.calls_per_s is not None:
+            permits, wait_s = self._issue(state, request.wanted)
+        log_routine(
+            "permits_issued",
+            upstream=state.entry.id,
+            to=request.sender,
+            permits=permits,
+            wanted=request.wanted,
+            calls_per_s=state.rate_limit.calls_per_s,
+            share=f"{self._own_share():.2f}",
+            evidence_age_s=f"{self._now() - state.rate_limit.evidence_at:.3f}",
+        )
+        reply = PermitReply(self._members.own.id, permits, wait_s, self._row(state))
+        self._send([sender], reply)
+
+    def apply_reply(self, reply: PermitReply) -> None:
+        """Apply the answer to a request for permits."""
+        self._apply_row(reply.limit, reply.sender)
+        state = self._dispatcher.state(reply.limit.upstream_id)
+        if state is None or state.entry.started_ms != reply.limit.started_ms:
+            return
+        now = self._now()
+        requests = self._requests_by_id.setdefault(state.entry.id, _Requests())
+        requests.unanswered = 0
+        requests.next_at = now + reply.wait_s
+        self._dispatcher.add_permits(state, reply.permits)
+
+
+def _start_of(state: UpstreamState) -> tuple[str, int]:
+    return state.entry.id, state.entry.started_ms
+
+
+def _address_of(member: Member) -> HostPort:
+    return member.peer_address
+
+
+def create_permit_exchange(
+    dispatcher: Dispatcher,
+    homes: HomeView,
+    members: MemberTable,
+    send: Callable[[Iterable[HostPort], PeerMessage], None],
+    now: Callable[[], float],
+) -> PermitExchange:
+    """Create an exchange; `send` sends a message to the peers at the given addresses."""
+    return PermitExchange(dispatcher, homes, members, send, now)
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -9,17 +9,19 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import astuple, dataclass
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import msgpack
 
+from heatherhead.fleet.peer_messages import decode_limit, encode_limit
 from heatherhead.store.interface import WatchEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from heatherhead.entry.settings import HostPort
+    from heatherhead.fleet.peer_messages import RateLimitRow
     from heatherhead.fleet.replica import StoreReplica
 
 __all__ = ["RelayError", "RelayServer", "RelayState", "create_relay_server", "follow_peer"]
@@ -44,6 +46,7 @@
     home_ids: tuple[str, ...]
     watches_store: bool  # it watches the store, and the store answers
     crashes_by_request: tuple[tuple[int, int], ...] = ()  # fingerprints with their counts
+    rate_limits: tuple[RateLimitRow, ...] = ()  # those in force
 
 
 class RelayServer:
@@ -90,7 +93,7 @@
                 revision = self._replica.revision  # where the batch ends; read before any await
                 relay_state = self.relay_state()
                 if relay_state is not None and relay_state != sent_state:
-                    writer.write(msgpack.packb({"word": astuple(relay_state)}))
+                    writer.write(_encode_state(relay_state))
                     sent_state = relay_state
                 await asyncio.wait_for(writer.drain(), STREAM_TIMEOUT_S)
                 try:
@@ -152,7 +155,7 @@
             unpacker.feed(data)
             for message in unpacker:
                 if isinstance(message, dict):
-                    on_relay_state(_decode_state(message["word"]))
+                    on_relay_state(_decode_state(message))
                     continue
                 _apply_batch(message, replica)
                 on_batch(message[1])
@@ -180,13 +183,22 @@
     replica.revision = max(replica.revision, revision)
 
 
-def _decode_state(row: list[Any]) -> RelayState:
-    region, home_ids, watches_store, crashes = row
+def _encode_state(state: RelayState) -> bytes:
+    """Pack a state; earlier versions read the key `word` only."""
+    word = [state.region, state.home_ids, state.watches_store, state.crashes_by_request]
+    limits = [encode_limit(row) for row in state.rate_limits]
+    packed: bytes = msgpack.packb({"word": word, "limits": limits})
+    return packed
+
+
+def _decode_state(message: dict[str, Any]) -> RelayState:
+    region, home_ids, watches_store, crashes = message["word"]
     return RelayState(
         str(region),
         tuple(str(each) for each in home_ids),
         bool(watches_store),
         tuple((int(fingerprint), int(count)) for fingerprint, count in crashes),
+        tuple(decode_limit(row) for row in message.get("limits", ())),
     )
 
 
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -274,6 +274,7 @@
             baseline=f"{evidence.baseline:.2f}",
             reading_age_s=f"{min(99.0, evidence.reading_age_s):.3f}",
             upstreams=evidence.upstreams,
+            limited=evidence.limited,
             excluded=evidence.excluded,
             free=evidence.free,
             fastest_s=f"{min(99.0, evidence.fastest_s):.3f}",
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from heatherhead.entry.settings import HostPort
@@ -129,7 +130,7 @@
                 self._dialect, answer.message.headers, state.entry.id, sent_at=started_at, now=now
             )
             if evidence is not None:
-                self._dispatcher.record_rate_limit(state, evidence, in_health_answer=True)
+                self._dispatcher.record_rate_limit(state, replace(evidence, in_health_answer=True))
 
     def stop(self) -> None:
         """Stop reading all upstreams."""
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from heatherhead.dispatch.admission_queue import AdmissionQueue, WaitingCall
+from heatherhead.dispatch.admission_queue import AdmissionQueue, CapacityEstimate, WaitingCall
 from heatherhead.dispatch.budget import create_retry_budget, slack_of
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.crashes import create_crash_table
@@ -131,7 +131,7 @@
     infeasible = _waiting(loop, give_up_at=NOW + 0.05)
     waiting.add(infeasible)
     waiting.add(_waiting(loop))
-    assert waiting.infeasible(NOW, slots=4, arrivals_per_s=0.0) == [infeasible]
+    assert waiting.infeasible(NOW, CapacityEstimate(4.0), arrivals_per_s=0.0) == [infeasible]
     loop.close()
 
 
@@ -142,9 +142,9 @@
     waiting.add(moved_back)
     for _ in range(10):
         waiting.add(_waiting(loop))
-    assert waiting.infeasible(NOW, slots=1, arrivals_per_s=0.0) == [moved_back]
-    assert waiting.infeasible(NOW, slots=8, arrivals_per_s=0.0) == []
-    assert waiting.infeasible(NOW, slots=8, arrivals_per_s=150.0) == [moved_back]
+    assert waiting.infeasible(NOW, CapacityEstimate(1.0), arrivals_per_s=0.0) == [moved_back]
+    assert waiting.infeasible(NOW, CapacityEstimate(8.0), arrivals_per_s=0.0) == []
+    assert waiting.infeasible(NOW, CapacityEstimate(8.0), arrivals_per_s=150.0) == [moved_back]
     loop.close()
 
 
--- a/heatherhead/tests/entry/instances.py
+++ b/heatherhead/tests/entry/instances.py
@@ -157,6 +157,7 @@
     services: list[EntryService] = field(default_factory=list)
     upstreams: list[LimitedUpstream] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
+    rejected_after_s: list[float] = field(default_factory=list)
     _servers: list[asyncio.Server] = field(default_factory=list)
     _numbers: count[int] = field(default_factory=count)
 
@@ -193,6 +194,7 @@
         request_id = f"r{next(self._numbers)}"
         host = service.settings.host
         reader, writer = await asyncio.open_connection(host, PORTS["Front"])
+        sent_at = asyncio.get_running_loop().time()
         headers = {"X_Heatherhead_Request_Id": request_id, "X_Heatherhead_Deadline_Ms": "1000"}
         writer.write(request("/read/1", **headers))
         try:
@@ -202,8 +204,16 @@
         writer.close()
         status = int(received.split(b" ", 2)[1]) if received else 0
         self.statuses[status] += 1
+        if status == 503:
+            self.rejected_after_s.append(asyncio.get_running_loop().time() - sent_at)
         return status
 
+    def isolate(self, service: EntryService) -> None:
+        """Drop the datagrams of an instance, in both directions."""
+        channel = service.exchange._channel
+        channel._on_message = lambda _message, _sender: None
+        channel.send_to = lambda _addresses, _message: None
+
     async def send_calls(
         self, calls_per_s: float, for_s: float, choose: Callable[[int], EntryService] | None = None
     ) -> None:
