--- a/heatherhead/tests/entry/instances.py
+++ b/heatherhead/tests/entry/instances.py
@@ -152,8 +152,9 @@
 class Instances:
     """Instances that share a store, and the upstreams of one service."""
 
-    store: Any  # a `Store`, or a function that creates one for an instance
+    store: Store
     ip_prefix: str
+    create_store: Callable[[], Store] | None = None  # of an instance; else all share `store`
     services: list[EntryService] = field(default_factory=list)
     upstreams: list[LimitedUpstream] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
@@ -162,7 +163,7 @@
     _numbers: count[int] = field(default_factory=count)
 
     async def add_upstreams(self, number: int, **changes: Any) -> None:
-        """Start upstreams and write their entries."""
+        """Start upstreams of the service `stock` and write their entries."""
         for _ in range(number):
             position = len(self.upstreams)
             host = f"{self.ip_prefix}.{100 + position}"
@@ -181,7 +182,8 @@
         """Start an instance and wait until it is ready."""
         settings = create_settings(number, f"{self.ip_prefix}.{10 + number}")
         dialect = PlatformDialect()
-        service = create_entry_service(settings, self.store, PlatformDecoder(), dialect)
+        store = self.create_store() if self.create_store else self.store
+        service = create_entry_service(settings, store, PlatformDecoder(), dialect)
         self.services.append(service)
         await service.start(PlatformPages(service))
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/heatherhead/tests/platform/fake_platform_store.py
+++ b/heatherhead/tests/platform/fake_platform_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+from copy import deepcopy
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,6 +13,8 @@
 
 __all__ = ["FakePlatformStore"]
 
+COPIED_FIELDS = ("revision", "items", "events", "leases", "renewed_at_by_lease")
+
 
 @dataclass
 class FakePlatformStore:
@@ -26,6 +29,19 @@
     renewed_at_by_lease: dict[int, float] = field(default_factory=dict)
     faults: list[Any] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    era: int = 1  # rises each time that the store comes back from a copy
+    away: bool = False
+
+    def copy(self) -> dict[str, Any]:
+        """Return a copy from which the store may be restored."""
+        return deepcopy({name: getattr(self, name) for name in COPIED_FIELDS})
+
+    def restore(self, copied: dict[str, Any]) -> None:
+        """Come back from a copy: what was written since is lost, and its revisions are reused."""
+        for name, value in deepcopy(copied).items():
+            setattr(self, name, value)
+        self.era += 1
+        self._wake_watches()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key."""
@@ -48,6 +64,9 @@
 
     def _record_event(self, event: dict[str, Any]) -> None:
         self.events.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -78,9 +97,12 @@
 
     async def _fault(self, request: web.Request, handler: Any) -> web.StreamResponse:
         fault = self.faults.pop(0) if self.faults else None
+        if self.away:
+            fault = 503
         if isinstance(fault, int):
             return web.Response(status=fault)
         response: web.StreamResponse = await handler(request)
+        response.headers["Store-Era"] = str(self.era)
         if fault == "lost":
             assert request.transport is not None
             request.transport.abort()
@@ -95,11 +117,13 @@
         )
 
     async def _watch(self, request: web.Request) -> web.Response:
-        after = int(request.query["after"])
-        if after < self.compacted:
+        after, era = int(request.query["after"]), self.era
+        if after < self.compacted or after > self.revision:
             return web.Response(status=410)
         while not (found := [each for each in self.events if each["Revision"] > after]):
             await self.changed.wait()
+            if self.era != era:
+                return web.Response(status=410)
         return _json({"events": found, "StoreRevision": self.revision})
 
     async def _txn(self, request: web.Request) -> web.Response:
