Rank the store's revisions by its history, so that they rise when it comes back from a copy

Cause: revisions were taken for ever rising. The store gave the lost ones out again, so that the replica took version 16 at revision 55 for the change that it held at 55. The class: an order that holds within one history, applied across two.

Now the adapter ranks each revision by the history that its answer names. Beyond the order: the copy's entry of an upstream that has left or drains doesn't bring it back (sequence of its start), what the copy lacks has the grace that holds after an outage, a change of the old history does not bring back a key that a listing lacks, and lost announcements are written again at once.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -49,6 +49,7 @@
 from heatherhead.proxy.upstream_pool import create_upstream_pool
 from heatherhead.registry.registry import create_upstream_registry
 from heatherhead.routes.table import create_route_table
+from heatherhead.store.history import history_of, plain_revision, revision_text
 from heatherhead.telemetry.entry_metrics import create_entry_metrics
 from heatherhead.telemetry.logs import log_event
 
@@ -136,6 +137,7 @@
             self.replica.revision_of,
             lambda: self.candidacy.check(members_known=self.table.loaded),
         )
+        self.replica.on_restored = self.announcement.on_restored
         self._find_homes_task: asyncio.Task[None] | None = None
         self.crashes = create_crash_table()
         self.forwarder = create_forwarder(
@@ -247,7 +249,7 @@
             upstream=entry.id,
             service=entry.service,
             state=state,
-            revision=entry.revision,
+            revision=revision_text(entry.revision),
         )
 
     async def _find_homes(self) -> None:
@@ -445,7 +447,8 @@
     def _create_gauges(self) -> None:
         gauges = self.metrics.gauge_reader_by_name
         gauges["configuration_version"] = lambda: self.table.configuration.version
-        gauges["store_revision"] = lambda: self.replica.revision
+        gauges["store_history"] = lambda: history_of(self.replica.revision)
+        gauges["store_revision"] = lambda: plain_revision(self.replica.revision)
         gauges["store_ok"] = lambda: float(self.follower.store_ok)
         gauges["upstreams"] = lambda: len(self.registry.by_id)
         gauges["members"] = lambda: len(self.members.by_id)
--- a/heatherhead/fleet/announcement.py
+++ b/heatherhead/fleet/announcement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import random
 from typing import TYPE_CHECKING
 
 from result import Err, Ok
@@ -10,6 +11,7 @@
 from heatherhead.backoff import create_backoff
 from heatherhead.fleet.members import MEMBER_PREFIX
 from heatherhead.store.errors import LeaseExpiredError
+from heatherhead.store.history import revision_text
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -31,6 +33,7 @@
 INITIAL_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
+RESTORED_SPREAD_S = 0.5  # all instances write at once after the store came back from a copy
 
 
 class Announcement:
@@ -55,6 +58,7 @@
         self._lease_id: int | None = None
         self._revision = 0
         self._backoff = create_backoff(INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
+        self._restored = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -77,7 +81,26 @@
                 await asyncio.sleep(self._backoff.next_delay_s())
             else:
                 self._backoff.reset()
-                await asyncio.sleep(HOME_RENEW_INTERVAL_S if self._is_home() else RENEW_INTERVAL_S)
+                await self._wait_for_renewal()
+
+    async def _wait_for_renewal(self) -> None:
+        """Wait until the lease is to be renewed, or the store has come back from a copy."""
+        try:
+            async with asyncio.timeout(
+                HOME_RENEW_INTERVAL_S if self._is_home() else RENEW_INTERVAL_S
+            ):
+                await self._restored.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(RESTORED_SPREAD_S * random())
+        self._restored.clear()
+        if not self._revision_of(self._key):
+            log_event("announcement_lost", key=self._key)
+            self._lease_id = None
+
+    def on_restored(self) -> None:
+        """Renew the lease at once, and announce again if the store has lost the announcement."""
+        self._restored.set()
 
     async def _announce(self) -> Result[None, HeatherheadError]:
         granted = await self._store.grant_lease(LEASE_S)
@@ -94,7 +117,7 @@
             self._revision = written.ok_value.revision
             if written.ok_value.succeeded:
                 self._lease_id = lease_id
-                log_event("announced", revision=self._revision)
+                log_event("announced", revision=revision_text(self._revision))
                 return Ok(None)
         return Ok(None)
 
--- a/heatherhead/fleet/replica.py
+++ b/heatherhead/fleet/replica.py
@@ -1,7 +1,8 @@
 """A local replica of the store's keys, filled from the store or from a peer.
 
 Each key is kept at its newest revision, so the same change may arrive from several sources and in
-any order, and no key returns to an older revision.
+any order, and no key returns to an older revision. Revisions are ranked: those of a store that came
+back from a copy are newer than all from before (`heatherhead/store/history.py`).
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from heatherhead.store.history import history_of
 from heatherhead.store.interface import WatchEvent
 
 if TYPE_CHECKING:
@@ -27,6 +29,8 @@
         self.value_by_key: dict[str, tuple[bytes, int]] = {}
         self._tombstone_revision_by_key: OrderedDict[str, int] = OrderedDict()
         self._discarded_revision = 0  # tombstones up to this revision may be missing
+        self._listed_revision = 0  # of the last complete listing; a key not in it had been removed
+        self.on_restored: Callable[[], None] = lambda: None
         self._listeners: list[Callable[[WatchEvent, bool], None]] = []
 
     def subscribe(self, listener: Callable[[WatchEvent, bool], None]) -> None:
@@ -42,7 +46,9 @@
         """Apply a change; return whether it was new."""
         key, revision = event.key, event.mod_revision
         held = self.value_by_key.get(key)
-        known = held[1] if held is not None else self._tombstone_revision_by_key.get(key, 0)
+        known = self._tombstone_revision_by_key.get(key, self._listed_revision)
+        if held is not None:
+            known = held[1]
         self.revision = max(self.revision, revision)
         if revision <= known:
             return False
@@ -61,7 +67,13 @@
     def apply_listing(
         self, events: Iterable[WatchEvent], revision: int, *, after_outage: bool
     ) -> None:
-        """Apply a complete listing as of a revision; keys missing from it were removed by then."""
+        """Apply a complete listing as of a revision; keys missing from it were removed by then.
+
+        In a store that came back from a copy they may just not be written again yet, as in one that
+        was away.
+        """
+        restored = self.revision > 0 and history_of(self.revision) < history_of(revision)
+        after_outage = after_outage or restored
         if revision > self.revision:
             self._discarded_revision = revision  # earlier removals may have been missed
         listed = set()
@@ -72,6 +84,9 @@
             if key not in listed and held_revision <= revision:
                 self.apply(WatchEvent(key, None, revision), after_outage=after_outage)
         self.revision = max(self.revision, revision)
+        self._listed_revision = max(self._listed_revision, revision)
+        if restored:
+            self.on_restored()
 
     def changes_since(self, revision: int) -> tuple[bool, list[WatchEvent]]:
         """List the changes since `revision`; the flag is true if the list is a complete listing."""
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -18,6 +18,7 @@
 from heatherhead.exceptions import HeatherheadError
 from heatherhead.fleet.relay import RelayError, follow_peer
 from heatherhead.store.errors import CompactedError
+from heatherhead.store.history import history_of, revision_text
 from heatherhead.store.interface import WatchEvent
 from heatherhead.telemetry.logs import log_event
 
@@ -182,7 +183,7 @@
             while not self._watch.done():
                 await asyncio.wait([self._watch], timeout=CHECK_INTERVAL_S)
                 if not self._watch.done() and not self._should_follow_store():
-                    log_event("watch_handed_over", revision=self._replica.revision)
+                    log_event("watch_handed_over", revision=revision_text(self._replica.revision))
                     self._watch.cancel()
                 elif (
                     not self._watch.done()
@@ -191,7 +192,7 @@
                     and self._loop.time() - restarted_at > MIN_WATCH_RESTART_INTERVAL_S
                 ):
                     restarted_at = self._loop.time()
-                    log_event("watch_lags", revision=self._replica.revision)
+                    log_event("watch_lags", revision=revision_text(self._replica.revision))
                     self._watch.cancel()
             if not self._watch.cancelled():
                 self._watch.result()
@@ -206,8 +207,9 @@
             async for event in self._store.watch(self._prefix, self._replica.revision + 1):
                 self._record_answer()
                 self._replica.apply(event, after_outage=self.after_outage)
-        except CompactedError as error:
-            log_event("store_history_gone", reason=error.reason)
+        except CompactedError:
+            log_event("store_history_gone", revision=revision_text(self._replica.revision))
+            await asyncio.sleep(INITIAL_RETRY_DELAY_S)
         except HeatherheadError as error:
             self._record_failure(error.reason)
             await asyncio.sleep(self._backoff.next_delay_s())
@@ -219,17 +221,33 @@
             raise listing.err_value
         self._verified_at = max(self._verified_at, requested_at)
         answer = listing.ok_value
-        after_outage = self.after_outage
         self._record_answer()
-        if answer.revision < self._replica.revision:
-            log_event("store_listing_old", revision=answer.revision, held=self._replica.revision)
+        held = self._replica.revision
+        if answer.revision < held:
+            log_event(
+                "store_listing_old",
+                revision=revision_text(answer.revision),
+                held=revision_text(held),
+            )
             return
+        if held and history_of(answer.revision) > history_of(held):
+            self._failed_at = self._loop.time()
+            log_event(
+                "store_restored",
+                level="WARNING",
+                revision=revision_text(answer.revision),
+                held=revision_text(held),
+            )
+        after_outage = self.after_outage
         events = [
             WatchEvent(item.key, item.value, item.mod_revision) for item in answer.by_key.values()
         ]
         self._replica.apply_listing(events, answer.revision, after_outage=after_outage)
         log_event(
-            "store_read", revision=answer.revision, keys=len(events), after_outage=after_outage
+            "store_read",
+            revision=revision_text(answer.revision),
+            keys=len(events),
+            after_outage=after_outage,
         )
 
     async def _run_peer_stream(self) -> None:
@@ -275,7 +293,9 @@
     def _on_batch(self, revision: int) -> None:
         self._peer_message_at = self._loop.time()
         if revision < self._lag.revision and self._lags():
-            raise RelayError(f"the peer holds revision {revision}, others a newer one")
+            raise RelayError(
+                f"the peer holds revision {revision_text(revision)}, others newer ones"
+            )
 
     def _handle_relay_state(self, relay_state: RelayState) -> None:
         self._source_watches_store = relay_state.watches_store
--- a/heatherhead/platform/documents.py
+++ b/heatherhead/platform/documents.py
@@ -84,6 +84,7 @@
     state: str = Field(alias="State", strict=True)
     warmup_left_s: float = Field(default=0.0, alias="WarmupLeftS", ge=0)
     started_ms: int = Field(default=0, alias="born")  # of the upstream process
+    sequence: int = Field(default=0, alias="Sequence")
 
     @field_validator("state")
     @classmethod
@@ -162,6 +163,7 @@
             warmup_left_s=document.warmup_left_s,
             started_ms=document.started_ms,
             revision=revision,
+            sequence=document.sequence,
         )
     except (ValidationError, ValueError) as error:
         return Err(
--- a/heatherhead/platform/names.py
+++ b/heatherhead/platform/names.py
@@ -10,6 +10,7 @@
     "RATE_LIMIT",
     "REQUEST_ID",
     "STAMP",
+    "STORE_HISTORY",
     "UPSTREAM_ID",
 ]
 
@@ -20,4 +21,5 @@
 UPSTREAM_ID = "X-Heatherhead-Instance-Id"  # also an upstream's id
 LOAD = "X-Heatherhead-Server-Load"
 RATE_LIMIT = "Server-Limit"
+STORE_HISTORY = "Store-Era"  # in the store's answers; rises when it comes back from a copy
 NOT_RUN = "X-Heatherhead-Not-Executed"
--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -6,17 +6,20 @@
 import base64
 import json
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from result import Err, Ok
 
+from heatherhead.platform.names import STORE_HISTORY
 from heatherhead.store.errors import (
     CompactedError,
     LeaseExpiredError,
     ambiguous_error,
     unavailable_error,
 )
+from heatherhead.store.history import history_of, plain_revision, ranked_revision
 from heatherhead.store.interface import KeyValue, RangeAnswer, StoreLease, WatchEvent, WriteAnswer
 
 if TYPE_CHECKING:
@@ -47,10 +50,23 @@
         self.no_effect = no_effect
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """An answer of the store."""
+
+    status: int
+    body: dict[str, Any]
+    history: int
+
+
 class PlatformStore:
-    """Implements the store interface over HTTP; each watch keeps its own position."""
+    """Implements the store interface over HTTP; each watch keeps its own position.
+
+    All revisions are ranked, as the store may come back from a copy.
+    """
 
     def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        self._history = 0  # the newest that an answer has named
         self._base = f"http://{address}"
         self._session = session
 
@@ -62,22 +78,25 @@
         A stale read may return data that is seconds old and costs a tenth of a consistent one.
         """
         by_key: dict[str, KeyValue] = {}
-        revision: int | None = None
+        first: _Reply | None = None
         after = ""
         while True:
             query: dict[str, Any] = {"Prefix": prefix, **({"after": after} if after else {})}
             if stale:
                 query["AllowStale"] = 1
             try:
-                status, body = await self._call("GET", "/kv-range", query)
+                reply = await self._call("GET", "/kv-range", query)
             except _CallFailedError as error:
                 return Err(unavailable_error(str(error)))
-            if status != 200:
-                return Err(unavailable_error(f"status {status}"))
-            revision = body["StoreRevision"] if revision is None else revision
-            items = [_item(each) for each in body["items"]]
+            if reply.status != 200:
+                return Err(unavailable_error(f"status {reply.status}"))
+            first = first or reply
+            if reply.history != first.history:
+                return Err(unavailable_error("it came back from a copy between two pages"))
+            items = [_item(each, reply.history) for each in reply.body["items"]]
             by_key.update((item.key, item) for item in items)
-            if not body.get("Truncated") or not items:
+            if not reply.body.get("Truncated") or not items:
+                revision = ranked_revision(first.history, first.body["StoreRevision"])
                 return Ok(RangeAnswer(revision, by_key))
             after = items[-1].key
 
@@ -85,8 +104,10 @@
         self, key: str, expected_revision: int, value: bytes | None, lease_id: int = 0
     ) -> Result[WriteAnswer, HeatherheadError]:
         """Write `value` (or delete, for `None`) if the key is at `expected_revision`."""
+        if expected_revision and history_of(expected_revision) < self._history:
+            return await self._conflict(key)
         body: dict[str, Any] = {
-            "ExpectedRev": [{"Key": key, "Revision": expected_revision}],
+            "ExpectedRev": [{"Key": key, "Revision": plain_revision(expected_revision)}],
             "Writes": [],
             "Remove": [],
         }
@@ -96,76 +117,84 @@
             encoded = base64.b64encode(value).decode()
             body["Writes"] = [{"Key": key, "Value": encoded, "LeaseId": lease_id}]
         try:
-            status, answer = await self._call("POST", "/kv-txn", body=body)
+            reply = await self._call("POST", "/kv-txn", body=body)
         except _CallFailedError as error:
             return Err(_write_error(error))
-        if status == 200:
-            return Ok(WriteAnswer(True, answer["Revision"]))
-        if status == 404:
+        if reply.status == 200:
+            return Ok(WriteAnswer(True, ranked_revision(reply.history, reply.body["Revision"])))
+        if reply.status == 404:
             return Err(LeaseExpiredError(lease_id))
-        if status == 412:
+        if reply.status == 412:
             conflicting_items = [
-                _item(each) for each in answer["items"] if each.get("Value") is not None
+                _item(each, reply.history)
+                for each in reply.body["items"]
+                if each.get("Value") is not None
             ]
             current_item = next((item for item in conflicting_items if item.key == key), None)
-            return Ok(
-                WriteAnswer(False, current_item.mod_revision if current_item else 0, current_item)
-            )
-        return Err(unavailable_error(f"status {status}"))
+            return Ok(_conflict_with(current_item))
+        return Err(unavailable_error(f"status {reply.status}"))
+
+    async def _conflict(self, key: str) -> Result[WriteAnswer, HeatherheadError]:
+        """Return the conflict with a key's current item: a lost revision matches nothing.
+
+        The number may have been given out again, for another change of the key.
+        """
+        listing = await self.read_prefix(key)
+        return listing.map(lambda answer: _conflict_with(answer.by_key.get(key)))
 
     async def grant_lease(self, ttl_s: float) -> Result[StoreLease, HeatherheadError]:
         """Create a lease."""
         try:
-            status, answer = await self._call("POST", "/kv-lease", body={"TtlS_time": ttl_s})
+            reply = await self._call("POST", "/kv-lease", body={"TtlS_time": ttl_s})
         except _CallFailedError as error:
             return Err(_write_error(error))
-        if status != 200:
-            return Err(unavailable_error(f"status {status}"))
-        return Ok(StoreLease(answer["LeaseId"], answer["TtlS_time"]))
+        if reply.status != 200:
+            return Err(unavailable_error(f"status {reply.status}"))
+        return Ok(StoreLease(reply.body["LeaseId"], reply.body["TtlS_time"]))
 
     async def renew_lease(self, lease_id: int) -> Result[StoreLease, HeatherheadError]:
         """Renew a lease; returns `Err` if it has expired."""
         try:
-            status, answer = await self._call("POST", f"/kv-keep/{lease_id}")
+            reply = await self._call("POST", f"/kv-keep/{lease_id}")
         except _CallFailedError as error:
             return Err(_write_error(error))
-        if status == 404:
+        if reply.status == 404:
             return Err(LeaseExpiredError(lease_id))
-        if status != 200:
-            return Err(unavailable_error(f"status {status}"))
-        return Ok(StoreLease(lease_id, answer["TtlS_time"]))
+        if reply.status != 200:
+            return Err(unavailable_error(f"status {reply.status}"))
+        return Ok(StoreLease(lease_id, reply.body["TtlS_time"]))
 
     async def revoke_lease(self, lease_id: int) -> Result[None, HeatherheadError]:
         """Revoke a lease, which deletes the keys bound to it."""
         try:
-            status, _ = await self._call("DELETE", f"/kv-lease-end/{lease_id}")
+            reply = await self._call("DELETE", f"/kv-lease-end/{lease_id}")
         except _CallFailedError as error:
             return Err(_write_error(error))
-        return Ok(None) if status == 200 else Err(LeaseExpiredError(lease_id))
+        return Ok(None) if reply.status == 200 else Err(LeaseExpiredError(lease_id))
 
     async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
         """Iterate over the changes from a revision on.
 
         Raises `StoreUnavailableError` if a call fails and `CompactedError` if the store no longer
-        holds the history since `from_revision`.
+        holds the history since `from_revision`, which may be of another history.
         """
-        after = from_revision - 1
+        history, after = history_of(from_revision), plain_revision(from_revision) - 1
         while True:
             query = {"Prefix": prefix, "after": after, "WaitMs": int(WATCH_LONG_POLL_S * 1000)}
             try:
-                status, body = await self._call(
+                reply = await self._call(
                     "GET", "/kv-watch", query, timeout_s=WATCH_LONG_POLL_S + WATCH_TIMEOUT_MARGIN_S
                 )
             except _CallFailedError as error:
                 raise unavailable_error(f"watch: {error}") from error
-            if status == 410:
+            if reply.status == 410 or reply.history != history:
                 raise CompactedError(from_revision)
-            if status != 200:
-                raise unavailable_error(f"watch: status {status}")
-            for event in body["events"]:
-                yield _event(event)
-            after = max(after, body["StoreRevision"])
-            if body["events"]:
+            if reply.status != 200:
+                raise unavailable_error(f"watch: status {reply.status}")
+            for event in reply.body["events"]:
+                yield _event(event, history)
+            after = max(after, reply.body["StoreRevision"])
+            if reply.body["events"]:
                 await asyncio.sleep(WATCH_BATCH_DELAY_S)
 
     async def close(self) -> None:
@@ -179,13 +208,14 @@
         query: Mapping[str, Any] | None = None,
         body: Mapping[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> _Reply:
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session.request(
                 method, self._base + path, params=query, json=body, timeout=timeout
             ) as reply:
                 data = await reply.read()
+                history = self._history_of(reply.headers)
         except aiohttp.ClientConnectorError as error:
             raise _CallFailedError(f"can't connect: {error}", no_effect=True) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -196,20 +226,34 @@
             answer = json.loads(data) if data else {}
         except ValueError as error:
             raise _CallFailedError(f"unreadable answer: {error}", no_effect=False) from error
-        return reply.status, answer
+        return _Reply(reply.status, answer, history)
+
+    def _history_of(self, headers: Mapping[str, str]) -> int:
+        """Return the number of the store's history that an answer is of."""
+        text = headers.get(STORE_HISTORY, "")
+        if not text.isdecimal():
+            return self._history
+        history = int(text)
+        self._history = max(self._history, history)
+        return history
 
 
 def _write_error(error: _CallFailedError) -> HeatherheadError:
     return unavailable_error(str(error)) if error.no_effect else ambiguous_error(str(error))
 
 
-def _item(item: Mapping[str, Any]) -> KeyValue:
-    return KeyValue(item["Key"], base64.b64decode(item["Value"]), item["Revision"])
+def _item(item: Mapping[str, Any], history: int) -> KeyValue:
+    revision = ranked_revision(history, item["Revision"])
+    return KeyValue(item["Key"], base64.b64decode(item["Value"]), revision)
 
 
-def _event(event: Mapping[str, Any]) -> WatchEvent:
+def _event(event: Mapping[str, Any], history: int) -> WatchEvent:
     value = None if event.get("Removed") else base64.b64decode(event["Value"])
-    return WatchEvent(event["Key"], value, event["Revision"])
+    return WatchEvent(event["Key"], value, ranked_revision(history, event["Revision"]))
+
+
+def _conflict_with(item: KeyValue | None) -> WriteAnswer:
+    return WriteAnswer(False, item.mod_revision if item else 0, item)
 
 
 def _keepalive_socket(address_info: Any) -> socket.socket:
--- a/heatherhead/registry/entries.py
+++ b/heatherhead/registry/entries.py
@@ -21,6 +21,7 @@
     warmup_left_s: float = 0.0
     started_ms: int = 0  # Unix milliseconds
     revision: int = 0  # of the store's key
+    sequence: int = 0  # rises with each entry that one start of an upstream writes
 
     def same_start(self, other: UpstreamEntry) -> bool:
         """Return whether both entries describe the same process at the same address."""
--- a/heatherhead/tests/entry/restored_store_tests.py
+++ b/heatherhead/tests/entry/restored_store_tests.py
@@ -72,7 +72,6 @@
     asyncio.run(main())
 
 
-@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 29", strict=True)
 @pytest.mark.parametrize("lost_changes", [3, 5])
 def test_configuration_is_applied_whose_revision_was_given_out_before(lost_changes: int) -> None:
     """It reached the revision that all instances held, was taken for known, and was never applied."""
@@ -94,3 +93,94 @@
             assert await _until(_all_apply(fleet.services, version), CONFIG_APPLY_S)
 
     _run(scenario, "127.84.1")
+
+
+def _states(fleet: Instances, upstream_id: str) -> set[bool]:
+    """Return whether instances may send calls to an upstream."""
+    return {service.dispatcher.state(upstream_id) is not None for service in fleet.services}
+
+
+def test_upstreams_that_left_stay_away_although_the_copy_still_has_them() -> None:
+    async def scenario(fleet: Instances, store: FakePlatformStore) -> None:
+        copied = store.copy()
+        store.put("servers/i-0", _entry(fleet, 0, State="draining", Sequence=2))
+        store.remove("servers/i-1")
+        assert await _until(
+            lambda: _states(fleet, "i-0") == _states(fleet, "i-1") == {False}, CONFIG_APPLY_S
+        )
+        store.restore(copied)
+        seen = []
+        end = asyncio.get_running_loop().time() + 4.0
+        while asyncio.get_running_loop().time() < end:
+            seen.append(_states(fleet, "i-0") | _states(fleet, "i-1"))
+            await asyncio.sleep(0.02)
+        assert all(each == {False} for each in seen)
+        # A later entry of the same start shows that it is alive.
+        store.put("servers/i-1", _entry(fleet, 1, Sequence=9))
+        assert await _until(lambda: _states(fleet, "i-1") == {True}, CONFIG_APPLY_S)
+
+    _run(scenario, "127.85.1", instances=4)
+
+
+def test_upstream_that_the_copy_lacks_is_kept_for_the_grace_and_then_removed() -> None:
+    async def scenario(fleet: Instances, store: FakePlatformStore) -> None:
+        entries = {f"servers/i-{number}": _entry(fleet, number, Sequence=2) for number in (2, 3)}
+        for key in entries:
+            store.remove(key)
+        assert await _until(lambda: _states(fleet, "i-2") == {False}, CONFIG_APPLY_S)
+        copied = store.copy()
+        for key, value in entries.items():
+            store.put(key, value)
+        assert await _until(
+            lambda: _states(fleet, "i-2") == _states(fleet, "i-3") == {True}, CONFIG_APPLY_S
+        )
+        store.restore(copied)
+        await asyncio.sleep(0.8)
+        assert _states(fleet, "i-2") == _states(fleet, "i-3") == {True}
+        store.put("servers/i-2", entries["servers/i-2"])
+        assert await _until(lambda: _states(fleet, "i-3") == {False}, 3.0)
+        assert _states(fleet, "i-2") == {True}
+
+    _run(scenario, "127.86.1", instances=4)
+
+
+def test_second_copy_and_instances_that_start_between_or_were_cut_off() -> None:
+    """Peers hand each other what they hold; that of an older history must replace nothing."""
+
+    async def scenario(fleet: Instances, store: FakePlatformStore) -> None:
+        copied = store.copy()
+        for version in (2, 3):
+            store.put("op/config", _configuration(version, "added"))
+        assert await _until(_all_apply(fleet.services, 3), CONFIG_APPLY_S)
+        cut_off = fleet.services[0]
+        cut_off.follower._store._base = "http://127.0.0.1:1"  # it reaches its peers only
+        store.restore(copied)
+        store.put("op/config", _configuration(3, "added"))
+        started = await fleet.add_instance(9)
+        store.put("op/config", _configuration(4, "added", "later4"))
+        assert await _until(_all_apply(fleet.services, 4), CONFIG_APPLY_S)
+        assert started in fleet.services
+        copied = store.copy()
+        store.put("op/config", _configuration(5, "added"))
+        assert await _until(_all_apply(fleet.services, 5), CONFIG_APPLY_S)
+        store.restore(copied)
+        store.put("op/config", _configuration(6, "added", "later6"))
+        assert await _until(_all_apply(fleet.services, 6), CONFIG_APPLY_S)
+        keys = [key for key in store.items if key.startswith("heatherhead/instances/")]
+        assert len(keys) >= 2, keys
+
+    _run(scenario, "127.87.1")
+
+
+def test_announcement_that_the_copy_lacks_is_written_again() -> None:
+    async def scenario(fleet: Instances, store: FakePlatformStore) -> None:
+        announced = {key for key in store.items if key.startswith("heatherhead/instances/")}
+        assert announced
+        copied = store.copy()
+        for key in announced:
+            del copied["items"][key]
+        copied["leases"].clear()
+        store.restore(copied)
+        assert await _until(lambda: announced <= set(store.items), CONFIG_APPLY_S), store.items
+
+    _run(scenario, "127.88.1", instances=4)
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -37,6 +37,7 @@
 from heatherhead.fleet.relay import RelayError, create_relay_server, follow_peer
 from heatherhead.fleet.replica import create_store_replica
 from heatherhead.fleet.store_follower import create_store_follower
+from heatherhead.store.history import ranked_revision
 from heatherhead.store.interface import WatchEvent
 from heatherhead.store.memory import MemoryStore, create_memory_store
 from heatherhead.tests.base import run_with_paused_clock
@@ -587,3 +588,17 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_change_of_a_lost_history_does_not_bring_back_a_key_that_the_listing_lacks() -> None:
+    replica = create_store_replica()
+    lost, restored = ranked_revision(1, 9), ranked_revision(2, 5)
+    replica.apply_listing([_event("a", b"old", ranked_revision(1, 4))], lost, after_outage=False)
+    replica.apply_listing([_event("a", b"new", ranked_revision(2, 3))], restored, after_outage=True)
+    assert not replica.apply(_event("b", b"late", ranked_revision(1, 8)))
+    assert not replica.apply(_event("a", b"late", ranked_revision(1, 8)))
+    assert replica.apply(_event("b", b"again", ranked_revision(2, 6)))
+    assert {key: value for key, (value, _) in replica.value_by_key.items()} == {
+        "a": b"new",
+        "b": b"again",
+    }
--- a/heatherhead/tests/platform/fake_platform_store.py
+++ b/heatherhead/tests/platform/fake_platform_store.py
@@ -29,7 +29,7 @@
     renewed_at_by_lease: dict[int, float] = field(default_factory=dict)
     faults: list[Any] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    era: int = 1  # rises each time that the store comes back from a copy
+    era: int = 0  # rises each time that the store comes back from a copy
     away: bool = False
 
     def copy(self) -> dict[str, Any]:
--- a/heatherhead/tests/platform/store_tests.py
+++ b/heatherhead/tests/platform/store_tests.py
@@ -104,3 +104,33 @@
         assert isinstance(late.err_value, LeaseExpiredError)
 
     _run(scenario)
+
+
+def test_lost_revision_matches_nothing_although_its_number_was_given_out_again() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        copied = fake.copy()
+        lost = (await store.compare_and_swap("k", 0, b"lost")).unwrap()
+        fake.restore(copied)
+        fake.put("k", b"other")
+        await store.read_prefix("k")
+        answer = (await store.compare_and_swap("k", lost.revision, b"mine")).unwrap()
+        assert not answer.succeeded
+        assert answer.current is not None
+        assert answer.current.value == b"other"
+        assert answer.revision > lost.revision
+        assert (await store.compare_and_swap("k", answer.revision, b"mine")).unwrap().succeeded
+
+    _run(scenario)
+
+
+def test_watch_of_a_lost_history_ends_although_the_store_has_its_revision() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        held = (await store.read_prefix("")).unwrap().revision
+        copied = fake.copy()
+        fake.restore(copied)
+        fake.put("k", b"new")
+        with pytest.raises(CompactedError):
+            async for _ in store.watch("", held + 1):
+                pass
+
+    _run(scenario)
