End the soak's check of a limit at the next start of the upstream

Trace: it named its limit at 0.05 s, drained at 0.2 s, started again at 4.5 s and named it anew at 5.46 s; the 19 requests at 4 and 5 s reached the new start before it had named a limit. From 5.5 s to 14.9 s two a second arrived, and 17 in the second after the limit had ended. A start is bound by what it named itself, so the check ends at the next start; the bound is the same.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -22,7 +22,8 @@
 EARLY_END_SHARE = 0.7  # of the client timeout; a later end without an answer may be a time-out
 RECOVERY_S = 15.0  # after the last fault (the platform's RecoveryS)
 MIN_SERVED_FRACTION = 0.25  # of the requests sent after that
-LIMIT_ROW = "limit"  # in place of a request id: the upstream has first named its limit
+# In place of a request id: the upstream has started, or has first named its limit.
+START_ROW, LIMIT_ROW = "start", "limit"
 LIMIT_SETTLE_S = 3.0  # after that (the platform's ContactS)
 LIMIT_WINDOW_S = 4.0
 MAX_IN_WINDOW = 1.5 * NAMED_LIMIT * LIMIT_WINDOW_S + 5
@@ -51,11 +52,11 @@
 ) -> Iterator[str]:
     """Yield a line for each violated invariant; `faults_ended_at` is when the last fault ended."""
     rows = read_executions(world)
-    executions = [each for each in rows if each.request_id != LIMIT_ROW]
+    executions = [each for each in rows if each.request_id not in (START_ROW, LIMIT_ROW)]
     if planned_only:  # a killed or paused daemon is excused, and the log doesn't name daemons
         for row in rows:
             if row.request_id == LIMIT_ROW:
-                yield from _check_limit(row.upstream, row.started_at, executions)
+                yield from _check_limit(row, rows)
     count_by_id = Counter(execution.request_id for execution in executions)
     for execution in executions:
         attempt = callers.attempt_by_id.get(execution.request_id)
@@ -91,16 +92,27 @@
         yield f"no complete answer, though nothing failed: {details}"
 
 
-def _check_limit(upstream: str, named_at: float, executions: list[Execution]) -> Iterator[str]:
+def _check_limit(named: Execution, rows: list[Execution]) -> Iterator[str]:
+    """Check the limit that one start of an upstream has named, until its next start."""
+    of_upstream = [each for each in rows if each.upstream == named.upstream]
+    ends_at = min(
+        (
+            each.started_at
+            for each in of_upstream
+            if each.request_id == START_ROW and each.started_at > named.started_at
+        ),
+        default=named.started_at + LIMIT_DURATION_S,
+    )
+    ends_at = min(ends_at, named.started_at + LIMIT_DURATION_S)
     times = [
         each.started_at
-        for each in executions
-        if each.upstream == upstream
-        and named_at + LIMIT_SETTLE_S <= each.started_at < named_at + LIMIT_DURATION_S
+        for each in of_upstream
+        if each.request_id not in (START_ROW, LIMIT_ROW)
+        and named.started_at + LIMIT_SETTLE_S <= each.started_at < ends_at
     ]
     most = max((sum(at <= each < at + LIMIT_WINDOW_S for each in times) for at in times), default=0)
     if most > MAX_IN_WINDOW:
-        yield f"limit exceeded: {most} requests in {LIMIT_WINDOW_S} s at {upstream}"
+        yield f"limit exceeded: {most} requests in {LIMIT_WINDOW_S} s at {named.upstream}"
 
 
 def _check_recovery(callers: Callers, faults_ended_at: float) -> Iterator[str]:
--- a/soak/server.py
+++ b/soak/server.py
@@ -115,10 +115,14 @@
             return False
         if self.limit_named_at is None:
             self.limit_named_at = time.time()
-            row = ["limit", self.id, self.service, "", self.limit_named_at]
-            os.write(self.run_log, (json.dumps(row) + "\n").encode())
+            self.log_event("limit")
         return True
 
+    def log_event(self, event: str) -> None:
+        """Append an event of this start to the log, in place of a request id."""
+        row = [event, self.id, self.service, "", time.time()]
+        os.write(self.run_log, (json.dumps(row) + "\n").encode())
+
     def _send_answer(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
         body = answer_body(request_id)
         if not self.gives_wrong_answers or self.rng.random() > WRONG_ANSWER_FRACTION:
@@ -227,6 +231,7 @@
         Random(seed),
         number % 2 == 1,
     )
+    upstream.log_event("start")
     await asyncio.start_server(upstream.serve, host, int(port))
     terminated = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, terminated.set)
