Bring the soak's store back from a copy

The store goes away for up to a second and comes back as it was up to three seconds before; the newest configuration is written again.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -172,6 +172,17 @@
     world.store.events.clear()
 
 
+async def restore_store(world: World) -> None:
+    """Take the store away for a moment and bring it back from a copy some seconds old."""
+    copied = world.store.copy()
+    await _wait_fault_duration(world)
+    world.store.away = True
+    await asyncio.sleep(world.rng.uniform(0.1, 1.0))
+    world.store.restore(copied)
+    world.store.away = False
+    world.rewrite_configuration()
+
+
 async def end_leases_early(world: World) -> None:
     """End half of the leases early, as an outage of the store may."""
     leases = list(world.store.leases)
@@ -201,6 +212,7 @@
     fail_store_calls,
     compact_store_history,
     end_leases_early,
+    restore_store,
 )
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -136,6 +136,7 @@
     daemons: list[Daemon] = field(default_factory=list)
     upstreams: list[Upstream] = field(default_factory=list)
     configuration_version: int = 0
+    last_configuration: bytes = b""
     allowed_services_by_prefix: dict[str, set[str]] = field(default_factory=dict)
     background_tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
@@ -164,7 +165,12 @@
             "Services": {each: {"HealthCheck": "/healthz"} for each in SERVICES},
             "Limits": {},
         }
-        self.store.put("op/config", json.dumps(document).encode())
+        self.last_configuration = json.dumps(document).encode()
+        self.rewrite_configuration()
+
+    def rewrite_configuration(self) -> None:
+        """Write the newest configuration, which a restored store may lack."""
+        self.store.put("op/config", self.last_configuration)
 
     async def start(self) -> None:
         """Start all processes and wait until the daemons are ready to serve."""
