Log a store whose revision went back, at the own interface, and tell how to restore a backup

The class of the restored store at the own interface: its watcher compares revisions in the same way, and etcd names no history. Instances kept the newer state as documented, but changes written after the return were dropped without a word.

--- a/heatherhead/configuration/store_watcher.py
+++ b/heatherhead/configuration/store_watcher.py
@@ -58,6 +58,14 @@
             return False
         revision = answer.ok_value.revision
         by_key = answer.ok_value.by_key
+        if revision < self._table.applied:
+            log_event(
+                "store_revision_went_back",
+                level="ERROR",
+                revision=revision,
+                applied=self._table.applied,
+                remedy="restore backups with raised revisions; see docs/operators/store-outage.md",
+            )
         with self._table.bulk():
             for value in sorted(by_key.values(), key=lambda each: each.mod_revision):
                 self._apply_entry(value.key, value.value, value.mod_revision)
