Drop permits after a suspension, and create the permit exchange before datagrams arrive

Found when reading the diff, each before it was seen: - The loop's clock stands still while a machine is suspended, so permits that had run out seemed valid; they are dropped with the deadlines' correction. - A datagram that came right after the socket was opened found no permit exchange; it is created with the other parts now. - A retry asked for permits of the upstream that it avoids.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -403,7 +403,11 @@
         self._place_waiting(self._service(state.entry.service))
 
     def _request_permits(
-        self, service: _Service, states: Collection[UpstreamState], demand: Demand
+        self,
+        service: _Service,
+        states: Collection[UpstreamState],
+        demand: Demand,
+        avoid: Collection[str],
     ) -> None:
         """Request permits for those of some upstreams that would serve the call best."""
         now = self._loop.time()
@@ -414,7 +418,7 @@
         ]
         if requestable:
             baseline = service.baseline.value
-            for state in placement.worth_permits(states, requestable, demand, now, baseline):
+            for state in placement.worth_permits(states, requestable, demand, avoid, now, baseline):
                 self.request_permits(state)
 
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
@@ -466,11 +470,11 @@
         now = self._loop.time()
         baseline = service.baseline.value
         if service.limited_by_id:
-            self._request_permits(service, service.preferred, demand)
+            self._request_permits(service, service.preferred, demand, avoid)
         upstream = placement.place(service.preferred, demand, avoid, now, baseline).upstream
         if upstream is None and service.overflow:
             sampled = service.sample_overflow()
-            self._request_permits(service, sampled, demand)
+            self._request_permits(service, sampled, demand, avoid)
             upstream = placement.place(sampled, demand, avoid, now, baseline).upstream
         return None if upstream is None else self._occupy(upstream, demand, now, baseline)
 
@@ -595,7 +599,7 @@
         states = service.preferred
         if service.limited_by_id:
             first = service.queue.in_order(now)[0]
-            self._request_permits(service, states, first.demand)
+            self._request_permits(service, states, first.demand, first.avoid)
         self._reject_infeasible(service, now)
         if not any(state.usable_now(now) > 0 for state in states):
             return
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -120,6 +120,7 @@
     states: Collection[UpstreamState],
     requestable: Iterable[UpstreamState],
     demand: Demand,
+    avoid: Collection[str],
     now: float,
     baseline: float,
 ) -> list[UpstreamState]:
@@ -137,7 +138,7 @@
             position = 0
         compared = list(prospects)
         compared.insert(position, prospect_of(state, now, baseline))
-        chosen = choose(compared, demand, (), 0, to_target_s, to_give_up_s).upstream
+        chosen = choose(compared, demand, avoid, 0, to_target_s, to_give_up_s).upstream
         if chosen is state:
             wanted.append(state)
     return wanted
--- a/heatherhead/dispatch/rate_limits.py
+++ b/heatherhead/dispatch/rate_limits.py
@@ -12,11 +12,12 @@
 
 __all__ = ["PermitBucket", "RateLimit", "RateLimitEvidence"]
 
-PERMIT_TTL_S = 0.5  # permits of a second still in use keep four seconds below 1.5 times the limit
+PERMIT_TTL_S = 0.5  # so four seconds have the permits of four and a half at the most
 MAX_SAVED_S = 0.25  # of the limit; an issuer saves at most that many permits, but at least one
 # Without answers, nobody would notice the end of a low limit.
 TRIAL_CALLS_PER_S = 0.2
 NO_PERMITS_WAIT_S = 1.0  # until the next request while no permits are issued at all
+MAX_PERMIT_WAIT_S = 5.0  # until the next request, however low the limit
 RECEIVED_WINDOW_S = 10.0  # over which an instance counts the permits that it gets
 MIN_RECEIVED_S = 2.0  # of counting, before the estimate rests on it
 
@@ -65,7 +66,7 @@
         if before != self.calls_per_s:
             self._received.clear()
         if self.calls_per_s is None or (before is not None and self.calls_per_s < before):
-            self._expires_at_by_permit.clear()
+            self.drop_permits()
         return before != self.calls_per_s
 
     def permits(self, now: float) -> int:
@@ -100,6 +101,10 @@
             return sum(permits for _, permits in received) / counted_s
         return (self.calls_per_s or 0.0) * share
 
+    def drop_permits(self) -> None:
+        """Drop all permits."""
+        self._expires_at_by_permit.clear()
+
     def use_permit(self, now: float) -> None:
         """Use the permit that expires first."""
         if self.permits(now):
@@ -150,4 +155,4 @@
         """Return the time until there is a permit."""
         if per_s <= 0:
             return NO_PERMITS_WAIT_S
-        return min(NO_PERMITS_WAIT_S / TRIAL_CALLS_PER_S, max(0.0, 1.0 - self.tokens) / per_s)
+        return min(MAX_PERMIT_WAIT_S, max(0.0, 1.0 - self.tokens) / per_s)
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -138,6 +138,13 @@
             lambda: self.candidacy.check(members_known=self.table.loaded),
         )
         self.replica.on_restored = self.announcement.on_restored
+        self.permits = create_permit_exchange(
+            self.dispatcher,
+            self.homes,
+            self.members,
+            lambda addresses, message: self.exchange.send_to(addresses, message),
+            self._loop.time,
+        )
         self._find_homes_task: asyncio.Task[None] | None = None
         self.crashes = create_crash_table()
         self.forwarder = create_forwarder(
@@ -201,9 +208,6 @@
         self.exchange = create_fleet_exchange(
             self.members, self.homes, self.replica, channel, self.follower
         )
-        self.permits = create_permit_exchange(
-            self.dispatcher, self.homes, self.members, self.exchange.send_to, self._loop.time
-        )
         self.exchange.on_tick = self._on_tick
         self.exchange.contention_evidence = self.dispatcher.contention_evidence
         self.dispatcher.on_count = lambda state: self.exchange.set_count(
@@ -304,6 +308,7 @@
         if suspended_s:
             log_event("suspended", level="WARNING", for_s=f"{suspended_s:.2f}")
             self.forwarder.apply_suspension(suspended_s)
+            self.permits.drop()
             self.follower.record_store_failure("the process was suspended")
         self.homes.own_ready = self.ready
         self._measure_rate()
--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -104,6 +104,11 @@
             self._reported_at = now
             self._report(issued)
 
+    def drop(self) -> None:
+        """Drop all permits: the loop's clock stood still while they ran out."""
+        for state in self._dispatcher.limited_states():
+            state.rate_limit.drop_permits()
+
     def limits(self) -> tuple[RateLimitRow, ...]:
         """List the limits that are in force, for the followers of this instance."""
         return tuple(self._row(state) for state in self._dispatcher.limited_states())
