--- a/heatherhead/tests/entry/instances.py
+++ b/heatherhead/tests/entry/instances.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 from collections import Counter
 from dataclasses import dataclass, field
 from itertools import count
@@ -23,7 +24,14 @@
     from heatherhead.entry.settings import EntrySettings
     from heatherhead.store.interface import Store
 
-__all__ = ["Instances", "LimitedUpstream", "create_settings", "most_arrivals", "write"]
+__all__ = [
+    "Instances",
+    "LimitedUpstream",
+    "create_settings",
+    "loopback_prefix",
+    "most_arrivals",
+    "write",
+]
 
 PORTS = {"Front": 18481, "Readiness": 18488, "Directory": 18483}
 PEER_PORTS = "17600,17615"
@@ -73,6 +81,11 @@
     assert written.unwrap().succeeded
 
 
+def loopback_prefix(number: int) -> str:
+    """Return a prefix of loopback addresses that another run of the tests hardly uses."""
+    return f"127.{number}.{1 + os.getpid() % 250}"
+
+
 def create_settings(number: int, ip: str) -> EntrySettings:
     """Create the settings of an instance; zones and regions take turns."""
     zone = f"z{number % len(REGION_BY_ZONE)}"
--- a/heatherhead/tests/entry/rate_limit_tests.py
+++ b/heatherhead/tests/entry/rate_limit_tests.py
@@ -7,7 +7,12 @@
 import pytest
 
 from heatherhead.store.memory import create_memory_store
-from heatherhead.tests.entry.instances import Instances, most_arrivals, write
+from heatherhead.tests.entry.instances import (
+    Instances,
+    loopback_prefix,
+    most_arrivals,
+    write,
+)
 
 SETTLE_S = 3.0  # after which the platform counts
 ALLOWED_FACTOR = 1.5 * 4.0
@@ -29,7 +34,7 @@
     """Each instance placed calls by free slots alone, so an upstream in need got 8 times its limit."""
 
     async def main() -> None:
-        fleet = Instances(create_memory_store(), f"127.{61 + instances}.1")
+        fleet = Instances(create_memory_store(), loopback_prefix(61 + instances))
         await fleet.add_upstreams(8)
         await fleet.start(instances)
         for upstream, limit in zip(fleet.upstreams, LIMITS, strict=False):
@@ -63,7 +68,7 @@
 
 def test_calls_beyond_all_limits_are_rejected_at_once_and_the_limits_are_used() -> None:
     async def main() -> None:
-        fleet = Instances(create_memory_store(), "127.80.1")
+        fleet = Instances(create_memory_store(), loopback_prefix(80))
         await fleet.add_upstreams(3)
         await fleet.start(6)
         limits = ("2", "4", "10")
@@ -84,7 +89,7 @@
     """A limit under which no call is sent would keep away the answers that no longer name it."""
 
     async def main() -> None:
-        fleet = Instances(create_memory_store(), "127.81.1")
+        fleet = Instances(create_memory_store(), loopback_prefix(81))
         await fleet.add_upstreams(1, limit_in_health_answers=in_health_answers)
         await fleet.start(3)
         await _arrivals_under_limits(fleet, (limit,), 40.0, 3.0)
@@ -102,7 +107,7 @@
     """Each side of a partition has a home that issues permits."""
 
     async def main() -> None:
-        fleet = Instances(create_memory_store(), "127.82.1")
+        fleet = Instances(create_memory_store(), loopback_prefix(82))
         await fleet.add_upstreams(2)
         await fleet.start(6)
         # Instances 0 and 3, homes of the first region, no longer hear of each other, nor of others.
@@ -118,7 +123,7 @@
 
 def test_restarted_upstream_has_no_limit_until_it_names_one() -> None:
     async def main() -> None:
-        fleet = Instances(create_memory_store(), "127.83.1")
+        fleet = Instances(create_memory_store(), loopback_prefix(83))
         await fleet.add_upstreams(1)
         await fleet.start(3)
         await _arrivals_under_limits(fleet, ("0",), 30.0, 2.0)
--- a/heatherhead/tests/entry/restored_store_tests.py
+++ b/heatherhead/tests/entry/restored_store_tests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from heatherhead.platform.store import create_platform_store
-from heatherhead.tests.entry.instances import CONFIGURATION, Instances
+from heatherhead.tests.entry.instances import CONFIGURATION, Instances, loopback_prefix
 from heatherhead.tests.platform.fake_platform_store import FakePlatformStore
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
             store.put("op/config", _configuration(version, "added", f"later{version}"))
             assert await _until(_all_apply(fleet.services, version), CONFIG_APPLY_S)
 
-    _run(scenario, "127.84.1")
+    _run(scenario, loopback_prefix(84))
 
 
 def _states(fleet: Instances, upstream_id: str) -> set[bool]:
@@ -119,7 +119,7 @@
         store.put("servers/i-1", _entry(fleet, 1, Sequence=9))
         assert await _until(lambda: _states(fleet, "i-1") == {True}, CONFIG_APPLY_S)
 
-    _run(scenario, "127.85.1", instances=4)
+    _run(scenario, loopback_prefix(85), instances=4)
 
 
 def test_upstream_that_the_copy_lacks_is_kept_for_the_grace_and_then_removed() -> None:
@@ -141,7 +141,7 @@
         assert await _until(lambda: _states(fleet, "i-3") == {False}, 3.0)
         assert _states(fleet, "i-2") == {True}
 
-    _run(scenario, "127.86.1", instances=4)
+    _run(scenario, loopback_prefix(86), instances=4)
 
 
 def test_second_copy_and_instances_that_start_between_or_were_cut_off() -> None:
@@ -169,7 +169,7 @@
         keys = [key for key in store.items if key.startswith("heatherhead/instances/")]
         assert len(keys) >= 2, keys
 
-    _run(scenario, "127.87.1")
+    _run(scenario, loopback_prefix(87))
 
 
 def test_announcement_that_the_copy_lacks_is_written_again() -> None:
@@ -183,4 +183,4 @@
         store.restore(copied)
         assert await _until(lambda: announced <= set(store.items), CONFIG_APPLY_S), store.items
 
-    _run(scenario, "127.88.1", instances=4)
+    _run(scenario, loopback_prefix(88), instances=4)
