--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -48,9 +48,8 @@
 MAX_ALONE_INTERVAL_S = 30.0  # bounds how late an instance that is alone notices the end of a limit
 REPORT_INTERVAL_S = 1.0  # a home that has just started learns of limits by then
 REPORTED_CHANGE = 0.1  # of a limit; smaller ones are told with requests and replies
-RELAYED_AGE_S = (
-    2.0  # of what a followed home tells; newer evidence of the instance's own goes first
-)
+# Assumed of what a followed home tells, so that newer evidence of the instance's own goes first.
+RELAYED_AGE_S = 2.0
 
 
 @dataclass(slots=True)
