Name only instances that were heard, and end a silence only by a sign of life

Cause: a silent home was excluded for 6 s, and nothing had to be heard for the end of that. As its key stays in the store for a lease, it was chosen again, trusted for 1.5 s, and so on; successors that had gone with it were trusted for 1.5 s each, one after the other. Class: a belief that an instance runs, held without evidence, ended or renewed by a timer.

Ruled out: stale announcements or reads (no store_read or new revision of its key before the homes lines) and single instances (all four of the region named it, each 6.00 s after its own home_silent).

Named are now members with a status of the last second from their announced address, nobody else. Silence ends when the member is heard or its key is removed. An instance publishes by what it hears itself, so nobody's exclusion keeps it from being heard; a home hands over only to homes that it hears. Other regions' homes are named only by instances that hear them, and found in turn; reported homes of a standby instance end with the stream and 2 s after the last message.

Two tests asserted the fault and are replaced by ones as strict: the homes of a view that has heard nobody, now after statuses of all; provisional members as answers, now followed and not named until a home reports them.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -55,6 +55,7 @@
 
 if TYPE_CHECKING:
     from heatherhead.dispatch.upstream_state import UpstreamState
+    from heatherhead.entry.addresses import AddressAnswer
     from heatherhead.entry.pages import PageHandlers
     from heatherhead.entry.settings import EntrySettings
     from heatherhead.entry.store_view import Decoder
@@ -129,6 +130,8 @@
         )
         self.follower.is_standby = lambda: not self.members.own_listed
         self.follower.on_relay_state = self._on_relay_state
+        self.follower.on_source_lost = self.homes.apply_lost_source
+        self.homes.report_age_s = lambda: self.follower.peer_silence_s
         self.announcement = create_announcement(
             store,
             self.members.own,
@@ -185,13 +188,12 @@
         """Return whether this instance is ready to serve callers."""
         return self.table.loaded and not self.leaving
 
-    @property
-    def addresses_ready(self) -> bool:
-        """Return whether address requests can be answered.
+    def find_addresses(self, region: str) -> AddressAnswer | None:
+        """Return the addresses for a caller of a region, `None` while none can be named.
 
         Homes may be known before there is a configuration.
         """
-        return not self.leaving and (self.table.loaded or bool(self.homes.provisional_members))
+        return None if self.leaving else self.addresses.answer(region)
 
     async def start(self, pages: PageHandlers) -> None:
         """Open the listeners and follow the store; addresses are answered once homes are known."""
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -1,12 +1,16 @@
 """Determines the homes of the own region from the messages that they send.
 
-Homes publish a status to their region every `STATUS_INTERVAL_S`. A home that falls silent or
-announces that it leaves is excluded, so that the next one of the ranking replaces it. A standby
-instance receives no statuses; the home that it follows reports the homes to it.
+Homes publish a status to their region every `STATUS_INTERVAL_S`. Only an instance that was heard
+within `SILENT_AFTER_S` is a home to others: an announcement in the store outlives its instance by a
+lease. A silent instance is passed over in the ranking, so that the next ones begin to publish, until
+it sends a status again. It does that on its own: each instance decides by what it hears itself
+whether it publishes. A standby instance receives no statuses; the home that it follows reports the
+homes to it.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -31,8 +35,8 @@
 STATUS_INTERVAL_S = 0.25
 SILENT_AFTER_S = 1.0  # four status intervals, as single datagrams may be lost
 FIRST_STATUS_TIMEOUT_S = 1.5  # for the first status of an instance that has become a home
-SILENT_EXCLUSION_S = 6.0  # a silent member may be chosen again after that
-MAX_REMOTE_HOMES = 2  # per other region, chosen by rank, as their statuses may not be received
+REPORT_TTL_S = 2.0  # of the reported homes, after the last message of a followed home
+MAX_REMOTE_HOMES = 2  # per other region, chosen by rank; they get statuses though they are unheard
 
 
 @dataclass(slots=True)
@@ -58,7 +62,7 @@
         self._status_by_id: dict[str, _PeerStatus] = {}
         self._left_incarnation_by_id: dict[str, str] = {}  # the incarnation that left
         self._expected_since_by_id: dict[str, float] = {}
-        self._silent_until_by_id: dict[str, float] = {}
+        self._silent_ids: set[str] = set()  # expected to send a status, and not heard since
         self._home_count = MIN_HOMES_PER_REGION
         self.own_calls_per_s = 0.0
         self.own_ready = False
@@ -66,8 +70,11 @@
         self._home_ids: tuple[str, ...] = ()
         self.current: list[Member] = []  # as of the last call of `homes`
         self._reported_home_ids: tuple[str, ...] = ()  # received from the followed home
+        # Returns the time since the last message of a followed home.
+        self.report_age_s: Callable[[], float] = lambda: 0.0
         # Possible homes, until the member table is known.
         self.provisional_members: list[Member] = []
+        self._remote_probes = 0  # of unheard members of other regions
 
     def apply_status(self, status: HomeStatus, host: str) -> None:
         """Apply a status received from a home."""
@@ -83,7 +90,9 @@
             status.revision,
             status.calls_per_s,
         )
-        self._silent_until_by_id.pop(status.sender, None)
+        if status.sender in self._silent_ids:
+            self._silent_ids.discard(status.sender)
+            log_event("home_heard", home=status.sender, incarnation=status.incarnation)
 
     def apply_leave(self, notice: LeaveNotice) -> None:
         """Apply the notice that an instance leaves."""
@@ -91,37 +100,99 @@
 
     def apply_reported_homes(self, region: str, home_ids: tuple[str, ...]) -> None:
         """Apply the homes reported by the home that is followed."""
-        if region == self._members.own.region and home_ids:
+        if region == self._members.own.region:
             self._reported_home_ids = home_ids
 
+    def apply_lost_source(self, host: str) -> None:
+        """Remove a home that is no longer followed from the reported ones."""
+        by_id = self._known_by_id()
+        self._reported_home_ids = tuple(
+            each
+            for each in self._reported_home_ids
+            if each not in by_id or by_id[each].callers.host != host
+        )
+
+    def _known_by_id(self) -> dict[str, Member]:
+        return self._members.by_id or {each.id: each for each in self.provisional_members}
+
     def candidates(self) -> list[Member]:
         """List the possible homes of the own region."""
-        known = self._members.by_id.values() or self.provisional_members
-        return [each for each in known if each.region == self._members.own.region]
+        own_region = self._members.own.region
+        return [each for each in self._known_by_id().values() if each.region == own_region]
 
     def homes(self) -> list[Member]:
-        """Determine and list the homes of the own region."""
+        """Determine and list the homes of the own region; none if no home is known to run."""
         own = self._members.own
         now = self._now()
         members = self.candidates()
         zones = len({each.availability_zone for each in members})
         self._home_count = home_count(self._home_count, zones, self._region_calls_per_s(now))
         if self._members.own_listed:
-            homes = choose_homes(
-                members, own.region, self._unusable(members, now), self._home_count
-            )
-            self._exclude_silent(homes, now)
+            homes = self._heard_homes(rank_members(members, own.region), now)
         else:
-            by_id = self._members.by_id
-            homes = [by_id[each] for each in self._reported_home_ids if each in by_id]
-            homes = homes or choose_homes(members, own.region, (), self._home_count)
+            homes = self._reported_homes()
         self.current = homes
         ids = tuple(each.id for each in homes)
         if ids != self._home_ids:
             self._home_ids = ids
-            log_event("homes", region=own.region, homes=",".join(ids), members=len(members))
+            self._forget_removed(now)
+            log_event(
+                "homes",
+                region=own.region,
+                homes=",".join(ids),
+                members=len(members),
+                silent=len(self._silent_ids),
+            )
         return homes
 
+    def _forget_removed(self, now: float) -> None:
+        """Forget what was heard of instances that are no longer members."""
+        by_id = self._members.by_id
+        self._status_by_id = {
+            id_: status
+            for id_, status in self._status_by_id.items()
+            if id_ in by_id or now - status.received_at <= SILENT_AFTER_S
+        }
+        self._left_incarnation_by_id = {
+            id_: left for id_, left in self._left_incarnation_by_id.items() if id_ in by_id
+        }
+
+    def _reported_homes(self) -> list[Member]:
+        if self.report_age_s() > REPORT_TTL_S:
+            return []
+        by_id = self._known_by_id()
+        return [by_id[each] for each in self._reported_home_ids if each in by_id]
+
+    def _heard_homes(self, ranked: list[Member], now: float) -> list[Member]:
+        """List the best-ranked members that run, with this instance if it is due to be a home."""
+        own_id = self._members.own.id
+        ranked = [each for each in ranked if self._may_be_home(each)]
+        expected = self._expected_homes(ranked, now)
+        self._exclude_silent(expected, now)
+        homes: list[Member] = []
+        for member in ranked:
+            if len(homes) == self._home_count:
+                break
+            if member.id == own_id:
+                # A home hands over to others only once they are heard.
+                if own_id in self._home_ids or member in expected:
+                    homes.append(member)
+            elif self._is_heard(member, now):
+                homes.append(member)
+        return homes
+
+    def _expected_homes(self, ranked: list[Member], now: float) -> list[Member]:
+        """List the members that should publish.
+
+        For each of the first that is unheard, that is one more, and one for each silent member: if
+        many have gone at once, their successors are found in a few rounds.
+        """
+        own_id = self._members.own.id
+        ranked = [each for each in ranked if each.id not in self._silent_ids]
+        first = ranked[: self._home_count]
+        unheard = sum(each.id != own_id and not self._is_heard(each, now) for each in first)
+        return ranked[: len(first) + unheard * (1 + len(self._silent_ids))]
+
     def _region_calls_per_s(self, now: float) -> float:
         region = self._members.own.region
         return self.own_calls_per_s + sum(
@@ -148,21 +219,36 @@
         """List the homes of this instance's cell, as of the last call of `homes`."""
         return homes_of_cell(self.current, self.own_cell)
 
-    def remote_homes(self, region: str) -> list[Member]:
-        """List the probable homes of another region, by rank."""
-        ranked = rank_members(self._members.by_id.values() or self.provisional_members, region)
-        return ranked[:MAX_REMOTE_HOMES]
+    def heard_homes_of(self, region: str) -> list[Member]:
+        """List the homes of another region that run, best first; only homes hear of them."""
+        now = self._now()
+        ranked = rank_members(self._known_by_id().values(), region)
+        return [each for each in ranked if self._is_heard(each, now)][:MAX_REMOTE_HOMES]
+
+    def probable_homes_of(self, region: str) -> list[Member]:
+        """List members of another region to send messages to: those heard, then all by rank."""
+        now = self._now()
+        ranked = rank_members(self._known_by_id().values(), region)
+        return sorted(ranked, key=lambda each: not self._is_heard(each, now))
 
     def homes_of_other_regions(self) -> list[Member]:
-        """List them: by rank, and those that sent a status recently."""
+        """List those heard, the best-ranked members, and one more member of each region in turn.
+
+        Where the best-ranked ones are gone, homes of two regions find each other by the latter.
+        """
+        now = self._now()
         own_region = self._members.own.region
-        regions = {each.region for each in self._members.by_id.values()} - {own_region}
-        by_id = {home.id: home for region in regions for home in self.remote_homes(region)}
-        for member_id in self.live_home_ids():
-            member = self._members.by_id.get(member_id)
-            if member is not None and member.region != own_region:
-                by_id[member_id] = member
-        return list(by_id.values())
+        self._remote_probes += 1
+        homes = []
+        for region in {each.region for each in self._members.by_id.values()} - {own_region}:
+            ranked = rank_members(self._members.by_id.values(), region)
+            unheard = [each for each in ranked if not self._is_heard(each, now)]
+            homes += [each for each in ranked if self._is_heard(each, now)]
+            homes += unheard[:MAX_REMOTE_HOMES]
+            others = unheard[MAX_REMOTE_HOMES:]
+            if others:
+                homes.append(others[self._remote_probes % len(others)])
+        return homes
 
     def homes_of_all_regions(self) -> list[Member]:
         """List the homes of the own region and the probable ones of the others."""
@@ -173,6 +259,15 @@
         since = self._now() - SILENT_AFTER_S
         return [each for each, status in self._status_by_id.items() if status.received_at >= since]
 
+    def heard_age_s(self, member: Member) -> float:
+        """Return the age of the evidence that a member runs."""
+        if member.id == self._members.own.id:
+            return 0.0
+        if not self._members.own_listed:
+            return self.report_age_s()
+        status = self._status_by_id.get(member.id)
+        return math.inf if status is None else self._now() - status.received_at
+
     def source_hosts(self) -> list[str]:
         """List the hosts of homes that sent a status recently, the preferred one first."""
         own = self._members.own
@@ -183,9 +278,11 @@
     def candidate_hosts(self) -> list[str]:
         """List the hosts of homes and other candidates, homes of the own zone first."""
         own = self._members.own
-        homes = self.homes()
+        candidates = self.candidates()
+        homes = self.homes() or choose_homes(candidates, own.region, (), self._home_count)
         home_ids = {home.id for home in homes}
-        others = [each for each in self.candidates() if each.id not in home_ids]
+        others = [each for each in candidates if each.id not in home_ids]
+        others.sort(key=lambda each: each.id in self._silent_ids)
         homes.sort(
             key=lambda home: (
                 home.availability_zone != own.availability_zone,
@@ -194,41 +291,39 @@
         )
         return [each.callers.host for each in [*homes, *others] if each.id != own.id]
 
-    def _unusable(self, members: list[Member], now: float) -> set[str]:
-        own_id = self._members.own.id
-        unusable = set()
-        for member in members:
-            if member.id == own_id:
-                if self.own_leaving or not self.own_ready:
-                    unusable.add(own_id)
-            elif not self._usable(member, now):
-                unusable.add(member.id)
-        return unusable
+    def _may_be_home(self, member: Member) -> bool:
+        """Return whether a member is not known to leave or to be unready."""
+        if member.id == self._members.own.id:
+            return self.own_ready and not self.own_leaving
+        status = self._status_by_id.get(member.id)
+        incarnation = status.incarnation if status else member.incarnation
+        return self._left_incarnation_by_id.get(member.id) != incarnation
 
-    def _usable(self, member: Member, now: float) -> bool:
+    def _is_heard(self, member: Member, now: float) -> bool:
+        """Return whether a member has sent a status recently from its announced address."""
         status = self._status_by_id.get(member.id)
-        if self._left_incarnation_by_id.get(member.id) == (
-            status.incarnation if status else member.incarnation
-        ):
-            return False
-        if now < self._silent_until_by_id.get(member.id, 0.0):
-            return False
-        return status is None or status.ready or now - status.received_at > SILENT_AFTER_S
-
-    def _exclude_silent(self, homes: list[Member], now: float) -> None:
-        """Exclude homes that should send a status and do not."""
+        return (
+            status is not None
+            and status.ready
+            and status.host == member.callers.host
+            and now - status.received_at <= SILENT_AFTER_S
+        )
+
+    def _exclude_silent(self, expected_homes: list[Member], now: float) -> None:
+        """Exclude members that should send a status and do not, until they send one."""
         expected = {}
-        for home in homes:
+        for home in expected_homes:
             if home.id == self._members.own.id:
                 continue
             since = self._expected_since_by_id.get(home.id, now)
             expected[home.id] = since
-            status = self._status_by_id.get(home.id)
-            received_at = status.received_at if status else -1e9
-            if now - received_at > SILENT_AFTER_S and now - since > FIRST_STATUS_TIMEOUT_S:
-                self._silent_until_by_id[home.id] = now + SILENT_EXCLUSION_S
-                log_event("home_silent", home=home.id, heard_s=f"{min(99, now - received_at):.2f}")
+            if now - since > FIRST_STATUS_TIMEOUT_S and not self._is_heard(home, now):
+                status = self._status_by_id.get(home.id)
+                heard_s = now - (status.received_at if status else -math.inf)
+                self._silent_ids.add(home.id)
+                log_event("home_silent", home=home.id, heard_s=f"{min(99, heard_s):.2f}")
         self._expected_since_by_id = expected
+        self._silent_ids &= self._members.by_id.keys()
 
 
 def _source_rank(member_id: str, status: _PeerStatus, own: Member) -> tuple[bool, int, bool, int]:
--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -169,7 +169,7 @@
     def _issuers(self, region: str) -> list[Member]:
         if region == self._members.own.region:
             return self._homes.current
-        return self._homes.remote_homes(region)
+        return self._homes.probable_homes_of(region)
 
     def _issues_for(self, state: UpstreamState) -> bool:
         """Return whether this instance issues the permits of an upstream."""
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -70,6 +70,7 @@
     ) -> None:
         self.is_standby: Callable[[], bool] = lambda: False
         self.on_relay_state: Callable[[RelayState], None] = lambda _: None
+        self.on_source_lost: Callable[[str], None] = lambda _: None  # called with its host
         self._source_watches_store = False
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -267,6 +268,7 @@
                 log_event("peer_stream_lost", peer=peer, reason=error)
                 number += 1
                 self._source_watches_store = False
+                self.on_source_lost(peer.host)
                 await asyncio.sleep(PEER_RETRY_DELAY_S)
 
     async def _run_verification(self) -> None:
--- a/heatherhead/platform/pages.py
+++ b/heatherhead/platform/pages.py
@@ -37,13 +37,9 @@
         return own_answer(404, "no such page")
 
     def _resolve(self, region: str) -> Answer:
-        if not self._service.addresses_ready:
+        found = self._service.find_addresses(region)
+        if found is None:
             return own_answer(503, "not ready")
-        address_book = self._service.addresses
-        body = json.dumps(
-            {
-                "Addresses": [str(address) for address in address_book.addresses(region)],
-                "TtlS": address_book.ttl_s,
-            }
-        ).encode()
+        addresses = [str(address) for address in found.addresses]
+        body = json.dumps({"Addresses": addresses, "TtlS": found.ttl_s}).encode()
         return Answer(200, CIMultiDict({"Content-Type": "application/json"}), body, "OK")
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -118,7 +118,11 @@
         members.put(_member(f"m{n}"), 1)
     view = create_home_view(members, lambda: now[0])
     view.own_ready = True
+    for each in members.by_id:
+        if each != "own":
+            view.apply_status(HomeStatus(each, "boot", True, 1, 0.0, True), "10.0.0.1")
     first = [home.id for home in view.homes()]
+    assert len(first) == MIN_HOMES_PER_REGION
     silent = next(each for each in first if each != "own")
     for _ in range(20):
         now[0] += 0.1
--- a/heatherhead/tests/fleet/simulated_region.py
+++ b/heatherhead/tests/fleet/simulated_region.py
@@ -144,7 +144,8 @@
     def named_by(self, instance_id: str, region: str = "") -> list[str]:
         """List the ids of the instances that an instance names to a caller of a region."""
         by_address = {each.member.callers: id_ for id_, each in self.instance_by_id.items()}
-        addresses = self.instance_by_id[instance_id].addresses.addresses(region)
+        answer = self.instance_by_id[instance_id].addresses.answer(region)
+        addresses = [] if answer is None else answer.addresses
         return [by_address.get(each, f"unknown {each}") for each in addresses]
 
     def running(self, region: str | None = None) -> list[SimulatedInstance]:
--- a/heatherhead/tests/fleet/standby_tests.py
+++ b/heatherhead/tests/fleet/standby_tests.py
@@ -131,13 +131,17 @@
     assert len(view.candidate_hosts()) == 4
 
 
-def test_provisional_members_are_used_only_until_members_are_known() -> None:
+def test_provisional_members_are_followed_and_not_named_until_members_are_known() -> None:
     table = create_member_table(_member("own", "a", large=False))
     table.remove_own()
     view = create_home_view(table, lambda: 100.0)
     view.provisional_members = [_member("left-long-ago", "a", large=True)]
+    assert view.homes() == []
+    assert view.candidate_hosts() == ["10.0.0.1"]
+    view.apply_reported_homes("r", ("left-long-ago",))
     assert [home.id for home in view.homes()] == ["left-long-ago"]
     table.put(_member("large", "b", large=True), 1)
+    view.apply_reported_homes("r", ("large",))
     assert [home.id for home in view.homes()] == ["large"]
 
 
