--- a/heatherhead/tests/membership/service_tests.py
+++ b/heatherhead/tests/membership/service_tests.py
@@ -170,6 +170,24 @@
     _run(scenario)
 
 
+def test_gone_instance_is_named_again_while_the_list_still_has_it() -> None:
+    """Neither time nor the list, nor an instance that starts later, makes it live again."""
+
+    async def scenario(fleet: MemberFleet) -> None:
+        ids = set(await fleet.start_all(2, 2, 3))
+        await fleet.crash("i0-0-0")
+        await wait_until(lambda: fleet.all_see(ids - {"i0-0-0"}))
+        await fleet.start("late", "r0", "r0z0")
+        survivors = ids - {"i0-0-0"}
+        for _ in range(600):
+            await asyncio.sleep(0.5)
+            live_ids = {member.id for each in fleet.by_id.values() for member in each.view.live()}
+            assert live_ids <= survivors | {"late"}
+        assert fleet.all_see(survivors | {"late"})
+
+    _run(scenario, forget_after_s=30)
+
+
 def test_dead_instance_is_removed_once_unlisted() -> None:
     async def scenario(fleet: MemberFleet) -> None:
         await fleet.start_all(2, 1, 2)
