Try a request only once after its quarantine, until an upstream answers it

Now the first one after the quarantine is a trial; another crash quarantines the request again, an answer clears it. The test failed before. An assertion that a peer's count of 1 is news after that is replaced: the count is then 2 of 3, so 3 is news and 1 is not.

--- a/heatherhead/dispatch/crashes.py
+++ b/heatherhead/dispatch/crashes.py
@@ -2,7 +2,8 @@
 
 A request that crashes an upstream is often sent again by its caller, through any instance, and
 would take down one upstream after the other. After three crashes without an answer, requests
-with the same fingerprint are rejected for a while without being sent.
+with the same fingerprint are rejected for a while without being sent. After that one of them is
+tried: an answer ends the suspicion, another crash quarantines them again.
 """
 
 from __future__ import annotations
@@ -63,9 +64,13 @@
         return self._count(fingerprint, now) >= CRASHES_TO_QUARANTINE
 
     def _count(self, fingerprint: int, now: float) -> int:
-        """Return the crash count of a request, 0 once it has expired."""
+        """Return the crash count of a request; that of a quarantine ends one short of it."""
         suspect = self._suspects_by_fingerprint.get(fingerprint)
-        return suspect.crashes if suspect and now - suspect.last_at < CRASH_RECORD_TTL_S else 0
+        if suspect is None:
+            return 0
+        if now - suspect.last_at < CRASH_RECORD_TTL_S:
+            return suspect.crashes
+        return CRASHES_TO_QUARANTINE - 1 if suspect.crashes >= CRASHES_TO_QUARANTINE else 0
 
 
 def create_crash_table() -> CrashTable:
