Have the soak lose daemons for good and cut them from all upstreams, and check whom answers name

lose_daemon kills or suspends a daemon for the rest of the run, a third of them at most; address answers may name it for 3 s (ContactS). Links can cut single daemons (hang, reset, only new connections), found by the owner of the connecting socket.

--- a/heatherhead/tests/soak_tests.py
+++ b/heatherhead/tests/soak_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -11,10 +12,11 @@
 from soak.__main__ import Plan, run_seed
 from soak.callers import Attempt, Callers
 from soak.invariants import find_violations
-from soak.links import Fault, Link
-from soak.world import World
+from soak.links import Cut, Fault, Link
+from soak.world import Daemon, World
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from pathlib import Path
 
 SHORT = Plan(daemons=3, upstreams=4, callers=6, faults_s=3.0, quiet_s=1.0)
@@ -98,6 +100,65 @@
     assert any(expected_text in line for line in violations)
 
 
+def test_late_naming_of_a_lost_instance_is_found(tmp_path: Path) -> None:
+    world = _world(tmp_path, "")
+    world.daemons = [Daemon("127.0.0.10", None, None, lost_at=10.0)]  # type: ignore[arg-type]
+    callers = Callers(world, None)  # type: ignore[arg-type]
+    for answered_at in (12.0, 14.0):
+        callers.address_answers.append((answered_at, "127.0.0.11", ["127.0.0.10"]))
+    lines = list(find_violations(world, callers, 1e12, planned_only=False))
+    assert [line.partition(" after")[0] for line in lines] == ["127.0.0.11 named 127.0.0.10 4.00 s"]
+
+
+@pytest.mark.parametrize(
+    ("how", "kept"), [(Cut.HANG, b""), (Cut.RESET, b""), (Cut.RESET_NEW, b"x")]
+)
+def test_link_cuts_one_client_and_no_other(how: Cut, kept: bytes) -> None:
+    async def main() -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        async def ask(
+            connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None,
+        ) -> bytes:
+            with suppress(OSError, TimeoutError):
+                reader, writer = connection or await asyncio.open_connection("127.0.0.1", link.port)
+                writer.write(b"x")
+                return await asyncio.wait_for(reader.read(1), 0.3)
+            return b""
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        names: dict[int, str] = {}
+
+        def name_in_turn(ports: Collection[int]) -> dict[int, str]:
+            return {
+                port: names.setdefault(port, ("cut", "other")[len(names) % 2]) for port in ports
+            }
+
+        link = Link(
+            "127.0.0.1",
+            "127.0.0.1",
+            server.sockets[0].getsockname()[1],
+            client_names=name_in_turn,
+        )
+        await link.start()
+        opened = []
+        for _ in range(2):
+            opened.append(await asyncio.open_connection("127.0.0.1", link.port))
+            assert await ask(opened[-1]) == b"x"
+        link.cut("cut", how)
+        assert await ask(opened[0]) == kept
+        assert await ask(opened[1]) == b"x"
+        assert await ask() == b""
+        assert await ask() == b"x"
+        link.stop()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_exceeded_limit_is_found(tmp_path: Path) -> None:
     rows = ['["limit", "i-1", "orders", "", 1.0]\n']
     rows += [f'["a", "i-1", "orders", "d", {5 + number / 10}]\n' for number in range(20)]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -60,6 +60,8 @@
     world: World
     rng: Random
     attempt_by_id: dict[str, Attempt] = field(default_factory=dict)
+    # Unix time, the daemon that answered, and whom it named.
+    address_answers: list[tuple[float, str, list[str]]] = field(default_factory=list)
     _request_count: int = 0
 
     async def run(self, callers: int, ends_at: float) -> None:
@@ -98,7 +100,9 @@
                     )
                     _, _, body = await _read_answer(reader)
                     writer.close()
-                    return [each.partition(":")[0] for each in json.loads(body)["Addresses"]]
+                    named = [each.partition(":")[0] for each in json.loads(body)["Addresses"]]
+                    self.address_answers.append((time.time(), daemon.ip, named))
+                    return named
         return []
 
     async def _attempt(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import signal
+import time
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from soak.links import Fault
+from soak.links import Cut, Fault
 from soak.world import STOP_GRACE_S, wait_ready
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
 
 FAULT_INTERVAL_RANGE_S = (0.2, 1.2)  # between two faults of one sequence
 FAULT_DURATION_RANGE_S = (0.4, 3.0)
+MAX_LOST_FRACTION = 0.34  # of the daemons, off for good
 
 
 def _pick_daemon(world: World) -> Daemon | None:
@@ -79,19 +81,45 @@
 
 async def kill_all_daemons(world: World) -> None:
     """Kill all daemons at the same time and start them again."""
-    if any(each.reserved for each in world.daemons):
+    daemons = [each for each in world.daemons if each.lost_at is None]
+    if any(each.reserved for each in daemons):
         return
-    for daemon in world.daemons:
+    for daemon in daemons:
         daemon.reserved = True
         daemon.process.signal(signal.SIGKILL)
     await asyncio.sleep(world.rng.uniform(0.1, 1.0))
-    for daemon in world.daemons:
+    for daemon in daemons:
         daemon.process.start()
-    for daemon in world.daemons:
+    for daemon in daemons:
         await wait_ready(daemon)
         daemon.reserved = False
 
 
+async def lose_daemon(world: World) -> None:
+    """Kill a daemon, or suspend it, for the rest of the run."""
+    lost = sum(each.lost_at is not None for each in world.daemons)
+    daemon = _pick_daemon(world)
+    if daemon is not None and lost + 1 <= MAX_LOST_FRACTION * len(world.daemons):
+        daemon.reserved = True
+        daemon.process.signal(world.rng.choice([signal.SIGKILL, signal.SIGSTOP]))
+        daemon.lost_at = time.time()
+
+
+async def cut_daemons_from_upstreams(world: World) -> None:
+    """Cut up to half of the daemons from all upstreams; callers, store and peers reach them."""
+    how = world.rng.choice(list(Cut))
+    names = [each.process.name for each in world.daemons]
+    cut = world.rng.sample(names, world.rng.randint(1, max(1, len(names) // 2)))
+    links = [each.link for each in world.upstreams]
+    for link in links:
+        for name in cut:
+            link.cut(name, how)
+    await _wait_fault_duration(world)
+    for link in links:
+        for name in cut:
+            link.heal(name)
+
+
 async def pause_daemon(world: World) -> None:
     """Suspend the process of a daemon for a while."""
     daemon = _pick_daemon(world)
@@ -203,6 +231,8 @@
     *PLANNED_EVENTS,
     kill_daemon,
     kill_all_daemons,
+    lose_daemon,
+    cut_daemons_from_upstreams,
     pause_daemon,
     kill_upstream,
     pause_upstream,
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -26,6 +26,7 @@
 START_ROW, LIMIT_ROW = "start", "limit"
 LIMIT_SETTLE_S = 3.0  # after that (the platform's ContactS)
 LIMIT_WINDOW_S = 4.0
+MAX_NAMED_AFTER_S = 3.0  # after an instance is off (the platform's ContactS)
 MAX_IN_WINDOW = 1.5 * NAMED_LIMIT * LIMIT_WINDOW_S + 5
 
 
@@ -67,6 +68,7 @@
     for attempt in callers.attempt_by_id.values():
         yield from _check_attempt(attempt, count_by_id[attempt.id], planned_only)
     yield from _check_recovery(callers, faults_ended_at)
+    yield from _check_addresses(world, callers)
 
 
 def _check_attempt(attempt: Attempt, execution_count: int, planned_only: bool) -> Iterator[str]:
@@ -115,6 +117,15 @@
         yield f"limit exceeded: {most} requests in {LIMIT_WINDOW_S} s at {named.upstream}"
 
 
+def _check_addresses(world: World, callers: Callers) -> Iterator[str]:
+    lost_at_by_ip = {each.ip: each.lost_at for each in world.daemons if each.lost_at is not None}
+    for answered_at, daemon, named in callers.address_answers:
+        for ip in named:
+            late_s = answered_at - lost_at_by_ip.get(ip, answered_at)
+            if late_s > MAX_NAMED_AFTER_S:
+                yield f"{daemon} named {ip} {late_s:.2f} s after it was off, at {answered_at:.3f}"
+
+
 def _check_recovery(callers: Callers, faults_ended_at: float) -> Iterator[str]:
     later = [
         each
--- a/soak/links.py
+++ b/soak/links.py
@@ -1,12 +1,16 @@
-"""Loopback links that can delay or drop bytes and reset connections."""
+"""Loopback links that can delay or drop bytes, reset connections, and cut single clients."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import TYPE_CHECKING
 
-__all__ = ["Fault", "Link"]
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+__all__ = ["Cut", "Fault", "Link"]
 
 CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_S = 1.0
@@ -25,6 +29,14 @@
     DROP_FROM_CLIENT = auto()  # bytes of the target pass
 
 
+class Cut(Enum):
+    """What happens to the connections of one client of a link."""
+
+    HANG = auto()  # kept and new ones
+    RESET = auto()  # kept and new ones
+    RESET_NEW = auto()  # kept ones live on
+
+
 @dataclass(eq=False)
 class Link:
     """A listener that forwards connections to a target; `fault` may change at any time."""
@@ -35,6 +47,11 @@
     fault: Fault = Fault.NONE
     delay_s: float = 0.0
     port: int = 0
+    # Returns the names of the clients that have some local ports.
+    client_names: Callable[[Collection[int]], dict[int, str]] = lambda _: {}
+    cut_by_client: dict[str, Cut] = field(default_factory=dict)
+    _port_by_writer: dict[asyncio.StreamWriter, int] = field(default_factory=dict)  # of clients
+    _name_by_port: dict[int, str] = field(default_factory=dict)  # known while there is a cut
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
@@ -54,8 +71,45 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def cut(self, client: str, how: Cut) -> None:
+        """Cut a client until `heal`."""
+        self.cut_by_client[client] = how
+        self._name_by_port = self.client_names(self._port_by_writer.values())
+        if how is Cut.RESET:
+            self._reset_client(client)
+
+    def heal(self, client: str) -> None:
+        """End the cut of a client; connections that hang are reset."""
+        if self.cut_by_client.pop(client, None) is Cut.HANG:
+            self._reset_client(client)
+
+    def _reset_client(self, client: str) -> None:
+        for writer, port in list(self._port_by_writer.items()):
+            if self._name_by_port.get(port) == client:
+                writer.transport.abort()
+
+    def _cut_of(self, port: int) -> Cut | None:
+        return self.cut_by_client.get(self._name_by_port.get(port, ""))
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        port = writer.get_extra_info("peername")[1]
+        self._port_by_writer[writer] = port
+        if self.cut_by_client:
+            self._name_by_port.update(self.client_names((port,)))
+        try:
+            await self._forward_connection(port, reader, writer)
+        finally:
+            self._port_by_writer.pop(writer, None)
+            self._name_by_port.pop(port, None)
+
+    async def _forward_connection(
+        self, port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._cut_of(port) in (Cut.RESET, Cut.RESET_NEW):
+            self._writers.discard(writer)
+            writer.transport.abort()
+            return
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 target_reader, target_writer = await asyncio.open_connection(
@@ -69,8 +123,8 @@
         client_drop_faults = (Fault.DROP_ALL, Fault.DROP_FROM_CLIENT)
         target_drop_faults = (Fault.DROP_ALL, Fault.DROP_FROM_TARGET)
         await asyncio.gather(
-            self._forward(reader, target_writer, client_drop_faults),
-            self._forward(target_reader, writer, target_drop_faults),
+            self._forward(port, reader, target_writer, client_drop_faults),
+            self._forward(port, target_reader, writer, target_drop_faults),
         )
         for each in (writer, target_writer):
             self._writers.discard(each)
@@ -78,6 +132,7 @@
 
     async def _forward(
         self,
+        port: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         drop_faults: tuple[Fault, ...],
@@ -87,7 +142,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.fault is Fault.DELAY:
                     await asyncio.sleep(self.delay_s)
-                dropped = dropped or self.fault in drop_faults
+                hangs = self._cut_of(port) is Cut.HANG
+                dropped = dropped or hangs or self.fault in drop_faults
                 if not dropped:
                     writer.write(data)
                     await writer.drain()
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,9 +13,11 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.tests.platform.fake_platform_store import FakePlatformStore
+from soak.client_names import owner_by_port
 from soak.links import Link
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from pathlib import Path
     from random import Random
 
@@ -112,6 +114,7 @@
     process: _Process
     store_link: Link
     reserved: bool = False  # a fault is being injected
+    lost_at: float | None = None  # Unix time from which it is off for good
 
 
 @dataclass(eq=False)
@@ -140,6 +143,15 @@
     allowed_services_by_prefix: dict[str, set[str]] = field(default_factory=dict)
     background_tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
+    def names_of_clients(self, ports: Collection[int]) -> dict[int, str]:
+        """Return the names of the daemons that have connections with some local ports."""
+        by_pid = {
+            each.process.popen.pid: each.process.name
+            for each in self.daemons
+            if each.process.popen is not None
+        }
+        return {port: by_pid[pid] for port, pid in owner_by_port(ports, by_pid).items()}
+
     def write_configuration(
         self, replaced_services: dict[str, tuple[str, ...]] | None = None
     ) -> None:
@@ -254,7 +266,7 @@
 
 async def _create_upstream(world: World, number: int, store: str) -> Upstream:
     service, ip = SERVICES[number % len(SERVICES)], f"{world.ip_prefix}.{100 + number}"
-    link = Link(f"{world.ip_prefix}.3", ip, UPSTREAM_PORT)
+    link = Link(f"{world.ip_prefix}.3", ip, UPSTREAM_PORT, client_names=world.names_of_clients)
     await link.start()
     name = f"i-{service}-{number // len(SERVICES)}"
     advertised = f"{world.ip_prefix}.3:{link.port}"
