End the soak's check of a limit by the age of the process, not by when it was first named

Trace: i-orders-0 started at 0, names its limit from 1.0 to 10.0 s of its age and was first called at 1.65; the check counted until 9.0 s after that. Of 34 counted calls 29 came from 10.1 s on, when answers no longer named it (rate_limit calls_per_s=none). The check now ends with the limit; a test with such rows failed before.

--- a/heatherhead/tests/soak_tests.py
+++ b/heatherhead/tests/soak_tests.py
@@ -168,6 +168,16 @@
     assert any("limit exceeded: 20 requests" in line for line in lines)
 
 
+def test_calls_after_a_limit_that_was_named_late_are_no_violation(tmp_path: Path) -> None:
+    """The limit ends by the age of the process, not by when a call first got to know it."""
+    rows = ['["start", "i-1", "orders", "", 0.0]\n', '["limit", "i-1", "orders", "", 2.5]\n']
+    rows += [f'["a", "i-1", "orders", "d", {10.1 + number / 100}]\n' for number in range(40)]
+    world = _world(tmp_path, "".join(rows))
+    callers = Callers(world, None)  # type: ignore[arg-type]
+    lines = list(find_violations(world, callers, 1e12, planned_only=True))
+    assert not any("limit exceeded" in line for line in lines)
+
+
 def test_unmatched_execution_and_execution_by_a_wrong_service_are_found(tmp_path: Path) -> None:
     world = _world(tmp_path, '["x", "i-1", "orders", "d", 1.0]\n["a", "i-1", "stock", "d", 1.0]\n')
     callers = Callers(world, None)  # type: ignore[arg-type]
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from soak.callers import CLIENT_TIMEOUT_S, NOT_RUN_STATUSES
-from soak.server import LIMIT_DURATION_S, NAMED_LIMIT, answer_body
+from soak.server import LIMIT_AFTER_S, LIMIT_DURATION_S, NAMED_LIMIT, answer_body
 from soak.world import ROUTES
 
 if TYPE_CHECKING:
@@ -105,7 +105,16 @@
         ),
         default=named.started_at + LIMIT_DURATION_S,
     )
-    ends_at = min(ends_at, named.started_at + LIMIT_DURATION_S)
+    # It counts from the start of the process, which may name it late for want of calls.
+    began_at = max(
+        (
+            each.started_at
+            for each in of_upstream
+            if each.request_id == START_ROW and each.started_at <= named.started_at
+        ),
+        default=named.started_at - LIMIT_AFTER_S,
+    )
+    ends_at = min(ends_at, began_at + LIMIT_AFTER_S + LIMIT_DURATION_S)
     times = [
         each.started_at
         for each in of_upstream
--- a/soak/server.py
+++ b/soak/server.py
@@ -21,7 +21,14 @@
 
 from heatherhead.backoff import create_backoff
 
-__all__ = ["LIMIT_DURATION_S", "NAMED_LIMIT", "answer_body", "main", "request_digest"]
+__all__ = [
+    "LIMIT_AFTER_S",
+    "LIMIT_DURATION_S",
+    "NAMED_LIMIT",
+    "answer_body",
+    "main",
+    "request_digest",
+]
 
 SLOTS = 4
 QUEUE_LIMIT = 4
