Skip an odd entry of the instance list instead of refusing the whole list

A list whose JSON itself can't be read (nested beyond the parser's limit) is still refused whole, with a line.

--- a/heatherhead/membership/instance_list.py
+++ b/heatherhead/membership/instance_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Literal, Protocol
+from typing import TYPE_CHECKING, Any, Literal, Protocol
 
 import aiohttp
 from pydantic import BaseModel, Field, IPvAnyAddress, ValidationError
@@ -11,6 +11,7 @@
 
 from heatherhead.exceptions import HeatherheadError
 from heatherhead.membership.interface import Address, Instance, InstanceState
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from result import Result
@@ -61,7 +62,7 @@
 
 
 class _ListSchema(BaseModel):
-    instances: list[_InstanceSchema] = Field(max_length=MAX_INSTANCES)
+    instances: list[Any] = Field(max_length=MAX_INSTANCES)
 
 
 class HttpInstanceList:
@@ -84,7 +85,8 @@
             document = _ListSchema.model_validate_json(data)
         except (TimeoutError, OSError, aiohttp.ClientError, ValidationError) as error:
             return Err(_list_error(error))
-        return Ok([_instance(each) for each in document.instances])
+        instances = map(_instance_of, document.instances)
+        return Ok([each for each in instances if each is not None])
 
     async def close(self) -> None:
         """Close connections."""
@@ -116,7 +118,19 @@
     return bytes(data)
 
 
-def _instance(schema: _InstanceSchema) -> Instance:
+def _instance_of(entry: Any) -> Instance | None:
+    """Convert one entry; `None` for a malformed one, which keeps back no other."""
+    try:
+        schema = _InstanceSchema.model_validate(entry)
+    except ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        log_event(
+            "listed_instance_refused",
+            level="WARNING",
+            field=".".join(str(part) for part in first["loc"]),
+            reason=first["msg"],
+        )
+        return None
     addresses = [
         Address(str(each.host), each.port)
         for each in (schema.callers, schema.peers, schema.operators)
