Follow the store past any odd entry, announcement or message

Reported by operators of like systems, and seen on: an entry of 100,000 nested arrays, or 50,000 nested objects in an extra field, ended the task that follows the store, without a line; instances applied no later configuration, also once the entry was gone.

Cause: the JSON reader raises RecursionError for them, which is no ValueError, and nothing stood between a decoder and the task. Class: a task that ends by an unexpected error, silently. Found by the same test: ports out of range were taken (a connection to one raises OverflowError), an infinite warm-up, start times that no message can hold, ids with line breaks (a header injected into requests), announcements with an infinite port or no address; the last ended the task as well.

Values are now read by read_json, and bounded at the border; reasons don't print the value. StoreView applies each change by itself, so one that fails keeps back no other (store_change_refused). The tasks that follow the store and peers, announce and read loads run supervised: an error is logged (task_failed) and they run again.

--- a/heatherhead/entry/store_view.py
+++ b/heatherhead/entry/store_view.py
@@ -7,6 +7,7 @@
 
 from heatherhead.fleet.members import MEMBER_PREFIX, decode_member
 from heatherhead.registry.registry import EXPIRY_GRACE_S
+from heatherhead.store.history import revision_text
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
 
 __all__ = ["Decoder", "StoreView", "create_store_view"]
 
+MAX_ERROR_CHARS = 200
+
 
 class Decoder(Protocol):
     """Decodes the keys and documents of the platform."""
@@ -61,7 +64,19 @@
         self._members = members
 
     def apply_event(self, event: WatchEvent, after_outage: bool) -> None:
-        """Apply one change of the store."""
+        """Apply one change of the store; one that can't be applied keeps back no other."""
+        try:
+            self._apply(event, after_outage)
+        except Exception as error:
+            log_event(
+                "store_change_refused",
+                level="ERROR",
+                key=event.key,
+                revision=revision_text(event.mod_revision),
+                error=repr(error)[:MAX_ERROR_CHARS],
+            )
+
+    def _apply(self, event: WatchEvent, after_outage: bool) -> None:
         prefix = self._decoder.upstream_prefix
         key = event.key
         if event.value is not None:
--- a/heatherhead/fleet/announcement.py
+++ b/heatherhead/fleet/announcement.py
@@ -12,6 +12,7 @@
 from heatherhead.fleet.members import MEMBER_PREFIX
 from heatherhead.store.errors import LeaseExpiredError
 from heatherhead.store.history import revision_text
+from heatherhead.supervision import run_supervised
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -63,7 +64,9 @@
 
     def start(self) -> None:
         """Start the task that writes the announcement and renews its lease."""
-        self._task = asyncio.get_running_loop().create_task(self._maintain())
+        self._task = asyncio.get_running_loop().create_task(
+            run_supervised("announcement", self._maintain)
+        )
 
     async def _maintain(self) -> None:
         await asyncio.sleep(START_DELAY_S)
--- a/heatherhead/fleet/members.py
+++ b/heatherhead/fleet/members.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING
 
 import msgpack
 
 from heatherhead.entry.settings import HostPort
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from heatherhead.entry.settings import EntrySettings
@@ -15,6 +18,7 @@
 __all__ = ["MEMBER_PREFIX", "Member", "MemberTable", "create_member_table", "own_member"]
 
 MEMBER_PREFIX = "heatherhead/instances/"
+MAX_PORT = 65_535
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,16 +69,29 @@
             str(incarnation),
             str(zone),
             str(region),
-            HostPort(str(host), int(port)),
-            int(peer_port),
-            float(cores),
-            float(mbps),
+            HostPort(str(IPv4Address(host)), _port(port)),
+            _port(peer_port),
+            _positive(cores),
+            _positive(mbps),
             bool(ready),
         )
-    except (ValueError, TypeError, msgpack.UnpackException):
+    except (ValueError, TypeError, ArithmeticError, LookupError, msgpack.UnpackException) as error:
+        log_event("member_refused", reason=type(error).__name__)
         return None
 
 
+def _port(number: int) -> int:
+    if not 0 < int(number) <= MAX_PORT:
+        raise ValueError(f"{int(number)} is no port")
+    return int(number)
+
+
+def _positive(number: float) -> float:
+    if not 0.0 < float(number) < math.inf:
+        raise ValueError("it is no positive number")
+    return float(number)
+
+
 class MemberTable:
     """Members by id, each as of the newest revision of its key."""
 
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -164,7 +164,9 @@
         TimeoutError,
         ValueError,
         TypeError,
-        KeyError,
+        AttributeError,
+        LookupError,
+        ArithmeticError,
         msgpack.UnpackException,
     ) as error:
         raise RelayError(f"stream lost: {error!r}") from error
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -20,6 +20,7 @@
 from heatherhead.store.errors import CompactedError
 from heatherhead.store.history import history_of, revision_text
 from heatherhead.store.interface import WatchEvent
+from heatherhead.supervision import run_supervised
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -92,9 +93,9 @@
     def start(self) -> None:
         """Start the tasks that keep the replica up to date."""
         self._tasks = [
-            self._loop.create_task(self._run_watch()),
-            self._loop.create_task(self._run_peer_stream()),
-            self._loop.create_task(self._run_verification()),
+            self._loop.create_task(run_supervised("store_watch", self._run_watch)),
+            self._loop.create_task(run_supervised("peer_stream", self._run_peer_stream)),
+            self._loop.create_task(run_supervised("verification", self._run_verification)),
         ]
 
     async def stop(self) -> None:
--- a/heatherhead/platform/documents.py
+++ b/heatherhead/platform/documents.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import json
+import ipaddress
 from typing import TYPE_CHECKING, Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from result import Err, Ok
 
 from heatherhead.exceptions import ConfigurationError
+from heatherhead.platform.json_values import problem_of, read_json
 from heatherhead.registry.entries import UpstreamEntry
 from heatherhead.routes.model import (
     CallerLimits,
@@ -27,6 +28,10 @@
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 
+MAX_NUMBER = 2**62  # of counts and times, which messages between instances must hold
+MAX_WARMUP_S = 86_400.0
+MAX_PORT = 65_535
+
 _REPEAT_RULE_BY_ROUTE_TYPE = {
     "idempotent": RepeatRule.IDEMPOTENT,
     "non_idempotent": RepeatRule.NON_IDEMPOTENT,
@@ -82,9 +87,9 @@
     zone: str = Field(alias="Zone", strict=True)
     slots: int = Field(alias="Slots", ge=1, le=100_000, strict=True)
     state: str = Field(alias="State", strict=True)
-    warmup_left_s: float = Field(default=0.0, alias="WarmupLeftS", ge=0)
-    started_ms: int = Field(default=0, alias="born")  # of the upstream process
-    sequence: int = Field(default=0, alias="Sequence")
+    warmup_left_s: float = Field(default=0.0, alias="WarmupLeftS", ge=0, le=MAX_WARMUP_S)
+    started_ms: int = Field(default=0, alias="born", ge=0, le=MAX_NUMBER)  # of the process
+    sequence: int = Field(default=0, alias="Sequence", ge=-MAX_NUMBER, le=MAX_NUMBER)
 
     @field_validator("state")
     @classmethod
@@ -97,12 +102,14 @@
 def decode_configuration(value: bytes) -> Result[RouteConfiguration, ConfigurationError]:
     """Decode the operator's configuration."""
     try:
-        document = _Configuration.model_validate(json.loads(value))
+        document = _Configuration.model_validate(read_json(value))
         routes = {name: _route(name, route) for name, route in document.routes.items()}
     except (ValidationError, ValueError, KeyError) as error:
         return Err(
             ConfigurationError(
-                CONFIGURATION_KEY, f"can't be read: {error}", remedy="write a valid configuration"
+                CONFIGURATION_KEY,
+                f"can't be read: {problem_of(error)}",
+                remedy="write a valid configuration",
             )
         )
     services = {
@@ -151,12 +158,12 @@
     """Decode the entry that an upstream writes about itself."""
     try:
         document = _Upstream.model_validate(_json_object(value))
-        host, _, port = document.address.rpartition(":")
+        host, port = _address(document.address)
         entry = UpstreamEntry(
-            id=key.removeprefix(UPSTREAM_PREFIX),
+            id=_upstream_id(key),
             service=document.service,
             host=host,
-            port=int(port),
+            port=port,
             availability_zone=document.zone,
             slots=document.slots,
             draining=document.state == "draining",
@@ -168,14 +175,31 @@
     except (ValidationError, ValueError) as error:
         return Err(
             ConfigurationError(
-                key, f"can't be read: {error}", remedy="check which process wrote the entry"
+                key,
+                f"can't be read: {problem_of(error)}",
+                remedy="check which process wrote the entry",
             )
         )
     return Ok(entry)
 
 
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT):
+        raise ValueError("Address: has no port from 1 to 65535")
+    return str(ipaddress.IPv4Address(host)), int(port)
+
+
+def _upstream_id(key: str) -> str:
+    """Return the id, which becomes part of a header."""
+    upstream_id = key.removeprefix(UPSTREAM_PREFIX)
+    if not (upstream_id.isascii() and upstream_id.isprintable()):
+        raise ValueError("the id has characters that no header may have")
+    return upstream_id
+
+
 def _json_object(value: bytes) -> dict[str, Any]:
-    document = json.loads(value)
+    document = read_json(value)
     if not isinstance(document, dict):
         raise ValueError("is not a JSON object")
     return document
--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import json
 import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -12,6 +11,7 @@
 import aiohttp
 from result import Err, Ok
 
+from heatherhead.platform.json_values import read_json
 from heatherhead.platform.names import STORE_HISTORY
 from heatherhead.store.errors import (
     CompactedError,
@@ -223,7 +223,7 @@
         if reply.status in (429, 503):
             raise _CallFailedError(f"status {reply.status}", no_effect=True)
         try:
-            answer = json.loads(data) if data else {}
+            answer = read_json(data) if data else {}
         except ValueError as error:
             raise _CallFailedError(f"unreadable answer: {error}", no_effect=False) from error
         return _Reply(reply.status, answer, history)
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from heatherhead.entry.settings import HostPort
@@ -16,6 +17,7 @@
 from heatherhead.proxy.health_request import health_request
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
+from heatherhead.supervision import run_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,7 +83,9 @@
     def _start(self, state: UpstreamState) -> None:
         upstream_id = state.entry.id
         if upstream_id not in self._state_and_task_by_id and self._assigned(state):
-            task = self._loop.create_task(self._read_forever(state))
+            task = self._loop.create_task(
+                run_supervised("load_reader", partial(self._read_forever, state))
+            )
             self._state_and_task_by_id[upstream_id] = (state, task)
 
     async def _read_forever(self, state: UpstreamState) -> None:
