Take no answer for a call's own on a reused connection unless it names the call

Reported by operators of like systems: a server writes an earlier refusal once more on a kept connection. With its id, behind an answer or while the connection is idle it was recognised here; without an id, and after the next call was sent, it was believed: an order that the upstream ran was told 503 'not run' (REFUSED), and a route with more attempts would have sent it to a second one (TWICE).

Cause: an answer without an id was taken for the awaited one, unless it was a health check's. Upstreams echo the id, so on a connection that has carried another request such an answer is now skipped, as one with another id is; on a new connection nothing else can have been answered.

--- a/heatherhead/proxy/detour.py
+++ b/heatherhead/proxy/detour.py
@@ -148,7 +148,9 @@
         try:
             answer = await connection.exchange(
                 request_bytes(call.request, headers),
-                lambda message: self._dialect.request_id(message.headers) == call.request_id,
+                lambda message: (
+                    (self._dialect.request_id(message.headers) or "") == call.request_id
+                ),
             )
         except BrokenAnswerError as error:
             return DetourResult(None, True, str(error))
--- a/heatherhead/proxy/dialect.py
+++ b/heatherhead/proxy/dialect.py
@@ -15,7 +15,7 @@
 
     Headers = CIMultiDict[str] | CIMultiDictProxy[str]
 
-__all__ = ["AnswerMetadata", "Dialect", "read_rate_limit"]
+__all__ = ["AnswerMetadata", "Dialect", "Headers", "read_rate_limit"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -32,7 +32,7 @@
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.proxy.caller_connection import Exchange
     from heatherhead.proxy.detour import Detours, DetourTerms
-    from heatherhead.proxy.dialect import AnswerMetadata, Dialect
+    from heatherhead.proxy.dialect import AnswerMetadata, Dialect, Headers
     from heatherhead.proxy.messages import HttpRequest
     from heatherhead.proxy.upstream_connection import UpstreamAnswer, UpstreamConnection
     from heatherhead.proxy.upstream_pool import UpstreamPool
@@ -597,7 +597,10 @@
         data = self._request_bytes(call, entry.id, call.demand.give_up_at - now)
         try:
             answer = await connection.exchange(
-                data, lambda message: self._answers_call(call, message.headers)
+                data,
+                lambda message: self._answers_call(
+                    call, message.headers, reused=connection.calls > 1
+                ),
             )
         except BrokenAnswerError as error:
             return self._handle_broken_attempt(call, slot, connection, str(error))
@@ -614,11 +617,14 @@
         self._dialect.set_request_headers(headers, upstream_id, remaining_s)
         return request_bytes(request, headers)
 
-    def _answers_call(self, call: _Call, headers: object) -> bool:
-        echoed = self._dialect.request_id(headers)  # type: ignore[arg-type]
-        if echoed is None:
-            # A duplicate of a health check's answer may arrive late on a shared connection.
-            return not self._dialect.is_health_answer(headers)  # type: ignore[arg-type]
+    def _answers_call(self, call: _Call, headers: Headers, *, reused: bool) -> bool:
+        """Return whether an answer is this call's; on a reused connection it has to say so.
+
+        There a copy of an earlier answer, or of a health check's, may come first.
+        """
+        echoed = self._dialect.request_id(headers)
+        if echoed is None and not (reused and call.demand.request_id):
+            return not self._dialect.is_health_answer(headers)
         return echoed == call.demand.request_id
 
     def _evaluate_answer(
--- a/heatherhead/tests/proxy/detour_tests.py
+++ b/heatherhead/tests/proxy/detour_tests.py
@@ -118,6 +118,15 @@
     run_detour(scenario, [])
 
 
+def test_call_without_an_id_is_served_over_a_peer() -> None:
+    async def scenario(cut: EntryPath, _peer: EntryPath, _: list[ScriptedUpstream]) -> None:
+        data = b"DELETE /order/x HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+        received = await asyncio.wait_for(cut.send(data), 1.0)
+        assert status_of(received) == 404
+
+    run_detour(scenario, [answer(status=404).replace(b"X-Heatherhead-Request-Id: r1\r\n", b"")])
+
+
 @pytest.mark.parametrize("path", ["/order/x", "/upload/x"])
 def test_body_arrives_whole_and_the_call_runs_once(path: str) -> None:
     body = bytes(range(256)) * 30
