Probe services without a health check by opening a connection

Found in review of the detours: a service that names no health path was never probed, so once out of reach only its own calls could have ended that, and these took detours.

--- a/heatherhead/proxy/reach_prober.py
+++ b/heatherhead/proxy/reach_prober.py
@@ -89,27 +89,28 @@
         if now - self._probed_at_by_service.get(service, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
             return
         rules = self._table.configuration.service_by_name.get(service)
-        if rules is None or rules.health_path is None:
-            return
+        path = None if rules is None else rules.health_path
         self._probed_at_by_service[service] = now
         states = self._dispatcher.states_of(service)
         for state in sample(states, min(UPSTREAMS_PER_PROBE, len(states))):
-            task = self._loop.create_task(self._probe(state, rules.health_path))
+            task = self._loop.create_task(self._probe(state, path))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _probe(self, state: UpstreamState, path: str) -> None:
+    async def _probe(self, state: UpstreamState, path: str | None) -> None:
+        """Open a connection, and send a health check if the service has one."""
         entry = state.entry
         address = HostPort(entry.host, entry.port)
         connection: UpstreamConnection | None = None
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S + 2 * state.transit_s):
                 connection = await self._pool.open(address)
-                # An answer with a request id is no health check's.
-                await connection.exchange(
-                    health_request(entry, path),
-                    lambda message: self._dialect.request_id(message.headers) is None,
-                )
+                if path is not None:
+                    # An answer with a request id is no health check's.
+                    await connection.exchange(
+                        health_request(entry, path),
+                        lambda message: self._dialect.request_id(message.headers) is None,
+                    )
         except (ConnectError, BrokenAnswerError, TimeoutError) as error:
             connected = connection is not None and isinstance(error, TimeoutError)
             reason = f"probe: {error!r}"
