Blame a request for a crash only if another upstream of its service has answered since

The evidence is now that of the service itself. The test, with another service in reach, failed before.

--- a/heatherhead/dispatch/reach.py
+++ b/heatherhead/dispatch/reach.py
@@ -43,7 +43,6 @@
     def __init__(self, now: Callable[[], float], upstreams_of: Callable[[str], int]) -> None:
         self._now = now
         self._upstreams_of = upstreams_of
-        self._answered_at = -math.inf  # by any upstream
         self._reach_by_service: dict[str, _ServiceReach] = {}
         self.lost_services: frozenset[str] = frozenset()
         self.on_lost: Callable[[str], None] = lambda _: None
@@ -54,7 +53,7 @@
     def record_answer(self, service: str) -> None:
         """Record that an upstream of a service has answered, whatever the answer."""
         reach = self._reach_by_service.setdefault(service, _ServiceReach())
-        reach.answered_at = self._answered_at = self._now()
+        reach.answered_at = self._now()
         reach.failed_at = math.inf
         reach.failed_ids.clear()
         reach.unconnected_ids.clear()
@@ -105,10 +104,6 @@
         reach = self._reach_by_service.get(service)
         return reach is not None and reach.answered_at >= since
 
-    def any_answered_since(self, since: float) -> bool:
-        """Return whether an upstream of any service has answered since a time."""
-        return self._answered_at >= since
-
     def is_cut(self, services: Iterable[str]) -> bool:
         """Return whether all of the services that have upstreams are out of reach."""
         served = [service for service in services if self._upstreams_of(service)]
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -718,7 +718,7 @@
     async def _check_crash(self, call: _Call, state: UpstreamState, broke_at: float) -> None:
         """Record a crash if the upstream refuses connections after a broken attempt.
 
-        Only if another upstream has answered since: else this instance's own links may be at fault.
+        Only if another one of the service has answered since: else the links may be at fault.
         """
         address = HostPort(state.entry.host, state.entry.port)
         try:
@@ -735,12 +735,16 @@
             self._pool.release(address, connection)
 
     async def _reaches_upstreams(self, service: str, since: float) -> bool:
-        """Return whether any upstream has answered since a time, after a probe if none has."""
-        if len(self._dispatcher.states) == 1 or self._reach.any_answered_since(since):
+        """Return whether one of a service's upstreams has answered since a time.
+
+        They are probed if none has. A service with a single upstream has no other to compare with.
+        """
+        if len(self._dispatcher.states_of(service)) == 1:
             return True
-        self._reach.probe(service)
-        await asyncio.sleep(CRASH_PROBE_S)
-        return self._reach.any_answered_since(since)
+        if not self._reach.answered_since(service, since):
+            self._reach.probe(service)
+            await asyncio.sleep(CRASH_PROBE_S)
+        return self._reach.answered_since(service, since)
 
     def _timed_out(self, call: _Call) -> Answer:
         log_event(
--- a/heatherhead/tests/proxy/detour_tests.py
+++ b/heatherhead/tests/proxy/detour_tests.py
@@ -280,6 +280,10 @@
         for _ in range(4):
             await path.send(request())
         path.pool._open = _refuse  # type: ignore[assignment]
+        # Another service is in reach all the while.
+        for _ in range(12):
+            await asyncio.sleep(0.05)
+            path.reach.record_answer("orders")
         await asyncio.sleep(1.0)
         message = HttpRequest("GET", "/read/x", None, b"", 0.0)  # type: ignore[arg-type]
         assert not path.crashes.quarantined(fingerprint_of(message), path.forwarder._loop.time())
