Count the time for which unheard candidates are expected over both rankings together

Found in review, shown by a test that failed before: while the homes heard were cut from upstreams, candidates were listed twice for each view, with and without the cut ones, and the second list forgot since when the first had been expected. So uncut candidates that had gone were never taken for silent, and those behind them never became homes. Both lists now enter one table of times.

--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -5,7 +5,7 @@
 lease. A silent instance is passed over in the ranking, so that the next ones begin to publish, until
 it sends a status again. It does that on its own: each instance decides by what it hears itself
 whether it publishes. A standby instance receives no statuses; the home that it follows reports the
-homes to it.
+homes to it. While an instance runs that reaches upstreams, none that is cut from them is a home.
 """
 
 from __future__ import annotations
@@ -223,16 +223,20 @@
         """List the homes: those that reach upstreams, if there is one, else those that run."""
         ranked = [each for each in ranked if self._may_be_home(each)]
         uncut = [each for each in ranked if not self._is_cut(each, now)]
-        homes = self._choose_heard(uncut, now)
-        if homes or len(uncut) == len(ranked):
-            return homes
-        return self._choose_heard(ranked, now)
+        expected = self._expected_homes(uncut, now)
+        homes = self._choose_heard(uncut, expected, now)
+        if not homes:
+            expected_too = self._expected_homes(ranked, now)
+            homes = self._choose_heard(ranked, expected_too, now)
+            expected = list({each.id: each for each in (*expected, *expected_too)}.values())
+        self._exclude_silent(expected, now)
+        return homes
 
-    def _choose_heard(self, ranked: list[Member], now: float) -> list[Member]:
+    def _choose_heard(
+        self, ranked: list[Member], expected: list[Member], now: float
+    ) -> list[Member]:
         """List the best-ranked members that run, with this instance if it is due to be a home."""
         own_id = self._members.own.id
-        expected = self._expected_homes(ranked, now)
-        self._exclude_silent(expected, now)
         homes: list[Member] = []
         for member in ranked:
             if len(homes) == self._home_count:
@@ -374,7 +378,10 @@
         )
 
     def _exclude_silent(self, expected_homes: list[Member], now: float) -> None:
-        """Exclude members that should send a status and do not, until they send one."""
+        """Exclude members that should send a status and do not, until they send one.
+
+        `expected_homes` are all of them: the time for which others were expected is forgotten.
+        """
         expected = {}
         for home in expected_homes:
             if home.id == self._members.own.id:
--- a/heatherhead/tests/fleet/cut_homes_tests.py
+++ b/heatherhead/tests/fleet/cut_homes_tests.py
@@ -57,6 +57,19 @@
     assert named_everywhere(regions) == set(ranked_ids(regions)[:MIN_HOMES_PER_REGION])
 
 
+def test_uncut_instance_is_not_found_behind_gone_and_cut_ones() -> None:
+    """While homes were cut, the time for which others were expected began anew at each check."""
+    regions = create_regions(4, instances_per_zone=12)
+    regions.run(SETTLE_S)
+    ranked = ranked_ids(regions)
+    for each in ranked[:2]:
+        regions.cut_from_upstreams(each, cut=True)
+    for each in ranked[2:14]:
+        regions.turn_off(each)
+    regions.run(2 * SETTLE_S)
+    assert named_everywhere(regions) == set(ranked[14:16])
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_any_order_of_cuts_and_losses_names_a_cut_instance(seed: int) -> None:
     """Unless all that run are cut, in which case somebody is named."""
