Keep the peers' reports of their reach in a module of its own, and name the two silences apart

Reading of the diff: no change of behaviour but for services that never answered, whose failures to connect count at once, and slow ones 1.0 s after their first failure, as before.

--- a/heatherhead/dispatch/reach.py
+++ b/heatherhead/dispatch/reach.py
@@ -23,7 +23,7 @@
 
 MIN_FAILED_UPSTREAMS = 2  # one alone may be ill; of a service with one upstream, that one
 MIN_SILENCE_S = 0.25  # since the last answer, the time in which a load reading is answered
-MIN_UNANSWERED_SILENCE_S = 1.0  # if connections are accepted
+MIN_UNANSWERED_S = 1.0  # since the first failure, if connections are accepted
 
 
 @dataclass(slots=True)
@@ -78,9 +78,10 @@
             return
         upstreams = self._upstreams_of(service)
         needed = min(MIN_FAILED_UPSTREAMS, max(1, upstreams))
-        silence_s = now - max(reach.answered_at, min(reach.failed_at, now - MIN_SILENCE_S))
+        silence_s = now - reach.answered_at
         unconnected = len(reach.unconnected_ids) >= needed and silence_s >= MIN_SILENCE_S
-        unanswered = len(reach.failed_ids) >= needed and silence_s >= MIN_UNANSWERED_SILENCE_S
+        failing_s = now - reach.failed_at
+        unanswered = len(reach.failed_ids) >= needed and failing_s >= MIN_UNANSWERED_S
         if not (unconnected or unanswered):
             if connected:
                 self.probe(service)
@@ -94,7 +95,7 @@
             failed=len(reach.failed_ids),
             unconnected=len(reach.unconnected_ids),
             upstreams=upstreams,
-            silence_s=f"{silence_s:.2f}",
+            silence_s=f"{min(99.0, silence_s):.2f}",
             reason=reason,
         )
         self.on_lost(service)
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -511,7 +511,7 @@
 
     @_on_message.register(ReachReport)
     def _(self, message: ReachReport, _sender: HostPort) -> None:
-        self.homes.apply_reach(message)
+        self.homes.peer_reach.apply(message)
 
     def _apply_loads(self, report: LoadReport) -> None:
         now = self._loop.time()
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -23,13 +23,14 @@
     home_count,
     rank_members,
 )
+from heatherhead.fleet.peer_reach import create_peer_reach
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from heatherhead.fleet.members import Member, MemberTable
-    from heatherhead.fleet.peer_messages import HomeStatus, LeaveNotice, ReachReport
+    from heatherhead.fleet.peer_messages import HomeStatus, LeaveNotice
 
 __all__ = ["STATUS_INTERVAL_S", "HomeView", "create_home_view"]
 
@@ -54,15 +55,6 @@
     calls_per_s: int
 
 
-@dataclass(slots=True)
-class _PeerReach:
-    """What an instance last reported of its reach."""
-
-    reported_at: float
-    cut: bool
-    lost_services: frozenset[str]
-
-
 class HomeView:
     """The homes of the own region, as this instance sees them."""
 
@@ -78,7 +70,7 @@
         self.own_ready = False
         self.own_leaving = False
         self.own_cut = False  # from all upstreams
-        self._reach_by_id: dict[str, _PeerReach] = {}
+        self.peer_reach = create_peer_reach(now)
         self._home_ids: tuple[str, ...] = ()
         self.current: list[Member] = []  # as of the last call of `homes`
         self._reported_home_ids: tuple[str, ...] = ()  # received from the followed home
@@ -110,26 +102,10 @@
         """Apply the notice that an instance leaves."""
         self._left_incarnation_by_id[notice.sender] = notice.incarnation
 
-    def apply_reach(self, report: ReachReport) -> None:
-        """Apply the report of the services that are out of an instance's reach."""
-        held = self._reach_by_id.get(report.sender)
-        if held is None or held.cut != report.cut:
-            log_event("peer_reach", peer=report.sender, cut=report.cut)
-        if report.lost_services:
-            lost_services = frozenset(report.lost_services)
-            self._reach_by_id[report.sender] = _PeerReach(self._now(), report.cut, lost_services)
-        else:
-            self._reach_by_id.pop(report.sender, None)
-
-    def _reach_of(self, member: Member, now: float) -> _PeerReach | None:
-        reach = self._reach_by_id.get(member.id)
-        return reach if reach and now - reach.reported_at <= SILENT_AFTER_S else None
-
-    def _is_cut(self, member: Member, now: float) -> bool:
+    def _is_cut(self, member: Member) -> bool:
         if member.id == self._members.own.id:
             return self.own_cut
-        reach = self._reach_of(member, now)
-        return reach is not None and reach.cut
+        return self.peer_reach.is_cut(member.id)
 
     def peers_reaching(self, service: str) -> list[Member]:
         """List peers that may reach a service's upstreams: homes of the own region, then others.
@@ -146,12 +122,11 @@
         shuffle(far)
         now = self._now()
         far.sort(key=lambda each: not self._is_heard(each, now))
-        found = []
-        for member in (*near, *far):
-            reach = self._reach_of(member, now)
-            if member.id != own.id and (reach is None or service not in reach.lost_services):
-                found.append(member)
-        return found
+        return [
+            each
+            for each in (*near, *far)
+            if each.id != own.id and self.peer_reach.reaches(each.id, service)
+        ]
 
     def apply_reported_homes(self, region: str, home_ids: tuple[str, ...]) -> None:
         """Apply the homes reported by the home that is followed."""
@@ -208,7 +183,7 @@
             for id_, status in self._status_by_id.items()
             if id_ in by_id or now - status.received_at <= SILENT_AFTER_S
         }
-        self._reach_by_id = {id_: reach for id_, reach in self._reach_by_id.items() if id_ in by_id}
+        self.peer_reach.retain(by_id)
         self._left_incarnation_by_id = {
             id_: left for id_, left in self._left_incarnation_by_id.items() if id_ in by_id
         }
@@ -222,7 +197,7 @@
     def _heard_homes(self, ranked: list[Member], now: float) -> list[Member]:
         """List the homes: those that reach upstreams, if there is one, else those that run."""
         ranked = [each for each in ranked if self._may_be_home(each)]
-        uncut = [each for each in ranked if not self._is_cut(each, now)]
+        uncut = [each for each in ranked if not self._is_cut(each)]
         expected = self._expected_homes(uncut, now)
         homes = self._choose_heard(uncut, expected, now)
         if not homes:
