--- a/heatherhead/tests/proxy/detour_tests.py
+++ b/heatherhead/tests/proxy/detour_tests.py
@@ -20,6 +20,7 @@
     read_answer,
     request,
     run_path,
+    status_of,
 )
 
 if TYPE_CHECKING:
@@ -30,11 +31,6 @@
 ORDER_BODY = b"one pallet"
 
 
-def status_of(received: bytes) -> int:
-    """Return the status of an answer, 0 for none."""
-    return int(received.split(b" ", 2)[1]) if received else 0
-
-
 def order(**extra: str) -> bytes:
     """Build a call that may run once at most."""
     return request("/order/x", method="POST", body=ORDER_BODY, **extra)
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -37,7 +37,7 @@
 
     from heatherhead.entry.settings import HostPort
 
-__all__ = ["EntryPath", "ScriptedUpstream", "answer", "request", "run_path"]
+__all__ = ["EntryPath", "ScriptedUpstream", "answer", "request", "run_path", "status_of"]
 
 LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST
 TEST_TIMEOUT_S = 20.0  # only reached by a test that hangs
@@ -215,6 +215,11 @@
         return error.partial
 
 
+def status_of(received: bytes) -> int:
+    """Return the status of an answer, 0 for none."""
+    return int(received.split(b" ", 2)[1]) if received else 0
+
+
 def run_path(
     scenario: Callable[[EntryPath, list[ScriptedUpstream]], Awaitable[None]],
     *scripts: list[Any],
--- a/heatherhead/tests/proxy/path_tests.py
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -19,6 +19,7 @@
     read_answer,
     request,
     run_path,
+    status_of,
 )
 
 if TYPE_CHECKING:
@@ -27,15 +28,11 @@
 REFUSED = answer(status=503, body=b"full", X_Heatherhead_Not_Executed="1")
 
 
-def _status(received: bytes) -> int:
-    return int(received.split(b" ", 2)[1]) if received else 0
-
-
 def test_answer_is_forwarded_unchanged_and_the_request_names_its_upstream() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
         received = await path.send(request("/read/x?q=%2F", Accept="a/b"))
-        assert _status(received) == 200
+        assert status_of(received) == 200
         assert received.endswith(b"\r\n\r\nwhole")
         assert b"X-Heatherhead-Server-Stamp: stamp" in received
         sent = upstreams[0].requests[0]
@@ -51,7 +48,7 @@
 def test_instance_without_a_configuration_answers_not_run() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         received = await path.send(request())
-        assert _status(received) == 503
+        assert status_of(received) == 503
         assert b"Retry-After" in received
         assert not upstreams[0].requests
 
@@ -61,13 +58,13 @@
 def test_unknown_path_and_bad_requests_are_refused() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
-        assert _status(await path.send(request("/none/x"))) == 404
-        assert _status(await path.send(request(X_Heatherhead_Deadline_Ms="soon"))) == 400
-        assert _status(await path.send(b"NOT HTTP\r\n\r\n")) == 400
+        assert status_of(await path.send(request("/none/x"))) == 404
+        assert status_of(await path.send(request(X_Heatherhead_Deadline_Ms="soon"))) == 400
+        assert status_of(await path.send(b"NOT HTTP\r\n\r\n")) == 400
         smuggled = request(method="POST", body=b"abc", Transfer_Encoding="chunked")
-        assert _status(await path.send(smuggled)) == 400
+        assert status_of(await path.send(smuggled)) == 400
         large = request("/upload/x", method="POST", body=b"x" * 10_001)
-        assert _status(await path.send(large)) == 413
+        assert status_of(await path.send(large)) == 413
         assert not upstreams[0].requests
 
     run_path(scenario, [])
@@ -77,7 +74,7 @@
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
         received = await path.send(request("/order/x", method="POST", body=b"pallet"))
-        assert _status(received) == 502
+        assert status_of(received) == 502
         assert sum(len(each.requests) for each in upstreams) == 1
 
     run_path(scenario, ["reset"], ["reset"])
@@ -87,7 +84,7 @@
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
         received = await path.send(request("/order/x", method="POST", body=b"pallet"))
-        assert _status(received) == 200
+        assert status_of(received) == 200
         assert [len(each.requests) for each in upstreams] == [1, 1]
 
     run_path(scenario, [REFUSED], [answer()])
@@ -97,7 +94,7 @@
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
         received = await path.send(request("/order/x", method="POST", body=b"pallet"))
-        assert _status(received) == 503
+        assert status_of(received) == 503
         assert b"Server-Stamp" not in received
         assert sum(len(each.requests) for each in upstreams) == 2
 
@@ -108,7 +105,7 @@
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
         received = await path.send(request("/order/x", method="POST", body=b"pallet"))
-        assert _status(received) == 503
+        assert status_of(received) == 503
         assert sum(len(each.requests) for each in upstreams) == 1
 
     run_path(scenario, [answer(status=503, body=b"busy")], [answer(status=503, body=b"busy")])
@@ -117,7 +114,7 @@
 def test_read_that_was_reset_is_sent_to_another_upstream() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
-        assert _status(await path.send(request())) == 200
+        assert status_of(await path.send(request())) == 200
         assert sum(len(each.requests) for each in upstreams) == 2
 
     run_path(scenario, ["reset"], [answer()])
@@ -126,7 +123,7 @@
 def test_read_is_sent_no_more_often_than_its_route_allows() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
-        assert _status(await path.send(request())) == 502
+        assert status_of(await path.send(request())) == 502
         assert sum(len(each.requests) for each in upstreams) == 2
 
     run_path(scenario, ["reset"], ["reset"], ["reset"])
@@ -137,8 +134,8 @@
 
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
-        assert _status(await path.send(request("/order/x", method="POST", body=b"a"))) == 502
-        assert _status(await path.send(request("/order/y", method="POST", body=b"a"))) == 502
+        assert status_of(await path.send(request("/order/x", method="POST", body=b"a"))) == 502
+        assert status_of(await path.send(request("/order/y", method="POST", body=b"a"))) == 502
 
     run_path(scenario, [unstamped, answer(Content_Encoding="gzip")])
 
@@ -148,7 +145,7 @@
 
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
-        assert _status(await path.send(request("/order/x", method="POST", body=b"a"))) == 502
+        assert status_of(await path.send(request("/order/x", method="POST", body=b"a"))) == 502
 
     run_path(scenario, [(cut, "close")])
 
@@ -159,9 +156,9 @@
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
         received = await path.send(request("/order/x", method="POST", body=b"a"))
-        assert _status(received) == 200
+        assert status_of(received) == 200
         assert received.endswith(b"all of it")
-        assert _status(await path.send(request("/order/y", method="POST", body=b"a"))) == 502
+        assert status_of(await path.send(request("/order/y", method="POST", body=b"a"))) == 502
 
     run_path(scenario, [(unframed, "close"), (unframed, "reset")])
 
@@ -171,7 +168,7 @@
         path.configure()
         received = await path.send(request(request_id="r2"))
         assert received.endswith(b"mine")
-        assert _status(await path.send(request(request_id="r3"))) == 200
+        assert status_of(await path.send(request(request_id="r3"))) == 200
         assert upstreams[0].connections == 2
 
     late = answer("r1", body=b"late") + answer("r2", body=b"mine")
@@ -185,7 +182,7 @@
         path.configure()
         received = await path.send(request("/order/x", method="POST", body=b"a"))
         assert received.endswith(b"mine")
-        assert _status(await path.send(request(request_id="r2"))) == 200
+        assert status_of(await path.send(request(request_id="r2"))) == 200
         assert upstreams[0].connections == 2
 
     copy = b"HTTP/1.1 200 OK\r\nX-Heatherhead-Instance-Id: u1\r\nContent-Length: 2\r\n\r\nok"
@@ -210,9 +207,9 @@
         state = path.dispatcher.state("u1")
         assert state is not None
         state.own_in_flight = 3  # so that u0 is chosen first
-        assert _status(await path.send(request("/order/x", method="POST", body=b"a"))) == 200
+        assert status_of(await path.send(request("/order/x", method="POST", body=b"a"))) == 200
         state.own_in_flight = 3
-        assert _status(await path.send(request("/order/y", method="POST", body=b"a"))) == 200
+        assert status_of(await path.send(request("/order/y", method="POST", body=b"a"))) == 200
         assert len(upstreams[0].requests) == 1
 
     run_path(scenario, [wrong], [])
@@ -226,7 +223,7 @@
             state = path.dispatcher.state(name)
             assert state is not None
             state.own_in_flight = 3
-        assert _status(await path.send(request("/order/x", method="POST", body=b"a"))) == 200
+        assert status_of(await path.send(request("/order/x", method="POST", body=b"a"))) == 200
         assert len(upstreams[0].requests) == 1
 
     run_path(scenario, [], max_attempts=1)
@@ -268,7 +265,7 @@
 def test_timed_out_call_is_answered_and_its_attempt_is_cancelled() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure(timeout_s=0.2)
-        assert _status(await path.send(request("/order/x", method="POST", body=b"a"))) == 504
+        assert status_of(await path.send(request("/order/x", method="POST", body=b"a"))) == 504
         await upstreams[0].lost.wait()
 
     run_path(scenario, ["hang"])
@@ -295,12 +292,12 @@
         await upstreams[0].arrived.wait()
         path.callers.leaving = True
         received = await read_answer(reader)
-        assert _status(received) == 200
+        assert status_of(received) == 200
         assert b"Connection: close" in received
         assert await reader.read() == b""
         path.forwarder.rejects_calls = True
         refused = await path.send(request(request_id="r2"))
-        assert _status(refused) == 503
+        assert status_of(refused) == 503
         assert len(upstreams[0].requests) == 1
         writer.close()
 
@@ -316,7 +313,7 @@
             await asyncio.sleep(0.01)
             assert not upstreams[0].requests
             writer.write(piece)
-        assert _status(await read_answer(reader)) == 200
+        assert status_of(await read_answer(reader)) == 200
         assert upstreams[0].requests[0].endswith(b"\r\n\r\nabcde")
         writer.close()
 
@@ -330,7 +327,7 @@
             call = HttpRequest("GET", "/read/x", None, b"", 0.0)  # type: ignore[arg-type]
             now = asyncio.get_running_loop().time()
             assert path.crashes.record_crash(fingerprint_of(call), now) == count
-        assert _status(await path.send(request())) == 503
+        assert status_of(await path.send(request())) == 503
         assert not upstreams[0].requests
 
     run_path(scenario, [])
@@ -342,7 +339,7 @@
         reader, writer = await path.connect()
         writer.write(request(method="HEAD"))
         head = await reader.readuntil(b"\r\n\r\n")
-        assert _status(head) == 200
+        assert status_of(head) == 200
         assert b"Content-Length: 5\r\n" in head
         writer.write(request(request_id="r2"))
         assert (await read_answer(reader)).endswith(b"other")
@@ -356,11 +353,11 @@
         path.configure()
         path.callers.max_held_bytes = 100
         refused = await path.send(request("/upload/x", method="POST", body=b"x" * 101))
-        assert _status(refused) == 503
+        assert status_of(refused) == 503
         assert path.callers.held_bytes == 0
         assert not upstreams[0].requests
         accepted = await path.send(request("/upload/x", method="POST", body=b"x" * 99))
-        assert _status(accepted) == 200
+        assert status_of(accepted) == 200
 
     run_path(scenario, [])
 
@@ -373,13 +370,13 @@
         writer.write(request())
         await upstreams[0].arrived.wait()
         path.forwarder.apply_suspension(5.0)
-        assert _status(await read_answer(reader)) == 504
+        assert status_of(await read_answer(reader)) == 504
         writer.close()
 
     run_path(scenario, ["hang"], max_attempts=1)
 
 
-def test_calls_are_counted_by_service_and_status() -> None:
+def test_calls_are_counted_by_service_andstatus_of() -> None:
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
         await path.send(request())
@@ -395,9 +392,9 @@
 
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
-        assert _status(await path.send(request())) == 200
+        assert status_of(await path.send(request())) == 200
         await asyncio.sleep(1.0)
-        assert _status(await path.send(request(X_Heatherhead_Deadline_Ms="400"))) == 200
+        assert status_of(await path.send(request(X_Heatherhead_Deadline_Ms="400"))) == 200
         assert len(upstreams[0].requests) == 2
 
     run_path(scenario, [answer(X_Heatherhead_Server_Load="1,0,4,700")])
@@ -411,7 +408,7 @@
         state = path.dispatcher.state("u0")
         assert state is not None
         path.dispatcher.on_entry(state.entry, None)
-        assert _status(await path.send(request())) == 503
+        assert status_of(await path.send(request())) == 503
         assert path.forwarder.metrics.events["rejected"] == 1
         assert path.forwarder.metrics.events["rejected_beside_free_upstreams"] == 0
         assert path.forwarder.metrics.events["rejected_on_old_evidence"] == 0
@@ -437,7 +434,7 @@
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
         call = request(X_Heatherhead_Deadline_Ms="1")
-        assert _status(await path.send(call)) == 503
+        assert status_of(await path.send(call)) == 503
         assert path.forwarder.metrics.events["rejected_beside_free_upstreams"] == 1
         assert path.forwarder.metrics.events["rejected_on_old_evidence"] == 1
 
--- a/heatherhead/tests/proxy/repeated_refusal_tests.py
+++ b/heatherhead/tests/proxy/repeated_refusal_tests.py
@@ -14,6 +14,7 @@
     read_answer,
     request,
     run_path,
+    status_of,
 )
 
 if TYPE_CHECKING:
@@ -23,11 +24,6 @@
 SERVER_STAMP = b"X-Heatherhead-Server-Stamp: stamp"
 
 
-def status_of(received: bytes) -> int:
-    """Return the status of an answer, 0 for none."""
-    return int(received.split(b" ", 2)[1]) if received else 0
-
-
 def without_id(data: bytes) -> bytes:
     """Return an answer that names no request."""
     return data.replace(b"X-Heatherhead-Request-Id: r1\r\n", b"")
