--- a/heatherhead/tests/soak_tests.py
+++ b/heatherhead/tests/soak_tests.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from heatherhead.tests.entry.instances import loopback_prefix
 from soak.__main__ import Plan, run_seed
 from soak.callers import Attempt, Callers
 from soak.invariants import find_violations
@@ -26,7 +27,7 @@
 def test_invariants_hold_in_a_short_run(seed: int, quiet_s: float, tmp_path: Path) -> None:
     """Seed 10 injects planned events only, long enough for limits to be checked."""
     plan = replace(SHORT, quiet_s=quiet_s)
-    report = asyncio.run(run_seed(seed, plan, tmp_path, f"127.251.{seed}"))
+    report = asyncio.run(run_seed(seed, plan, tmp_path, loopback_prefix(200 + seed)))
     assert report.violations == []
     assert report.served > 0
 
