Restore the name of a test, and say of MAX_REMOTE_HOMES what it bounds

The search and replace of, _status to status_of, had also renamed test_calls_are_counted_by_service_and_status; it ran all the while, under a broken name.

--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -38,7 +38,7 @@
 SILENT_AFTER_S = 1.0  # four status intervals, as single datagrams may be lost
 FIRST_STATUS_TIMEOUT_S = 1.5  # for the first status of an instance that has become a home
 REPORT_TTL_S = 2.0  # of the reported homes, after the last message of a followed home
-MAX_REMOTE_HOMES = 2  # per other region, chosen by rank; they get statuses though they are unheard
+MAX_REMOTE_HOMES = 2  # named of another region; as many unheard ones also get statuses
 
 
 @dataclass(slots=True)
--- a/heatherhead/tests/proxy/path_tests.py
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -376,7 +376,7 @@
     run_path(scenario, ["hang"], max_attempts=1)
 
 
-def test_calls_are_counted_by_service_andstatus_of() -> None:
+def test_calls_are_counted_by_service_and_status() -> None:
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
         await path.send(request())
