Ask for the upstreams' services only while one is out of reach

Reading of the diff: each tick collected the services of all upstreams, whose number is to grow to ten thousand, though nothing was out of reach. No change of behaviour.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -453,7 +453,9 @@
 
     def _update_cut(self) -> None:
         """Step down as a home when cut from all upstreams, and back again, at once."""
-        cut = self.reach.is_cut({state.entry.service for state in self.dispatcher.states})
+        cut = bool(self.reach.lost_services) and self.reach.is_cut(
+            {state.entry.service for state in self.dispatcher.states}
+        )
         if cut != self.homes.own_cut:
             self.homes.own_cut = cut
             log_event("cut_from_upstreams" if cut else "upstreams_reached", level="WARNING")
