--- a/heatherhead/tests/soak_tests.py
+++ b/heatherhead/tests/soak_tests.py
@@ -133,7 +133,7 @@
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
         names: dict[int, str] = {}
 
-        def name_in_turn(ports: Collection[int]) -> dict[int, str]:
+        async def name_in_turn(ports: Collection[int]) -> dict[int, str]:
             return {
                 port: names.setdefault(port, ("cut", "other")[len(names) % 2]) for port in ports
             }
@@ -149,7 +149,7 @@
         for _ in range(2):
             opened.append(await asyncio.open_connection("127.0.0.1", link.port))
             assert await ask(opened[-1]) == b"x"
-        link.cut("cut", how)
+        await link.cut(["cut"], how)
         assert await ask(opened[0]) == kept
         assert await ask(opened[1]) == b"x"
         assert await ask() == b""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -111,13 +111,10 @@
     names = [each.process.name for each in world.daemons]
     cut = world.rng.sample(names, world.rng.randint(1, max(1, len(names) // 2)))
     links = [each.link for each in world.upstreams]
-    for link in links:
-        for name in cut:
-            link.cut(name, how)
+    await asyncio.gather(*(link.cut(cut, how) for link in links))
     await _wait_fault_duration(world)
     for link in links:
-        for name in cut:
-            link.heal(name)
+        link.heal(cut)
 
 
 async def pause_daemon(world: World) -> None:
--- a/soak/links.py
+++ b/soak/links.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Awaitable, Callable, Collection
 
 __all__ = ["Cut", "Fault", "Link"]
 
@@ -48,7 +48,7 @@
     delay_s: float = 0.0
     port: int = 0
     # Returns the names of the clients that have some local ports.
-    client_names: Callable[[Collection[int]], dict[int, str]] = lambda _: {}
+    client_names: Callable[[Collection[int]], Awaitable[dict[int, str]]] | None = None
     cut_by_client: dict[str, Cut] = field(default_factory=dict)
     _port_by_writer: dict[asyncio.StreamWriter, int] = field(default_factory=dict)  # of clients
     _name_by_port: dict[int, str] = field(default_factory=dict)  # known while there is a cut
@@ -71,21 +71,25 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def cut(self, client: str, how: Cut) -> None:
-        """Cut a client until `heal`."""
-        self.cut_by_client[client] = how
-        self._name_by_port = self.client_names(self._port_by_writer.values())
+    async def cut(self, clients: Collection[str], how: Cut) -> None:
+        """Cut some clients until `heal`."""
+        self.cut_by_client.update(dict.fromkeys(clients, how))
+        await self._look_up(list(self._port_by_writer.values()))
         if how is Cut.RESET:
-            self._reset_client(client)
+            self._reset_clients(clients)
 
-    def heal(self, client: str) -> None:
-        """End the cut of a client; connections that hang are reset."""
-        if self.cut_by_client.pop(client, None) is Cut.HANG:
-            self._reset_client(client)
+    def heal(self, clients: Collection[str]) -> None:
+        """End the cut of some clients; connections that hang are reset."""
+        hanging = [each for each in clients if self.cut_by_client.pop(each, None) is Cut.HANG]
+        self._reset_clients(hanging)
 
-    def _reset_client(self, client: str) -> None:
+    async def _look_up(self, ports: Collection[int]) -> None:
+        if self.client_names is not None:
+            self._name_by_port.update(await self.client_names(ports))
+
+    def _reset_clients(self, clients: Collection[str]) -> None:
         for writer, port in list(self._port_by_writer.items()):
-            if self._name_by_port.get(port) == client:
+            if self._name_by_port.get(port) in clients:
                 writer.transport.abort()
 
     def _cut_of(self, port: int) -> Cut | None:
@@ -96,7 +100,7 @@
         port = writer.get_extra_info("peername")[1]
         self._port_by_writer[writer] = port
         if self.cut_by_client:
-            self._name_by_port.update(self.client_names((port,)))
+            await self._look_up((port,))
         try:
             await self._forward_connection(port, reader, writer)
         finally:
--- a/soak/world.py
+++ b/soak/world.py
@@ -31,6 +31,7 @@
 STORE_PAGE_ITEMS = 500
 LEASE_CHECK_INTERVAL_S = 0.1
 READY_POLL_S = 0.05
+LOOKUP_DELAY_S = 0.03  # gathers the connections that are opened meanwhile
 STOP_GRACE_S = 6.0
 
 # Kind and services of the route of each path prefix, in the first configuration.
@@ -142,15 +143,30 @@
     last_configuration: bytes = b""
     allowed_services_by_prefix: dict[str, set[str]] = field(default_factory=dict)
     background_tasks: list[asyncio.Task[None]] = field(default_factory=list)
-
-    def names_of_clients(self, ports: Collection[int]) -> dict[int, str]:
-        """Return the names of the daemons that have connections with some local ports."""
+    _wanted_ports: set[int] = field(default_factory=set)
+    _lookup: asyncio.Task[dict[int, str]] | None = None
+
+    async def names_of_clients(self, ports: Collection[int]) -> dict[int, str]:
+        """Return the names of the daemons that have connections with some local ports.
+
+        All links look them up together, since each lookup reads the sockets of all daemons.
+        """
+        self._wanted_ports.update(ports)
+        if self._lookup is None:
+            self._lookup = asyncio.create_task(self._look_up_clients())
+        name_by_port = await asyncio.shield(self._lookup)
+        return {port: name_by_port[port] for port in ports if port in name_by_port}
+
+    async def _look_up_clients(self) -> dict[int, str]:
+        await asyncio.sleep(LOOKUP_DELAY_S)
+        ports, self._wanted_ports, self._lookup = self._wanted_ports, set(), None
         by_pid = {
             each.process.popen.pid: each.process.name
             for each in self.daemons
             if each.process.popen is not None
         }
-        return {port: by_pid[pid] for port, pid in owner_by_port(ports, by_pid).items()}
+        owners = await asyncio.to_thread(owner_by_port, ports, by_pid)
+        return {port: by_pid[pid] for port, pid in owners.items()}
 
     def write_configuration(
         self, replaced_services: dict[str, tuple[str, ...]] | None = None
