Bring the pages of a listing to one revision of the platform's store

The adapter returned the items of all pages with the revision of the first; the replica then rose to the newest item's revision, and the watch went on behind it. What was written or removed on an earlier page in between was read by nobody. The revision said more than was read, so that neither the verification of the revision nor a peer could see it.

Ruled out: the watch itself (it goes on from the store's revision, and a call that is cut is made anew), the own interface (etcd's pages are all read at the revision of the first; `test_large_prefix_is_read_page_by_page_at_one_revision`).

The interface promises all keys at one revision, and everything behind it relies on that. So the adapter now keeps it: if the store's revision has moved by the last page, it reads the changes since the first page from the history and applies them to the items. If the history is gone, the listing is refused and read anew. A listing costs one more call, and only if the store changed meanwhile.

--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -35,6 +35,7 @@
 CONNECT_TIMEOUT_S = 1.0
 WATCH_LONG_POLL_S = 25.0  # the platform allows 30 s at most
 WATCH_TIMEOUT_MARGIN_S = 2.0  # time that a watch may take beyond the requested wait
+CATCH_UP_WAIT_MS = 1  # the changes are known to exist, though maybe not below the prefix
 WATCH_BATCH_DELAY_S = 0.3  # a series of changes is fetched in one call
 KEEPALIVE_IDLE_S = 1  # a dead connection is detected in about 3 s
 KEEPALIVE_INTERVAL_S = 1
@@ -73,9 +74,10 @@
     async def read_prefix(
         self, prefix: str, *, stale: bool = False
     ) -> Result[RangeAnswer, HeatherheadError]:
-        """Read all keys with a prefix; the revision is that of the first page.
+        """Read all keys with a prefix at one revision.
 
-        A stale read may return data that is seconds old and costs a tenth of a consistent one.
+        Pages are no snapshot: what changed between them is read from the history. A stale read may
+        return data that is seconds old and of several revisions; it costs a tenth.
         """
         by_key: dict[str, KeyValue] = {}
         first: _Reply | None = None
@@ -96,9 +98,34 @@
             items = [_item(each, reply.history) for each in reply.body["items"]]
             by_key.update((item.key, item) for item in items)
             if not reply.body.get("Truncated") or not items:
-                revision = ranked_revision(first.history, first.body["StoreRevision"])
-                return Ok(RangeAnswer(revision, by_key))
+                break
             after = items[-1].key
+        revision = first.body["StoreRevision"]
+        if not stale and reply.body["StoreRevision"] > revision:
+            return await self._apply_changes(by_key, prefix, first, reply.body["StoreRevision"])
+        return Ok(RangeAnswer(ranked_revision(first.history, revision), by_key))
+
+    async def _apply_changes(
+        self, by_key: dict[str, KeyValue], prefix: str, first: _Reply, last_revision: int
+    ) -> Result[RangeAnswer, HeatherheadError]:
+        """Bring pages to one revision with the changes since the first, up to the last or later."""
+        history, revision = first.history, first.body["StoreRevision"]
+        while revision < last_revision:
+            query = {"Prefix": prefix, "after": revision, "WaitMs": CATCH_UP_WAIT_MS}
+            try:
+                reply = await self._call("GET", "/kv-watch", query)
+            except _CallFailedError as error:
+                return Err(unavailable_error(f"changes between two pages: {error}"))
+            if reply.status == 410 or reply.history != history:
+                return Err(CompactedError(ranked_revision(history, revision + 1)))
+            if reply.status != 200:
+                return Err(unavailable_error(f"changes between two pages: status {reply.status}"))
+            if reply.body["StoreRevision"] <= revision:
+                return Err(unavailable_error("the history does not reach the last page"))
+            for event in reply.body["events"]:
+                _apply_event(by_key, _event(event, history))
+            revision = reply.body["StoreRevision"]
+        return Ok(RangeAnswer(ranked_revision(history, revision), by_key))
 
     async def compare_and_swap(
         self, key: str, expected_revision: int, value: bytes | None, lease_id: int = 0
@@ -252,6 +279,17 @@
     return WatchEvent(event["Key"], value, ranked_revision(history, event["Revision"]))
 
 
+def _apply_event(by_key: dict[str, KeyValue], event: WatchEvent) -> None:
+    """Apply a change to items, each of which may already be newer."""
+    held = by_key.get(event.key)
+    if held is not None and held.mod_revision >= event.mod_revision:
+        return
+    if event.value is None:
+        by_key.pop(event.key, None)
+    else:
+        by_key[event.key] = KeyValue(event.key, event.value, event.mod_revision)
+
+
 def _conflict_with(item: KeyValue | None) -> WriteAnswer:
     return WriteAnswer(False, item.mod_revision if item else 0, item)
 
--- a/heatherhead/tests/platform/fake_platform_store.py
+++ b/heatherhead/tests/platform/fake_platform_store.py
@@ -5,12 +5,16 @@
 import asyncio
 import base64
 import json
+from contextlib import suppress
 from copy import deepcopy
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["FakePlatformStore"]
 
 COPIED_FIELDS = ("revision", "items", "events", "leases", "renewed_at_by_lease")
@@ -31,6 +35,8 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     era: int = 0  # rises each time that the store comes back from a copy
     away: bool = False
+    on_page: Callable[[int], None] = lambda _: None  # called with the number of each page served
+    pages_served: int = 0
 
     def copy(self) -> dict[str, Any]:
         """Return a copy from which the store may be restored."""
@@ -112,20 +118,33 @@
         prefix, after = request.query["Prefix"], request.query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         page = [self.items[key] for key in keys[: self.page]]
-        return _json(
-            {"items": page, "Truncated": len(keys) > self.page, "StoreRevision": self.revision}
-        )
+        truncated = len(keys) > self.page
+        answer = _json({"items": page, "Truncated": truncated, "StoreRevision": self.revision})
+        self.pages_served += 1
+        self.on_page(self.pages_served)
+        return answer
 
     async def _watch(self, request: web.Request) -> web.Response:
         after, era = int(request.query["after"]), self.era
         if after < self.compacted or after > self.revision:
             return web.Response(status=410)
-        while not (found := [each for each in self.events if each["Revision"] > after]):
-            await self.changed.wait()
+        prefix = request.query["Prefix"]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(request.query["WaitMs"]) / 1000
+        while not (found := self._changes(prefix, after)) and loop.time() < end:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), end - loop.time())
             if self.era != era:
                 return web.Response(status=410)
         return _json({"events": found, "StoreRevision": self.revision})
 
+    def _changes(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            each
+            for each in self.events
+            if each["Revision"] > after and each["Key"].startswith(prefix)
+        ]
+
     async def _txn(self, request: web.Request) -> web.Response:
         body = await request.json()
         current = [self.items.get(row["Key"]) for row in body["ExpectedRev"]]
--- a/heatherhead/tests/platform/store_tests.py
+++ b/heatherhead/tests/platform/store_tests.py
@@ -41,6 +41,85 @@
     _run(scenario)
 
 
+def _change_read_key(fake: FakePlatformStore) -> None:
+    fake.put("servers/0", b"new")
+
+
+def _remove_read_key(fake: FakePlatformStore) -> None:
+    fake.remove("servers/0")
+
+
+def _add_key_before_those_read(fake: FakePlatformStore) -> None:
+    fake.put("servers/", b"new")
+
+
+def _replace_read_key(fake: FakePlatformStore) -> None:
+    fake.remove("servers/0")
+    fake.put("servers/0", b"new")
+
+
+def _replace_unread_key(fake: FakePlatformStore) -> None:
+    fake.remove("servers/4")
+    fake.put("servers/4", b"new")
+
+
+def _add_and_remove_key(fake: FakePlatformStore) -> None:
+    fake.put("servers/4", b"new")
+    fake.remove("servers/4")
+
+
+def _change_another_prefix(fake: FakePlatformStore) -> None:
+    fake.put("op/config", b"new")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        _change_read_key,
+        _remove_read_key,
+        _add_key_before_those_read,
+        _replace_read_key,
+        _replace_unread_key,
+        _add_and_remove_key,
+        _change_another_prefix,
+    ],
+)
+@pytest.mark.parametrize("page", [1, 2])
+def test_change_between_two_pages_of_a_listing_is_not_missed(
+    change: Callable[[FakePlatformStore], None], page: int
+) -> None:
+    """The listing had the newest page's revision and lacked what changed on the pages before."""
+
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        for number in range(5):
+            fake.put(f"servers/{number}", b"x")
+        fake.on_page = lambda served: change(fake) if served == page else None
+        answer = (await store.read_prefix("servers/")).unwrap()
+        held = {key: item["Revision"] for key, item in fake.items.items() if key[0] == "s"}
+        assert {key: item.mod_revision for key, item in answer.by_key.items()} == held
+        newest = max(item.mod_revision for item in answer.by_key.values())
+        assert newest <= answer.revision <= fake.revision
+
+    _run(scenario)
+
+
+def test_listing_whose_changes_are_compacted_between_two_pages_is_refused() -> None:
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        def compact(served: int) -> None:
+            if served == 1:
+                _change_read_key(fake)
+                fake.compacted = fake.revision
+
+        for number in range(5):
+            fake.put(f"servers/{number}", b"x")
+        fake.on_page = compact
+        refused = await store.read_prefix("servers/")
+        assert isinstance(refused.err_value, CompactedError)
+        assert (await store.read_prefix("servers/")).unwrap().revision == fake.revision
+
+    _run(scenario)
+
+
 def test_swap_compares_revisions_and_returns_the_current_value() -> None:
     async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
         first = (await store.compare_and_swap("own/a", 0, b"one")).ok_value
