Heal replicas that took over a gap from a peer

Nothing healed that: a follower asks for newer changes only, a reading of the store didn't add a key that an earlier listing had lacked, and a reading during which a peer raised the revision was dropped as old.

Replicas now know whether they are gap-free: read from the store, or from a peer that is. One that isn't asks for a complete listing; what a reading adds below the revision held goes to all followers as one. The state of a relay has one more key, which earlier versions ignore; theirs lacks it.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -323,6 +323,7 @@
             self.follower.store_ok and self.follower.is_watcher,
             self.crashes.recent(self._loop.time()),
             self.permits.limits(),
+            self.replica.gap_free,
         )
 
     def _on_relay_state(self, relay_state: RelayState) -> None:
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -1,9 +1,10 @@
 """Forwards the store's changes to peers, over TCP streams of msgpack.
 
 A follower sends the revision that it holds and receives the changes that it lacks, then each change
-as it occurs, and a heartbeat when nothing changes. The stream also carries the `RelayState` of the
-followed instance each time that it changes: standby instances learn of homes and crashes only from
-it.
+as it occurs, and a heartbeat when nothing changes. A replica that may lack changes, and one whose
+source has added changes that it had lacked, gets a complete listing. The stream also carries the
+`RelayState` of the followed instance each time that it changes, before the changes: standby
+instances learn of homes and crashes only from it.
 """
 
 from __future__ import annotations
@@ -47,6 +48,7 @@
     watches_store: bool  # it watches the store, and the store answers
     crashes_by_request: tuple[tuple[int, int], ...] = ()  # fingerprints with their counts
     rate_limits: tuple[RateLimitRow, ...] = ()  # those in force
+    gap_free: bool = False  # of its replica; earlier versions don't say so
 
 
 class RelayServer:
@@ -87,14 +89,18 @@
             unpacker.feed(await asyncio.wait_for(reader.read(64), STREAM_TIMEOUT_S))
             revision = int(next(iter(unpacker)))
             sent_state: RelayState | None = None
+            sent_repairs = self._replica.repairs
             while True:
                 changed = self._changed
-                writer.write(self._batch(revision))
-                revision = self._replica.revision  # where the batch ends; read before any await
                 relay_state = self.relay_state()
                 if relay_state is not None and relay_state != sent_state:
                     writer.write(_encode_state(relay_state))
                     sent_state = relay_state
+                if self._replica.repairs != sent_repairs:
+                    revision = 0  # what was added may be older than what the follower holds
+                    sent_repairs = self._replica.repairs
+                writer.write(self._batch(revision))
+                revision = self._replica.revision  # where the batch ends; read before any await
                 await asyncio.wait_for(writer.drain(), STREAM_TIMEOUT_S)
                 try:
                     await asyncio.wait_for(changed.wait(), HEARTBEAT_S)
@@ -144,7 +150,8 @@
     except (OSError, TimeoutError) as error:
         raise RelayError(f"can't connect: {error!r}") from error
     try:
-        writer.write(msgpack.packb(replica.revision))
+        writer.write(msgpack.packb(replica.revision if replica.gap_free else 0))
+        gap_free = False
         unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
         while True:
             # Unlike `wait_for` of Python 3.11, this loses no cancellation when the peer closes.
@@ -155,9 +162,11 @@
             unpacker.feed(data)
             for message in unpacker:
                 if isinstance(message, dict):
-                    on_relay_state(_decode_state(message))
+                    relay_state = _decode_state(message)
+                    gap_free = relay_state.gap_free
+                    on_relay_state(relay_state)
                     continue
-                _apply_batch(message, replica)
+                _apply_batch(message, replica, gap_free=gap_free)
                 on_batch(message[1])
     except (
         OSError,
@@ -174,12 +183,14 @@
         writer.close()
 
 
-def _apply_batch(batch: list[Any], replica: StoreReplica) -> None:
+def _apply_batch(batch: list[Any], replica: StoreReplica, *, gap_free: bool) -> None:
     complete, revision, rows, outage = batch
     if complete:
         events = [WatchEvent(key, value, at) for key, value, at, _ in rows]
-        replica.apply_listing(events, revision, after_outage=outage)
+        replica.apply_listing(events, revision, after_outage=outage, gap_free=gap_free)
         return
+    if revision > replica.revision:
+        replica.gap_free = replica.gap_free and gap_free
     for key, value, at, after_outage in rows:
         replica.apply(WatchEvent(key, value, at), after_outage=after_outage)
     replica.revision = max(replica.revision, revision)
@@ -189,7 +200,7 @@
     """Pack a state; earlier versions read the key `word` only."""
     word = [state.region, state.home_ids, state.watches_store, state.crashes_by_request]
     limits = [encode_limit(row) for row in state.rate_limits]
-    packed: bytes = msgpack.packb({"word": word, "limits": limits})
+    packed: bytes = msgpack.packb({"word": word, "limits": limits, "gap_free": state.gap_free})
     return packed
 
 
@@ -201,6 +212,7 @@
         bool(watches_store),
         tuple((int(fingerprint), int(count)) for fingerprint, count in crashes),
         tuple(decode_limit(row) for row in message.get("limits", ())),
+        bool(message.get("gap_free", False)),
     )
 
 
--- a/heatherhead/fleet/replica.py
+++ b/heatherhead/fleet/replica.py
@@ -30,6 +30,8 @@
         self._tombstone_revision_by_key: OrderedDict[str, int] = OrderedDict()
         self._discarded_revision = 0  # tombstones up to this revision may be missing
         self._listed_revision = 0  # of the last complete listing; a key not in it had been removed
+        self.gap_free = False  # no change up to `revision` is missing
+        self.repairs = 0  # how often changes up to a revision that was already held were added
         self.on_restored: Callable[[], None] = lambda: None
         self._listeners: list[Callable[[WatchEvent, bool], None]] = []
 
@@ -44,13 +46,19 @@
 
     def apply(self, event: WatchEvent, *, after_outage: bool = False) -> bool:
         """Apply a change; return whether it was new."""
+        late = event.mod_revision < self.revision
+        self.revision = max(self.revision, event.mod_revision)
+        known = self._tombstone_revision_by_key.get(event.key, self._listed_revision)
+        applied = self._apply_newer(event, known, after_outage)
+        if applied and late:
+            self.repairs += 1
+        return applied
+
+    def _apply_newer(self, event: WatchEvent, known: int, after_outage: bool) -> bool:
+        """Apply a change of a key that is held at an older revision, or absent since `known`."""
         key, revision = event.key, event.mod_revision
         held = self.value_by_key.get(key)
-        known = self._tombstone_revision_by_key.get(key, self._listed_revision)
-        if held is not None:
-            known = held[1]
-        self.revision = max(self.revision, revision)
-        if revision <= known:
+        if revision <= (known if held is None else held[1]):
             return False
         if event.value is None:
             self.value_by_key.pop(key, None)
@@ -65,26 +73,45 @@
         return True
 
     def apply_listing(
-        self, events: Iterable[WatchEvent], revision: int, *, after_outage: bool
+        self,
+        events: Iterable[WatchEvent],
+        revision: int,
+        *,
+        after_outage: bool,
+        gap_free: bool = False,
     ) -> None:
         """Apply a complete listing as of a revision; keys missing from it were removed by then.
 
         In a store that came back from a copy they may just not be written again yet, as in one that
-        was away.
+        was away. A listing that is `gap_free` (the store's, or a peer's that read it) also adds keys
+        that an earlier listing lacked, although they are older than that.
         """
-        restored = self.revision > 0 and history_of(self.revision) < history_of(revision)
+        held = self.revision
+        restored = held > 0 and history_of(held) < history_of(revision)
         after_outage = after_outage or restored
-        if revision > self.revision:
+        if revision > held:
             self._discarded_revision = revision  # earlier removals may have been missed
         listed = set()
+        repaired = bool(held) and gap_free and not self.gap_free
         for event in events:
             listed.add(event.key)
-            self.apply(event, after_outage=after_outage)
+            known = self._tombstone_revision_by_key.get(event.key, self._listed_revision)
+            if gap_free and known <= revision:
+                known = 0
+            if self._apply_newer(event, known, after_outage):
+                repaired = repaired or event.mod_revision <= held
         for key, (_, held_revision) in list(self.value_by_key.items()):
-            if key not in listed and held_revision <= revision:
-                self.apply(WatchEvent(key, None, revision), after_outage=after_outage)
-        self.revision = max(self.revision, revision)
+            if key in listed or held_revision > revision:
+                continue
+            if self._apply_newer(WatchEvent(key, None, revision), 0, after_outage):
+                repaired = repaired or revision <= held
+        self.repairs += repaired
+        self.revision = max(held, revision)
         self._listed_revision = max(self._listed_revision, revision)
+        if revision >= held:
+            self.gap_free = gap_free
+        elif not gap_free:
+            self.gap_free = False
         if restored:
             self.on_restored()
 
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -89,6 +89,7 @@
         self._lag = _Lag()
         self._tasks: list[asyncio.Task[None]] = []
         self._watch: asyncio.Task[None] | None = None
+        self._has_read = False  # the running watch has read the store
 
     def start(self) -> None:
         """Start the tasks that keep the replica up to date."""
@@ -162,6 +163,10 @@
         lagging_s = self._loop.time() - lag.since
         return lag.revision > self._replica.revision and lagging_s > allowed_lag_s
 
+    def _lacks_changes(self) -> bool:
+        """Return whether what the replica holds beyond the last reading came with a gap."""
+        return self._has_read and not self._replica.gap_free
+
     def _should_follow_store(self) -> bool:
         if not self._loaded():
             # Instances without a configuration that followed each other would all wait forever.
@@ -190,11 +195,15 @@
                 elif (
                     not self._watch.done()
                     and self.store_ok
-                    and self._lags()
+                    and (self._lags() or self._lacks_changes())
                     and self._loop.time() - restarted_at > MIN_WATCH_RESTART_INTERVAL_S
                 ):
                     restarted_at = self._loop.time()
-                    log_event("watch_lags", revision=revision_text(self._replica.revision))
+                    log_event(
+                        "watch_lags",
+                        revision=revision_text(self._replica.revision),
+                        gap_free=self._replica.gap_free,
+                    )
                     self._watch.cancel()
             if not self._watch.cancelled():
                 self._watch.result()
@@ -202,11 +211,13 @@
 
     async def _follow_store(self) -> None:
         """Read the store, then watch it until the watch fails."""
+        self._has_read = False
         try:
-            await self._read()
+            revision = await self._read()
             if not self._should_follow_store():
                 return
-            async for event in self._store.watch(self._prefix, self._replica.revision + 1):
+            self._has_read = True
+            async for event in self._store.watch(self._prefix, revision + 1):
                 self._record_answer()
                 self._replica.apply(event, after_outage=self.after_outage)
         except CompactedError:
@@ -216,22 +227,24 @@
             self._record_failure(error.reason)
             await asyncio.sleep(self._backoff.next_delay_s())
 
-    async def _read(self) -> None:
+    async def _read(self) -> int:
+        """Apply a listing of the store; return the revision from which to watch."""
         requested_at = self._loop.time()
+        held = self._replica.revision
         listing = await self._store.read_prefix(self._prefix)
         if isinstance(listing, Err):
             raise listing.err_value
         self._verified_at = max(self._verified_at, requested_at)
         answer = listing.ok_value
         self._record_answer()
-        held = self._replica.revision
-        if answer.revision < held:
+        # A peer may have brought newer changes since the request, which then came with its gaps.
+        if answer.revision < held or _is_of_older_history(answer.revision, self._replica.revision):
             log_event(
                 "store_listing_old",
                 revision=revision_text(answer.revision),
                 held=revision_text(held),
             )
-            return
+            return self._replica.revision
         if held and history_of(answer.revision) > history_of(held):
             self._failed_at = self._loop.time()
             log_event(
@@ -244,13 +257,18 @@
         events = [
             WatchEvent(item.key, item.value, item.mod_revision) for item in answer.by_key.values()
         ]
-        self._replica.apply_listing(events, answer.revision, after_outage=after_outage)
+        repairs = self._replica.repairs
+        self._replica.apply_listing(
+            events, answer.revision, after_outage=after_outage, gap_free=True
+        )
         log_event(
             "store_read",
             revision=revision_text(answer.revision),
             keys=len(events),
             after_outage=after_outage,
+            repaired=self._replica.repairs != repairs,
         )
+        return answer.revision
 
     async def _run_peer_stream(self) -> None:
         number = 0
@@ -318,6 +336,10 @@
             log_event("store_lost", level="WARNING", reason=reason)
 
 
+def _is_of_older_history(revision: int, other: int) -> bool:
+    return history_of(revision) < history_of(other)
+
+
 def create_store_follower(
     store: Store,
     prefix: str,
--- a/heatherhead/tests/fake_store.py
+++ b/heatherhead/tests/fake_store.py
@@ -50,6 +50,7 @@
         self.store = create_memory_store()
         self.faults = Faults()
         self.calls: Counter[str] = Counter()
+        self.range_revisions: list[int] = []  # at which listings were requested
         self._runner: web.AppRunner | None = None
 
     async def start(self, port: int = 0) -> str:
@@ -102,6 +103,7 @@
     async def _range(self, body: dict[str, Any]) -> web.Response:
         first, end = b64decode(body["key"]), b64decode(body.get("range_end", ""))
         limit = int(body.get("limit", 0))
+        self.range_revisions.append(int(body.get("revision", 0)))
         answer = (await self.store.read_prefix("")).ok_value
         keys = sorted(key for key in answer.by_key if _is_between(key, first, end))
         page = keys[:limit] if limit else keys
--- a/heatherhead/tests/store/etcd_tests.py
+++ b/heatherhead/tests/store/etcd_tests.py
@@ -58,6 +58,7 @@
         read = (await store.read_prefix("/a/")).ok_value
         assert len(read.by_key) == 1_001
         assert fake.calls["range"] == 2
+        assert fake.range_revisions == [0, read.revision]
 
     _run(scenario)
 
