Answer all requests of a connection before closing it

Cause: whether an answer closes its connection was decided by that answer alone. The close then cancelled the requests behind it, which callers take for unread and send again.

Now a connection that is to close takes no further request, answers those it has taken, and says so in the last answer. It then sends its end and drops what still comes, for 2 s at most: a close with unread bytes resets the connection, and took answers away that were sent before the end of a body (413, 503) or behind a malformed request. The same code serves the peers' port; the own interface runs the requests of a connection one after another and has no such cut.

Ruled out: the length of the grace (the process went on for seconds), the upstreams (closed by the instance).

--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -45,6 +45,7 @@
 SWEEP_INTERVAL_S = 0.5  # between checks for idle connections and incomplete heads
 IDLE_TIMEOUT_MARGIN_S = 2.0  # callers, whose idle time begins later, then close first
 CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
+LINGER_S = 2.0  # for the caller to read the last answer and close; bytes left unread would reset it
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST, not FIN
 
 
@@ -127,6 +128,8 @@
         self.head_started_at: float | None = None
         self._closing = False
         self._failed = False
+        self._ending = False  # no further request is taken; it closes after the last answer
+        self._linger_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -137,6 +140,8 @@
         """Cancel the requests in progress, except detached ones."""
         super().connection_lost(exc)
         self._owner.connections.discard(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         for exchange in self.exchanges:
             exchange.abandoned = True
             payload = exchange.payload
@@ -152,7 +157,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests and start handling them."""
-        if self._failed or self._closing:
+        if self._failed or self._closing or (self._ending and not self._receives_body()):
             return
         try:
             messages, upgraded, _ = self._request_parser.feed_data(data)
@@ -162,9 +167,11 @@
         now = self._loop.time()
         self.active_at = now
         for message, payload in messages:
+            if self._ending:
+                self._failed = True  # those behind it are not read either
+                break
             self._start(Exchange(self, message, payload, now))
-        body_incomplete = bool(self.exchanges) and not self.exchanges[-1].payload.is_eof()
-        if messages or body_incomplete or not data:
+        if messages or self._receives_body() or not data:
             self.head_started_at = None
         elif self.head_started_at is None:
             self.head_started_at = now
@@ -173,6 +180,10 @@
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading_for_buffer()
 
+    def _receives_body(self) -> bool:
+        """Return whether the body of the last request is incomplete."""
+        return bool(self.exchanges) and not self.exchanges[-1].payload.is_eof()
+
     def _start(self, exchange: Exchange) -> None:
         self.exchanges.append(exchange)
         exchange.task = self._loop.create_task(self._handle(exchange))
@@ -222,7 +233,9 @@
             return
         message = exchange.message
         body_unread = not exchange.payload.is_eof()
-        close = answer.close or message.should_close or self._owner.leaving or body_unread
+        if answer.close or message.should_close or self._owner.leaving or body_unread:
+            self._ending = True
+        close = self._ending and not self.exchanges
         head = [f"HTTP/1.1 {answer.status} {answer.reason}\r\n"]
         head.extend(f"{name}: {value}\r\n" for name, value in answer.headers.items())
         without_body = answer.status in (204, 304) or answer.status < 200
@@ -238,7 +251,7 @@
         body = b"" if without_body or message.method == "HEAD" else answer.body
         transport.write(data + body)
         if close:
-            self.close()
+            self._close_after_reading()
 
     def send_continue(self, exchange: Exchange) -> None:
         """Send 100 Continue if the request is the next to be answered."""
@@ -270,7 +283,7 @@
             f"Content-Length: {len(answer.body)}\r\nConnection: close\r\n\r\n"
         )
         transport.write(head.encode() + answer.body)
-        self.close()
+        self._close_after_reading()
 
     def close_if_timed_out(self, now: float, limits: CallerLimits) -> None:
         """Close the connection if its idle timeout or header timeout has expired."""
@@ -283,6 +296,16 @@
         ):
             self.close()
 
+    def _close_after_reading(self) -> None:
+        """Close once the caller has, or after `LINGER_S`; what it sends meanwhile is dropped."""
+        transport = self.transport
+        if transport is None or self._closing or transport.is_closing():
+            return
+        self._closing = True
+        transport.write_eof()
+        self._resume_transport_reading()
+        self._linger_timer = self._loop.call_later(LINGER_S, transport.close)
+
     def close(self) -> None:
         """Close after pending writes are flushed."""
         if self.transport is not None and not self._closing:
