End a call whose caller has left before it is sent, on detours too

Cause: an exchange counted as detached, that is maybe at work at an upstream, from the moment at which it was offered to a peer, and stayed so after an upstream had refused it as not run. A detached exchange isn't cancelled when its caller leaves, so the connection to the peer stayed open, and the peer kept the call in its queue.

Now it is detached only while an attempt is out. After a refusal the call of a departed caller ends and spends no retry budget.

Ruled out: the queue (drops what waits here; that test passed before), a late close. The own interface cancels its handlers with their connection. New log line: caller_left.

--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -260,6 +260,9 @@
             answer = await self._attempt_until_answered(call)
             outcome = str(answer.status)
             return answer
+        except asyncio.CancelledError:
+            self._log_departure(call)
+            raise
         finally:
             self._active_calls.discard(call)
             total_s = self._loop.time() - call.demand.received_at
@@ -272,6 +275,9 @@
         while True:
             self._abandon_lost_attempts(call)
             if not call.slot_by_task:
+                if call.exchange.abandoned:
+                    self._log_departure(call)
+                    return self._own_answer_to(call, 503, "not run: its caller has left")
                 answer = await self._take_detour(call) if self._needs_detour(call) else None
                 answer = answer or await self._start_attempt(call)
                 if answer is not None:
@@ -353,7 +359,6 @@
         """Return a peer's answer to a call, or `None` if no peer took it."""
         call.may_detour = False
         demand = call.demand
-        call.exchange.detached = not demand.idempotent
         detour = DetourCall(
             call.request,
             demand.service,
@@ -375,7 +380,6 @@
             return self._relay(result.answer)
         if result.sent:
             return self._own_answer_to(call, 502, f"the call may have run: {result.reason}")
-        call.exchange.detached = not demand.idempotent and call.sent > 0
         return None
 
     def recheck(self, service: str) -> None:
@@ -394,6 +398,15 @@
                 began_at_by_service[service] = min(began_at, slot.acquired_at)
         return began_at_by_service
 
+    def _log_departure(self, call: _Call) -> None:
+        log_routine(
+            "caller_left",
+            id=call.demand.request_id,
+            service=call.demand.service,
+            sent=call.sent,
+            after_s=f"{self._loop.time() - call.demand.received_at:.3f}",
+        )
+
     def _log_rejection(self, call: _Call, error: RejectedError) -> None:
         evidence = error.evidence
         self.metrics.events["rejected"] += 1
@@ -542,7 +555,7 @@
 
     def _may_retry(self, call: _Call, outcome: _AttemptOutcome) -> bool:
         now = self._loop.time()
-        if now + call.demand.work_s > call.demand.give_up_at:
+        if call.exchange.abandoned or now + call.demand.work_s > call.demand.give_up_at:
             return False
         if outcome.end is _AttemptEnd.NOT_SENT:
             # Failed connections don't count as attempts, but the sixth one ends the call.
@@ -590,9 +603,8 @@
             self._pool.release(address, connection)
             return _AttemptOutcome(_AttemptEnd.NOT_SENT, "the time is over")
         call.sent += 1
-        if not call.demand.idempotent:
-            call.exchange.detached = True
         data = self._request_bytes(call, entry.id, call.demand.give_up_at - now)
+        call.exchange.detached = not call.demand.idempotent
         try:
             answer = await connection.exchange(
                 data,
@@ -602,6 +614,8 @@
             )
         except BrokenAnswerError as error:
             return self._handle_broken_attempt(call, slot, connection, str(error))
+        finally:
+            call.exchange.detached = False
         self._reach.record_answer(entry.service)
         if call.request.method == "HEAD":
             connection.close()
--- /dev/null
+++ b/heatherhead/tests/proxy/departed_caller_tests.py
@@ -0,0 +1,103 @@
+"""Tests of calls that may not be repeated and whose caller leaves before they are sent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from heatherhead.dispatch.upstream_state import LoadReading
+from heatherhead.tests.proxy.detour_tests import REFUSED, run_detour
+from heatherhead.tests.proxy.fakes import request, run_path, status_of
+
+if TYPE_CHECKING:
+    from heatherhead.tests.proxy.fakes import EntryPath, ScriptedUpstream
+
+UPLOAD = request("/upload/x", method="POST", body=b"photo")
+SETTLE_S = 0.15  # for the close to pass through both instances
+
+
+def _set_load(path: EntryPath, running: int) -> None:
+    now = asyncio.get_running_loop().time()
+    for state in path.dispatcher.states:
+        path.dispatcher.apply_reading(state, LoadReading(running, 0, 4, 1.0, now))
+
+
+async def _leave_while_waiting(at: EntryPath, waits_at: EntryPath) -> None:
+    """Send an upload that has to wait for a slot, and leave."""
+    _set_load(waits_at, 4)
+    _, writer = await at.connect()
+    writer.write(UPLOAD)
+    while not waits_at.forwarder._active_calls:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(SETTLE_S)
+    writer.close()
+    await asyncio.sleep(SETTLE_S)
+    _set_load(waits_at, 0)
+    await asyncio.sleep(SETTLE_S)
+
+
+def test_upload_that_waits_at_a_peer_runs_after_its_caller_has_left() -> None:
+    """Its exchange counted as sent once it was offered to the peer, so the peer was never told."""
+
+    async def scenario(cut: EntryPath, peer: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        await _leave_while_waiting(cut, peer)
+        assert not upstreams[0].requests
+        assert not peer.forwarder._active_calls
+        assert status_of(await cut.send(UPLOAD)) == 200
+
+    run_detour(scenario, [])
+
+
+def test_upload_that_waits_here_runs_after_its_caller_has_left() -> None:
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        await _leave_while_waiting(path, path)
+        assert not upstreams[0].requests
+
+    run_path(scenario, [])
+
+
+@pytest.mark.parametrize("over_a_peer", [False, True])
+def test_upload_that_was_refused_goes_to_a_second_upstream_after_its_caller_has_left(
+    over_a_peer: bool,
+) -> None:
+    """Its exchange still counted as sent after the refusal."""
+
+    async def scenario(at: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        _, writer = await at.connect()
+        writer.write(UPLOAD)
+        while not any(each.requests for each in upstreams):
+            await asyncio.sleep(0.01)
+        writer.close()
+        await asyncio.sleep(2 * SETTLE_S)
+        assert sum(len(each.requests) for each in upstreams) == 1
+
+    async def here(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        await scenario(path, upstreams)
+
+    async def detour(cut: EntryPath, _peer: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        await scenario(cut, upstreams)
+
+    late_refusal = ("wait", SETTLE_S, REFUSED)
+    if over_a_peer:
+        run_detour(detour, [late_refusal], [late_refusal])
+    else:
+        run_path(here, [late_refusal], [late_refusal])
+
+
+def test_order_at_work_goes_on_when_its_caller_leaves() -> None:
+    """It was sent, so that only its end tells what became of it."""
+
+    async def scenario(cut: EntryPath, peer: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        _, writer = await cut.connect()
+        writer.write(UPLOAD)
+        await upstreams[0].arrived.wait()
+        writer.close()
+        await asyncio.sleep(SETTLE_S)
+        assert not upstreams[0].lost.is_set()
+        assert peer.forwarder._active_calls
+
+    run_detour(scenario, ["hang"])
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -76,8 +76,8 @@
 class ScriptedUpstream:
     """Answers each request with the next step of its script.
 
-    A step is the bytes of an answer, a tuple of these and 'close' or 'reset', or one of the words
-    'reset' and 'hang'.
+    A step is the bytes of an answer, a tuple of these and 'close' or 'reset', a tuple of 'wait',
+    seconds and an answer, or one of the words 'reset' and 'hang'.
     """
 
     script: list[Any]
@@ -107,6 +107,9 @@
                     await reader.read(1)
                     self.lost.set()
                     return
+                if isinstance(step, tuple) and step[0] == "wait":
+                    await asyncio.sleep(step[1])
+                    step = step[2]
                 close = isinstance(step, tuple)
                 writer.write(step[0] if close else step)
                 await writer.drain()
