Refuse calls that would outlast a leaving instance, instead of cutting them

Cause: a call was taken by the time at which it came, whatever its duration and what was left of the grace, and nothing was asked again between its head and its attempt: body, earlier answers, queue, second attempt, hedge, detour.

Now each route keeps a bound of its attempts' durations, and from SIGTERM on a call is sent only if it ends before the instance does; else it is refused as not run, at once. A peer that stops refuses a detour as one for the next peer.

Ruled out: the end of the grace itself (0.5 s are kept for last answers).

--- a/heatherhead/dispatch/admission_queue.py
+++ b/heatherhead/dispatch/admission_queue.py
@@ -151,6 +151,8 @@
     now: float,
 ) -> bool:
     """Return whether a call behind `ahead` others can be answered before its client timeout."""
+    if now > demand.start_by:
+        return False
     if ahead < capacity.permits:
         return now + demand.proven_work_s <= demand.give_up_at
     waiting_s = wait_s(ahead, demand, capacity, arrivals_per_s, now)
--- a/heatherhead/dispatch/demand.py
+++ b/heatherhead/dispatch/demand.py
@@ -24,6 +24,7 @@
     request_id: str = ""
     waited_before_s: float = 0.0  # by the caller, in earlier requests for the same call
     work_measured_at: float = -math.inf  # the last answer that `work_s` rests on
+    start_by: float = math.inf  # an attempt that begins later outlasts this instance
 
     def time_to_target(self, now: float) -> float:
         """Return the seconds left until the latency target, less the caller's earlier waits."""
--- a/heatherhead/dispatch/estimates.py
+++ b/heatherhead/dispatch/estimates.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["BaselineSlowdown", "ClientTimeoutEstimate", "RouteEstimate"]
+__all__ = ["BaselineSlowdown", "ClientTimeoutEstimate", "DurationBound", "RouteEstimate"]
 
 INITIAL_SERVICE_TIME_SHARE = 0.3  # of the route's target latency, until the first answer
 DEFAULT_SERVICE_TIME_S = 0.1
@@ -19,6 +19,11 @@
 CLIENT_TIMEOUT_QUANTILE = 0.9
 CLIENT_TIMEOUT_STEP_FRACTION = 0.02  # of the estimate, per call
 CLIENT_TIMEOUT_WARMUP_CALLS = 30  # the longest timeout is used up to this number
+# As for retransmissions in TCP (RFC 6298).
+DURATION_WEIGHT = 0.125
+DEVIATION_WEIGHT = 0.25
+DEVIATIONS = 4.0  # that the bound lies above the average
+MIN_DURATION_MARGIN_S = 0.1  # of the bound above the average
 CLIENT_TIMEOUT_SPREAD_FACTOR = 0.8  # timeouts of first requests differ by up to a fifth
 
 
@@ -44,6 +49,32 @@
         return max(0.0, CLIENT_TIMEOUT_SPREAD_FACTOR * self.estimate_s - client_timeout_s)
 
 
+@dataclass(slots=True)
+class DurationBound:
+    """A time within which nearly all attempts of a route are answered."""
+
+    average_s: float = 0.0
+    deviation_s: float = 0.0
+    answers: int = 0
+
+    @property
+    def value_s(self) -> float:
+        """Return the bound; infinite before the first answer."""
+        if not self.answers:
+            return math.inf
+        return self.average_s + max(DEVIATIONS * self.deviation_s, MIN_DURATION_MARGIN_S)
+
+    def record(self, duration_s: float) -> None:
+        """Record how long an upstream took to answer."""
+        self.answers += 1
+        if self.answers == 1:
+            self.average_s, self.deviation_s = duration_s, duration_s / 2
+            return
+        error_s = duration_s - self.average_s
+        self.deviation_s += DEVIATION_WEIGHT * (abs(error_s) - self.deviation_s)
+        self.average_s += DURATION_WEIGHT * error_s
+
+
 @dataclass(slots=True)
 class RouteEstimate:
     """Moving averages over the answers of a route."""
@@ -54,6 +85,7 @@
     answered_at: float = -math.inf  # the last answer whose service time is known
     attempted_at: float = -math.inf
     client_timeout: ClientTimeoutEstimate = field(default_factory=ClientTimeoutEstimate)
+    duration: DurationBound = field(default_factory=DurationBound)
 
     def proven_work_s(self, now: float) -> float:
         """Return the service time that may be a reason to reject a call.
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -562,10 +562,12 @@
         log_event("leaving", in_progress=self._calls_in_progress())
         leave = self._loop.create_task(self.announcement.leave())
         end = began + self.settings.grace_s - FINAL_ANSWERS_S
+        self.forwarder.end_at(end)
         idle_since = began
         while (now := self._loop.time()) < end:
             if now - began >= min(REJECT_AFTER_S, self.settings.grace_s / 2):
                 self.forwarder.rejects_calls = True
+            self.forwarder.instance_end.refuse_late_bodies()
             if self._calls_in_progress():
                 idle_since = now
             if now - began >= MIN_LEAVE_S and now - idle_since >= IDLE_BEFORE_END_S:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -17,6 +17,7 @@
 from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
 from heatherhead.proxy.detour import CANNOT_SERVE, DetourCall, read_terms, without_terms
 from heatherhead.proxy.dialect import read_rate_limit
+from heatherhead.proxy.instance_end import InstanceEndsError, create_instance_end
 from heatherhead.proxy.messages import Answer, end_to_end_headers, own_answer, request_bytes
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
@@ -53,6 +54,7 @@
 OLD_EVIDENCE_S = 1.0  # ten readings by a home
 FINGERPRINT_BYTES = 8
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+INSTANCE_ENDS = "not run: this instance ends; use another one"
 
 
 class _AttemptEnd(Enum):
@@ -86,6 +88,7 @@
     exchange: Exchange
     max_attempts: int
     may_detour: bool  # it was not sent here by a peer, and has not been offered to peers yet
+    from_peer: bool
     in_budget: bool = False  # counted by the retry budget here, and not only by a peer's
     unreachable: bool = False  # several upstreams in a row could not be connected to
     tried_ids: set[str] = field(default_factory=set)
@@ -132,6 +135,7 @@
         self._active_calls_by_upstream: dict[str, set[_Call]] = {}
         dispatcher.on_slowdown = self._on_slowdown
         self.rejects_calls = False  # set in the last phase of the instance's shutdown
+        self.instance_end = create_instance_end()
 
     async def handle(self, exchange: Exchange) -> Answer:
         """Answer one request of a caller."""
@@ -190,10 +194,16 @@
             client_timeout_s = self._dialect.client_timeout_s(message.headers)
         except ValueError:
             return self._own_answer(400, "the deadline is no number", request_id)
+        give_up_at = _give_up_at(route, exchange.received_at, client_timeout_s)
+        if self._loop.time() > self._start_by(route, give_up_at):
+            return self._refuse_at_end(request_id, terms is not None)
         if not route.idempotent:
             await exchange.wait_for_earlier_answers()
         try:
-            request = await exchange.read_request(self._table.configuration.limits)
+            with self.instance_end.receiving(exchange, lambda: self._start_by(route, give_up_at)):
+                request = await exchange.read_request(self._table.configuration.limits)
+        except InstanceEndsError:
+            return self._refuse_at_end(request_id, terms is not None)
         except BodyTooLargeError:
             return self._own_answer(413, "the body is too large", request_id, close=True)
         except BodyMemoryError:
@@ -219,9 +229,7 @@
         received_at = exchange.received_at
         remaining_s = DEFAULT_CLIENT_TIMEOUT_S if client_timeout_s is None else client_timeout_s
         client_timeout_at = received_at + remaining_s
-        give_up_at = client_timeout_at - CALLER_TRANSIT_S
-        if route.timeout_s is not None:
-            give_up_at = min(give_up_at, received_at + route.timeout_s)
+        give_up_at = _give_up_at(route, received_at, client_timeout_s)
         estimate = self._estimate(route)
         demand = Demand(
             service=self._table.service_of(route) if terms is None else terms.service,
@@ -240,6 +248,7 @@
                 if client_timeout_s is None
                 else estimate.client_timeout.waited_before_s(client_timeout_s)
             ),
+            start_by=self._start_by(route, give_up_at),
         )
         return _Call(
             request if terms is None else without_terms(request),
@@ -250,6 +259,38 @@
             exchange,
             route.max_attempts if terms is None else min(route.max_attempts, terms.attempts_left),
             may_detour=terms is None,
+            from_peer=terms is not None,
+        )
+
+    def end_at(self, ends_at: float) -> None:
+        """Send no call from now on that is likely to be at work when this instance ends."""
+        self.instance_end.at = ends_at
+        for call in self._active_calls:
+            call.demand.start_by = self._start_by(call.route, call.demand.give_up_at)
+        self.instance_end.refuse_late_bodies()
+
+    def _start_by(self, route: Route, give_up_at: float) -> float:
+        """Return until when an attempt may begin, so that it ends before this instance does."""
+        duration_s = self._estimate(route).duration.value_s
+        return self.instance_end.start_by(give_up_at + ROUTE_TIMEOUT_GRACE_S, duration_s)
+
+    def _refuse_at_end(
+        self, request_id: str | None, from_peer: bool, *, may_have_run: bool = False
+    ) -> Answer:
+        """Refuse a call that would be cut; a peer's as one to be offered to the next peer."""
+        log_event("rejected_at_end", id=request_id, left_s=f"{self.instance_end.left_s:.3f}")
+        self.metrics.events["rejected_at_end"] += 1
+        if may_have_run:
+            return self._own_answer(502, "an attempt failed and none is left", request_id)
+        if from_peer:
+            return self._own_answer(CANNOT_SERVE, INSTANCE_ENDS, request_id)
+        return self._own_answer(503, INSTANCE_ENDS, request_id, 0.0, True)
+
+    def _refuse_call_at_end(self, call: _Call) -> Answer:
+        return self._refuse_at_end(
+            call.demand.request_id or None,
+            call.from_peer and not call.sent,  # else the peer counts its attempts wrongly
+            may_have_run=call.may_have_run,
         )
 
     async def _execute(self, call: _Call) -> Answer:
@@ -278,6 +319,8 @@
                 if call.exchange.abandoned:
                     self._log_departure(call)
                     return self._own_answer_to(call, 503, "not run: its caller has left")
+                if self._loop.time() > call.demand.start_by:
+                    return self._refuse_call_at_end(call)
                 answer = await self._take_detour(call) if self._needs_detour(call) else None
                 answer = answer or await self._start_attempt(call)
                 if answer is not None:
@@ -314,6 +357,8 @@
         try:
             slot = await self._dispatcher.acquire(call.demand, frozenset(call.tried_ids))
         except RejectedError as error:
+            if self._loop.time() > call.demand.start_by:
+                return self._refuse_call_at_end(call)
             if self._needs_detour(call):
                 answer = await self._take_detour(call)
                 if answer is not None:
@@ -322,9 +367,19 @@
             if call.may_have_run:
                 return self._own_answer_to(call, 502, "an attempt failed and none is left")
             return self._own_answer_to(call, 503, error.reason, error.retry_after_s)
+        if self._outlasts_instance(call, slot):
+            self._dispatcher.release(slot)
+            return self._refuse_call_at_end(call)
         self._launch_attempt(call, slot)
         return None
 
+    def _outlasts_instance(self, call: _Call, slot: Slot) -> bool:
+        """Return whether an attempt is likely to be at work when this instance ends."""
+        now = self._loop.time()
+        over_at = call.demand.give_up_at + ROUTE_TIMEOUT_GRACE_S
+        start_by = self.instance_end.start_by(over_at, slot.expected_s)
+        return now > min(call.demand.start_by, start_by)
+
     def _needs_detour(self, call: _Call) -> bool:
         """Return whether a call can't be sent from here, and still may be sent by a peer."""
         demand = call.demand
@@ -509,6 +564,9 @@
         second = self._dispatcher.try_acquire(demand, call.tried_ids)
         if second is None:
             return
+        if self._outlasts_instance(call, second):
+            self._dispatcher.release(second)
+            return
         budget.try_spend(now)
         self.metrics.events["hedge"] += 1
         log_event(
@@ -599,7 +657,7 @@
         now = loop.time()
         if connection.calls == 0:
             self._dispatcher.record_round_trip(entry.availability_zone, now - started_at)
-        if now >= call.demand.give_up_at:
+        if now >= min(call.demand.give_up_at, call.demand.start_by):
             self._pool.release(address, connection)
             return _AttemptOutcome(_AttemptEnd.NOT_SENT, "the time is over")
         call.sent += 1
@@ -677,6 +735,7 @@
         )
         self.metrics.observe("upstream", call.demand.service, duration_s)
         estimate = self._estimate(call.route)
+        estimate.duration.record(duration_s)
         work_s = self._dispatcher.record_answer(slot, estimate.work_s, duration_s)
         estimate.record(work_s, len(answer.body), now)
         return _AttemptOutcome(_AttemptEnd.ANSWERED, "answered", answer)
@@ -809,6 +868,15 @@
         return estimate
 
 
+def _give_up_at(route: Route, received_at: float, client_timeout_s: float | None) -> float:
+    """Return when a call's caller, or its route, takes an answer no more."""
+    remaining_s = DEFAULT_CLIENT_TIMEOUT_S if client_timeout_s is None else client_timeout_s
+    give_up_at = received_at + remaining_s - CALLER_TRANSIT_S
+    if route.timeout_s is not None:
+        give_up_at = min(give_up_at, received_at + route.timeout_s)
+    return give_up_at
+
+
 def _is_authentic(call: _Call, metadata: AnswerMetadata) -> bool:
     return metadata.authentic and metadata.request_id == call.demand.request_id
 
