Count answers until their callers have read them

Cause: an answer counted until its last byte had come from the upstream, and nothing counted it from there to its last byte to the caller: behind an earlier answer of its connection, in the connection's buffer, twice while head and body were joined.

Now it counts until it is sent or dropped. Others wait for memory in order, as long as some answers need no more; while they wait, callers that hardly read are reset. Large bodies aren't copied any more.

test_large_answer_within_the_bound_is_received_and_released checked that nothing is counted once an answer is received, which was the fault; it now checks the count while the answer is held, and that it is gone when it is released.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -196,11 +196,13 @@
             self.forwarder.handle,
             lambda: self.table.configuration.limits,
             int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE),
+            answer_memory,
         )
         self.peer_calls = create_caller_connections(
             self.forwarder.handle_peer,
             lambda: self.table.configuration.limits,
             int(settings.memory_mb * 1024 * 1024 * DETOUR_BODY_MEMORY_SHARE),
+            answer_memory,
         )
         self.leaving = False
         self._reported_reach = False
--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -17,6 +17,7 @@
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError, LineTooLong
 from aiohttp.http_parser import HttpRequestParser
 
+from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.messages import HttpRequest, own_answer
 from heatherhead.telemetry.logs import log_event
 
@@ -26,6 +27,7 @@
     from aiohttp import StreamReader
     from aiohttp.http_parser import RawRequestMessage
 
+    from heatherhead.proxy.answer_memory import AnswerMemory, HeldAnswer
     from heatherhead.proxy.messages import Answer
     from heatherhead.routes.model import CallerLimits
 
@@ -45,6 +47,9 @@
 SWEEP_INTERVAL_S = 0.5  # between checks for idle connections and incomplete heads
 IDLE_TIMEOUT_MARGIN_S = 2.0  # callers, whose idle time begins later, then close first
 CONTINUE_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
+STALLED_S = 2.0  # longer than the retransmission of a lost packet
+MIN_PROGRESS_BYTES = 64 * 1024  # in `STALLED_S`, of a caller whose answer others wait for
+MAX_JOINED_BODY_BYTES = 64 * 1024  # larger bodies are not copied behind their head
 LINGER_S = 2.0  # for the caller to read the last answer and close; bytes left unread would reset it
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST, not FIN
 
@@ -130,6 +135,9 @@
         self._failed = False
         self._ending = False  # no further request is taken; it closes after the last answer
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._unsent: list[HeldAnswer] = []  # of answers that the caller has not taken yet
+        self._unsent_bytes = 0  # at `_progress_at`
+        self._progress_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -142,6 +150,7 @@
         self._owner.connections.discard(self)
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._release_sent()
         for exchange in self.exchanges:
             exchange.abandoned = True
             payload = exchange.payload
@@ -151,6 +160,16 @@
                 exchange.task.cancel()
         self.exchanges.clear()
 
+    def resume_writing(self) -> None:
+        """Release the memory of the answers that the caller has taken."""
+        super().resume_writing()
+        self._release_sent()
+
+    def _release_sent(self) -> None:
+        for held in self._unsent:
+            held.release()
+        self._unsent.clear()
+
     def eof_received(self) -> bool:
         """Close the connection; a half-closed one is not served further."""
         return False
@@ -249,10 +268,36 @@
         head.append("\r\n")
         data = "".join(head).encode("utf-8", "surrogateescape")
         body = b"" if without_body or message.method == "HEAD" else answer.body
-        transport.write(data + body)
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            transport.write(data + body)
+        else:
+            transport.writelines((data, body))
+        if answer.held is not None:
+            self._hold_until_sent(answer.held)
         if close:
             self._close_after_reading()
 
+    def _hold_until_sent(self, held: HeldAnswer) -> None:
+        """Release an answer's memory, or keep it counted while the caller takes the answer."""
+        if not self.writing_paused or self.transport is None:
+            held.release()
+            return
+        if not self._unsent:
+            self._progress_at = self._loop.time()
+            self._unsent_bytes = self.transport.get_write_buffer_size()
+        self._unsent.append(held)
+
+    def abort_if_stalled(self, now: float) -> None:
+        """Reset the connection if its caller has hardly read for `STALLED_S`."""
+        if self.transport is None or not self._unsent or now - self._progress_at < STALLED_S:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes > self._unsent_bytes - MIN_PROGRESS_BYTES:
+            log_event("caller_stalled", level="WARNING", unsent_bytes=unsent_bytes)
+            self.abort()
+            return
+        self._progress_at, self._unsent_bytes = now, unsent_bytes
+
     def send_continue(self, exchange: Exchange) -> None:
         """Send 100 Continue if the request is the next to be answered."""
         if self.transport is not None and self.exchanges and self.exchanges[0] is exchange:
@@ -331,10 +376,12 @@
         handle: Callable[[Exchange], Awaitable[Answer]],
         limits: Callable[[], CallerLimits],
         max_held_bytes: int,
+        answer_memory: AnswerMemory,
     ) -> None:
         self.held_bytes = 0
         self.max_held_bytes = max_held_bytes
         self.loop = asyncio.get_running_loop()
+        self.answer_memory = answer_memory
         self.handle = handle
         self.limits = limits
         self.connections: set[CallerConnection] = set()
@@ -365,15 +412,20 @@
         limits = self.limits()
         for connection in list(self.connections):
             connection.close_if_timed_out(now, limits)
+            if self.answer_memory.is_awaited:
+                connection.abort_if_stalled(now)
 
 
 def create_caller_connections(
     handle: Callable[[Exchange], Awaitable[Answer]],
     limits: Callable[[], CallerLimits],
     max_held_bytes: int = DEFAULT_MAX_HELD_BYTES,
+    answer_memory: AnswerMemory | None = None,
 ) -> CallerConnections:
     """Create the set of callers' connections; must be called inside the running loop.
 
-    `max_held_bytes` bounds the memory of request bodies.
+    `max_held_bytes` bounds the memory of request bodies, `answer_memory` that of answers.
     """
-    return CallerConnections(handle, limits, max_held_bytes)
+    return CallerConnections(
+        handle, limits, max_held_bytes, answer_memory or create_answer_memory()
+    )
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -840,6 +840,7 @@
             answer.body,
             answer.reason,
             length=int(length) if length is not None and not answer.body else None,
+            held=answer.held,
         )
 
     def _own_answer_to(
--- a/heatherhead/proxy/messages.py
+++ b/heatherhead/proxy/messages.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+if TYPE_CHECKING:
+    from heatherhead.proxy.answer_memory import HeldAnswer
+
 __all__ = ["Answer", "HttpRequest", "end_to_end_headers", "own_answer", "request_bytes"]
 
 # Hop-by-hop headers (RFC 9110, 7.6.1), and the framing headers, which are set anew.
@@ -48,6 +52,7 @@
     reason: str = ""
     close: bool = False
     length: int | None = None  # Content-Length of an answer to HEAD, which has no body
+    held: HeldAnswer | None = None  # the memory of an upstream's answer
 
 
 def end_to_end_headers(headers: CIMultiDictProxy[str] | CIMultiDict[str]) -> CIMultiDict[str]:
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -14,7 +14,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser
 
-from heatherhead.proxy.answer_memory import AnswerMemoryError
+from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
 
 if TYPE_CHECKING:
     import asyncio
@@ -50,6 +50,7 @@
     reason: str
     message: RawResponseMessage
     body: bytes
+    held: HeldAnswer  # the memory of the body
 
     def header(self, name: str) -> str | None:
         """Return the value of a header."""
@@ -205,12 +206,19 @@
             self.transport.write(data)
             while True:
                 message, payload = await self._next_head()
-                body = await self._read(message, payload)
+                held = HeldAnswer(self._memory)
+                try:
+                    body = await self._read(message, payload, held)
+                except BaseException:
+                    held.release()
+                    raise
                 if is_match(message):
+                    held.settle()
                     break
+                held.release()
                 self._unusable = True
             self._update_reuse(message)
-            return UpstreamAnswer(message.code, message.reason, message, body)
+            return UpstreamAnswer(message.code, message.reason, message, body, held)
         except BaseException:
             self.abort()
             raise
@@ -227,24 +235,25 @@
             await self._waiter
         return self._heads.pop(0)
 
-    async def _read(self, message: RawResponseMessage, payload: StreamReader) -> bytes:
+    async def _read(
+        self, message: RawResponseMessage, payload: StreamReader, held: HeldAnswer
+    ) -> bytes:
         self._current_payload = payload
-        parts = []
+        parts: list[bytes] = []
         size = 0
         try:
-            content_length = message.headers.get("Content-Length", "")
-            if content_length.isdecimal() and not payload.is_eof():
-                self._memory.check_content_length(int(content_length))
+            text = message.headers.get("Content-Length", "")
+            announced_size = int(text) if text.isdecimal() and not payload.is_eof() else 0
+            self._memory.check_content_length(announced_size)
             while chunk := await payload.readany():
-                self._memory.grow(size, size + len(chunk))
                 size += len(chunk)
+                await held.grow(size, announced_size)
                 parts.append(chunk)
         except AnswerMemoryError as error:
+            parts.clear()  # which the traceback would keep
             raise BrokenAnswerError(f"too large: {error}") from error
         except (HttpProcessingError, OSError, ValueError) as error:
             raise BrokenAnswerError(f"cut short: {error}") from error
-        finally:
-            self._memory.release(size)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     def _update_reuse(self, message: RawResponseMessage) -> None:
--- a/heatherhead/tests/proxy/endless_answer_tests.py
+++ b/heatherhead/tests/proxy/endless_answer_tests.py
@@ -191,7 +191,10 @@
         for start in range(0, len(body), PIECE_BYTES):
             connection.data_received(body[start : start + PIECE_BYTES])
             await asyncio.sleep(0)
-        assert (await asyncio.wait_for(call, TIMEOUT_S)).body == body
+        received = await asyncio.wait_for(call, TIMEOUT_S)
+        assert received.body == body
+        assert len(body) > memory.held_bytes > len(body) - PIECE_BYTES
+        received.held.release()
         assert memory.held_bytes == 0
         assert connection.usable
 
