Keep to the time for which an upstream that turned a call away wants none

The instance that was turned away, on a call, a health check or a probe, sends no call there until the time is over, whether the answer says "not run" or not.

--- a/heatherhead/platform/dialect.py
+++ b/heatherhead/platform/dialect.py
@@ -14,6 +14,7 @@
     NOT_RUN,
     RATE_LIMIT,
     REQUEST_ID,
+    RETRY_AFTER,
     STAMP,
     UPSTREAM_ID,
 )
@@ -27,6 +28,7 @@
 __all__ = ["PlatformDialect"]
 
 WRONG_UPSTREAM_STATUS = 421
+TURNED_AWAY_STATUS = 503
 
 
 class PlatformDialect:
@@ -104,7 +106,13 @@
         """
         if headers.get(LEAVING, "").strip() == "1":
             return math.inf
-        return 0.0
+        text = headers.get(RETRY_AFTER)
+        if text is None or status != TURNED_AWAY_STATUS:
+            return 0.0
+        pause_s = float(text)
+        if not math.isfinite(pause_s) or pause_s < 0:
+            raise ValueError(f"{text!r} is no time")
+        return pause_s
 
     def answering_upstream(self, headers: Headers) -> str | None:
         """Return the id of the upstream that sent the answer, if the answer names it."""
--- a/heatherhead/platform/names.py
+++ b/heatherhead/platform/names.py
@@ -10,6 +10,7 @@
     "NOT_RUN",
     "RATE_LIMIT",
     "REQUEST_ID",
+    "RETRY_AFTER",
     "STAMP",
     "STORE_HISTORY",
     "UPSTREAM_ID",
@@ -23,5 +24,6 @@
 LOAD = "X-Heatherhead-Server-Load"
 RATE_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"  # "1" in all answers of an upstream that leaves
+RETRY_AFTER = "Retry-After"  # seconds, beside 503
 STORE_HISTORY = "Store-Era"  # in the store's answers; rises when it comes back from a copy
 NOT_RUN = "X-Heatherhead-Not-Executed"
