Follow a source that is gap-free before one that may lack changes

A follower now leaves a source that doesn't say that it is gap-free for one that may, and stays if all don't, until the homes change. A new test follows such a home first and the gap-free one then.

--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -49,6 +49,10 @@
 STANDBY_PEER_TIMEOUT_S = 2.0  # enough to drop a silent stream and follow another home
 
 
+class _BetterSourceError(RelayError):
+    """The followed peer may lack changes, and another one may not."""
+
+
 @dataclass(slots=True)
 class _Lag:
     """A newer revision reported by others, and since when this instance has lacked it."""
@@ -72,6 +76,8 @@
         self.is_standby: Callable[[], bool] = lambda: False
         self.on_relay_state: Callable[[RelayState], None] = lambda _: None
         self.on_source_lost: Callable[[str], None] = lambda _: None  # called with its host
+        self._source: HostPort | None = None
+        self._sources_with_gaps: set[HostPort] = set()  # until they are lost
         self._source_watches_store = False
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -277,15 +283,19 @@
             peers = self._peers()
             if not self._should_follow_peer() or not peers:
                 continue
-            peer = peers[number % len(peers)]
+            preferred = [each for each in peers if each not in self._sources_with_gaps] or peers
+            peer = self._source = preferred[number % len(preferred)]
             try:
                 async with asyncio.timeout(None if not self.is_watcher else PEER_TIMEOUT_S):
                     await follow_peer(peer, self._replica, self._on_batch, self._handle_relay_state)
             except TimeoutError:
                 continue  # a watcher fetches only the missing changes
+            except _BetterSourceError as error:
+                log_event("peer_stream_left", peer=peer, reason=error)
             except RelayError as error:
                 log_event("peer_stream_lost", peer=peer, reason=error)
                 number += 1
+                self._sources_with_gaps.discard(peer)
                 self._source_watches_store = False
                 self.on_source_lost(peer.host)
                 await asyncio.sleep(PEER_RETRY_DELAY_S)
@@ -321,6 +331,13 @@
     def _handle_relay_state(self, relay_state: RelayState) -> None:
         self._source_watches_store = relay_state.watches_store
         self.on_relay_state(relay_state)
+        assert self._source is not None
+        if relay_state.gap_free:
+            self._sources_with_gaps.discard(self._source)
+            return
+        self._sources_with_gaps.add(self._source)
+        if not self._sources_with_gaps.issuperset(self._peers()):
+            raise _BetterSourceError("it may lack changes, and another peer may not")
 
     def _record_answer(self) -> None:
         if self._failing_since is not None:
--- a/heatherhead/tests/fleet/gap_tests.py
+++ b/heatherhead/tests/fleet/gap_tests.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import msgpack
@@ -173,6 +174,36 @@
     run_with_paused_clock(main())
 
 
+def test_follower_stays_with_a_source_that_may_lack_changes_beside_one_that_does_not() -> None:
+    """During an upgrade it took over the gaps of an earlier version's home."""
+
+    async def main() -> None:
+        addresses, servers, followed = [], [], []
+        for source in (_replica_with_gap(), _replica_of(TRUE_KEYS, 8)):
+            relay = create_relay_server(source)
+            gap_free = source.gap_free
+            relay.relay_state = partial(RelayState, "r1", (), True, gap_free=gap_free)
+            server = await asyncio.start_server(relay.serve, "127.0.0.1", 0)
+            servers.append(server)
+            addresses.append(HostPort(*server.sockets[0].getsockname()))
+        copy = create_store_replica()
+        follower = create_store_follower(
+            MemoryStore(), "", copy, lambda: None, lambda: addresses, lambda: True
+        )
+        follower.on_relay_state = lambda state: followed.append(state.gap_free)
+        follower.start()
+        await _until_true(copy)
+        assert followed == [False, True]
+        addresses.pop()
+        servers.pop().close()
+        await asyncio.sleep(0.5)
+        await follower.stop()
+        for server in servers:
+            server.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("gap_free", [False, True])
 def test_state_is_readable_by_earlier_versions_and_theirs_here(gap_free: bool) -> None:
     async def main() -> None:
