Let the soak run daemons of an earlier version until they are started again

`--earlier=DIR` starts the daemons of a run from another checkout; each start after the first is of this version.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
   --callers=N        Callers of a run [default: 12].
   --faults-s=S       Seconds with faults [default: 8].
   --quiet-s=S        Seconds after them; recovery is judged from the 15th on [default: 17].
+  --earlier=DIR      Checkout of an earlier version; the daemons run it until they are started again.
   --keep=DIR         Where the logs of failed seeds go [default: bench/out/soak].
 
 Every fifth seed has planned work only: instances that stop, back ends that drain, configurations.
@@ -55,6 +56,7 @@
     callers: int
     faults_s: float
     quiet_s: float
+    earlier_build: Path | None = None
 
 
 @dataclass
@@ -73,7 +75,9 @@
     rng = Random(seed)
     report = Report(seed)
     planned_only = seed % PLANNED_SEED_INTERVAL == 0
-    world = await create_world(directory, rng, ip_prefix, plan.daemons, plan.upstreams)
+    world = await create_world(
+        directory, rng, ip_prefix, plan.daemons, plan.upstreams, plan.earlier_build
+    )
     callers = Callers(world, Random(seed + 1))
     loop = asyncio.get_running_loop()
     try:
@@ -148,6 +152,7 @@
         int(options["--callers"]),
         float(options["--faults-s"]),
         float(options["--quiet-s"]),
+        Path(options["--earlier"]).resolve() if options["--earlier"] else None,
     )
     reports = asyncio.run(
         _run_seeds(
--- a/soak/world.py
+++ b/soak/world.py
@@ -71,12 +71,15 @@
     environment: dict[str, str]
     log: Path
     popen: subprocess.Popen[bytes] | None = None
+    first_build: Path | None = None  # the checkout that its first start runs
 
     def start(self) -> None:
         """Start the process, with its output appended to its log."""
+        build, self.first_build = self.first_build, None
         with self.log.open("ab") as output:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.arguments],
+                cwd=build,
                 env={**os.environ, **self.environment},
                 stdin=subprocess.DEVNULL,
                 stdout=output,
@@ -242,11 +245,17 @@
 
 
 async def create_world(
-    directory: Path, rng: Random, ip_prefix: str, daemons: int, upstreams: int
+    directory: Path,
+    rng: Random,
+    ip_prefix: str,
+    daemons: int,
+    upstreams: int,
+    earlier_build: Path | None = None,
 ) -> World:
     """Create the processes of a run without starting them.
 
-    `ip_prefix` is a prefix of loopback addresses that no other run uses.
+    `ip_prefix` is a prefix of loopback addresses that no other run uses. The daemons run the
+    checkout `earlier_build`, if there is one, until they are started again.
     """
     store = FakePlatformStore(page=STORE_PAGE_ITEMS)
     store_host, _, store_port = (await store.start(f"{ip_prefix}.1")).partition(":")
@@ -273,6 +282,7 @@
             ["-m", "heatherhead.platform"],
             {"HEATHERHEAD_BOOT": str(settings)},
             directory / f"{name}.log",
+            first_build=earlier_build,
         )
         world.daemons.append(Daemon(ip, process, link))
     for number in range(upstreams):
