Refuse a listing without a store failure while the history is silent, and measure stalled callers by what was added

While watches hear nothing (a compaction), the changes between two pages can't be told yet: the listing was refused as a failure of the store, which keeps removed entries for some seconds more. It is now refused like one whose history is gone, and read anew. A caller with several large answers in the buffer of its connection could count as stalled when one more was added. Test: test_listing_whose_changes_the_history_does_not_tell_yet_is_refused, failing before.

--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -116,12 +116,11 @@
                 reply = await self._call("GET", "/kv-watch", query)
             except _CallFailedError as error:
                 return Err(unavailable_error(f"changes between two pages: {error}"))
-            if reply.status == 410 or reply.history != history:
-                return Err(CompactedError(ranked_revision(history, revision + 1)))
-            if reply.status != 200:
+            if reply.status not in (200, 410):
                 return Err(unavailable_error(f"changes between two pages: status {reply.status}"))
-            if reply.body["StoreRevision"] <= revision:
-                return Err(unavailable_error("the history does not reach the last page"))
+            gone = reply.status == 410 or reply.history != history
+            if gone or reply.body["StoreRevision"] <= revision:
+                return Err(CompactedError(ranked_revision(history, revision + 1)))
             for event in reply.body["events"]:
                 _apply_event(by_key, _event(event, history))
             revision = reply.body["StoreRevision"]
--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -136,7 +136,7 @@
         self._ending = False  # no further request is taken; it closes after the last answer
         self._linger_timer: asyncio.TimerHandle | None = None
         self._unsent: list[HeldAnswer] = []  # of answers that the caller has not taken yet
-        self._unsent_bytes = 0  # at `_progress_at`
+        self._unsent_bytes = 0  # at `_progress_at`, and of the answers since
         self._progress_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -273,11 +273,11 @@
         else:
             transport.writelines((data, body))
         if answer.held is not None:
-            self._hold_until_sent(answer.held)
+            self._hold_until_sent(answer.held, len(data) + len(body))
         if close:
             self._close_after_reading()
 
-    def _hold_until_sent(self, held: HeldAnswer) -> None:
+    def _hold_until_sent(self, held: HeldAnswer, size: int) -> None:
         """Release an answer's memory, or keep it counted while the caller takes the answer."""
         if not self.writing_paused or self.transport is None:
             held.release()
@@ -285,6 +285,8 @@
         if not self._unsent:
             self._progress_at = self._loop.time()
             self._unsent_bytes = self.transport.get_write_buffer_size()
+        else:
+            self._unsent_bytes += size
         self._unsent.append(held)
 
     def abort_if_stalled(self, now: float) -> None:
--- a/heatherhead/tests/platform/fake_platform_store.py
+++ b/heatherhead/tests/platform/fake_platform_store.py
@@ -37,6 +37,7 @@
     away: bool = False
     on_page: Callable[[int], None] = lambda _: None  # called with the number of each page served
     pages_served: int = 0
+    deaf_at: int | None = None  # the revision behind which watches hear nothing
 
     def copy(self) -> dict[str, Any]:
         """Return a copy from which the store may be restored."""
@@ -136,13 +137,16 @@
                 await asyncio.wait_for(self.changed.wait(), end - loop.time())
             if self.era != era:
                 return web.Response(status=410)
-        return _json({"events": found, "StoreRevision": self.revision})
+        heard = self.revision if self.deaf_at is None else self.deaf_at
+        return _json({"events": found, "StoreRevision": heard})
 
     def _changes(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             each
             for each in self.events
-            if each["Revision"] > after and each["Key"].startswith(prefix)
+            if each["Revision"] > after
+            and each["Key"].startswith(prefix)
+            and (self.deaf_at is None or each["Revision"] <= self.deaf_at)
         ]
 
     async def _txn(self, request: web.Request) -> web.Response:
--- a/heatherhead/tests/platform/store_tests.py
+++ b/heatherhead/tests/platform/store_tests.py
@@ -120,6 +120,24 @@
     _run(scenario)
 
 
+def test_listing_whose_changes_the_history_does_not_tell_yet_is_refused() -> None:
+    """Watches may hear nothing for a while; that is no failure of the store."""
+
+    async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
+        def change(served: int) -> None:
+            if served == 1:
+                _change_read_key(fake)
+                fake.deaf_at = fake.revision - 1
+
+        for number in range(5):
+            fake.put(f"servers/{number}", b"x")
+        fake.on_page = change
+        refused = await store.read_prefix("servers/")
+        assert isinstance(refused.err_value, CompactedError)
+
+    _run(scenario)
+
+
 def test_swap_compares_revisions_and_returns_the_current_value() -> None:
     async def scenario(fake: FakePlatformStore, store: PlatformStore) -> None:
         first = (await store.compare_and_swap("own/a", 0, b"one")).ok_value
