Start each process of the soak in a group of its own

Trace: the soak had suspended it for good at 17:01:40.4; at 17:01:48.04 it went on and logged `reloaded cause=SIGHUP`, at the moment at which the shell command ended that had started the soak in the background. When a process group loses its last parent in the session, the kernel sends SIGHUP and SIGCONT to it if a member is stopped. The soak's processes were in that group. The check's fault, not the product's.

Each process now has a group of its own, whose parent is the soak.

--- a/soak/world.py
+++ b/soak/world.py
@@ -84,6 +84,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                process_group=0,  # else a shell that ends resumes the suspended ones
             )
 
     @property
