Keep slots in use for as long as a test needs them

Reading of the diff: departed_caller_tests.py filled the upstreams by a load reading, which counts for 0.3 s; on a slow machine the upload would have been placed before its caller leaves. The slots are now in use until the test frees them.

--- a/heatherhead/tests/proxy/departed_caller_tests.py
+++ b/heatherhead/tests/proxy/departed_caller_tests.py
@@ -19,8 +19,10 @@
 
 
 def _set_load(path: EntryPath, running: int) -> None:
+    """Have calls use slots; a reading alone would count for 0.3 s only."""
     now = asyncio.get_running_loop().time()
     for state in path.dispatcher.states:
+        state.own_in_flight = running
         path.dispatcher.apply_reading(state, LoadReading(running, 0, 4, 1.0, now))
 
 
