Show that a caller that leaves behind 32 unanswered requests is not noticed, failing on the present code

With 40 requests held at an upstream, attempts go on half a second after the caller has left; with 31 none does.

--- a/heatherhead/tests/proxy/closing_tests.py
+++ b/heatherhead/tests/proxy/closing_tests.py
@@ -22,7 +22,7 @@
 BODY_BYTES = 4_000_000  # more than the kernel's buffers take
 
 
-class _HeldUpstream:
+class HeldUpstream:
     """Answers its requests when they are released."""
 
     def __init__(self) -> None:
@@ -44,16 +44,17 @@
             writer.close()
 
 
-async def _held(path: EntryPath) -> _HeldUpstream:
+async def add_held_upstream(path: EntryPath) -> HeldUpstream:
     """Give a path one upstream whose answers are held."""
-    upstream = _HeldUpstream()
+    upstream = HeldUpstream()
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     path._ports["held"] = server.sockets[0].getsockname()[1]
     path.configure()
     return upstream
 
 
-async def _arrived(upstream: _HeldUpstream, count: int) -> None:
+async def wait_for_arrivals(upstream: HeldUpstream, count: int) -> None:
+    """Wait until so many requests have arrived."""
     while len(upstream.ids) < count:
         await asyncio.sleep(0.01)
 
@@ -74,10 +75,10 @@
     """The first answer after SIGTERM closed the connection, and cancelled the others at upstreams."""
 
     async def scenario(path: EntryPath, _upstreams: object) -> None:
-        upstream = await _held(path)
+        upstream = await add_held_upstream(path)
         reader, writer = await path.connect()
         writer.write(b"".join(request(request_id=f"r{number}") for number in (1, 2, 3)))
-        await _arrived(upstream, 3)
+        await wait_for_arrivals(upstream, 3)
         stop(path)
         upstream.released.set()
         received = [await read_answer(reader) for _ in range(3)]
@@ -93,10 +94,10 @@
     """Callers send such requests again, so one that runs would run twice."""
 
     async def scenario(path: EntryPath, _upstreams: object) -> None:
-        upstream = await _held(path)
+        upstream = await add_held_upstream(path)
         reader, writer = await path.connect()
         writer.write(request(request_id="r1") + request(request_id="r2"))
-        await _arrived(upstream, 2)
+        await wait_for_arrivals(upstream, 2)
         path.callers.leaving = True
         upstream.released.set()
         await read_answer(reader)
--- a/heatherhead/tests/proxy/departed_caller_tests.py
+++ b/heatherhead/tests/proxy/departed_caller_tests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from heatherhead.dispatch.upstream_state import LoadReading
+from heatherhead.tests.proxy.closing_tests import add_held_upstream, wait_for_arrivals
 from heatherhead.tests.proxy.detour_tests import REFUSED, run_detour
 from heatherhead.tests.proxy.fakes import request, run_path, status_of
 
@@ -15,6 +16,7 @@
     from heatherhead.tests.proxy.fakes import EntryPath, ScriptedUpstream
 
 UPLOAD = request("/upload/x", method="POST", body=b"photo")
+GONE_S = 0.5  # the platform's bound for calls whose caller has left
 SETTLE_S = 0.15  # for the close to pass through both instances
 
 
@@ -103,3 +105,26 @@
         assert peer.forwarder._active_calls
 
     run_detour(scenario, ["hang"])
+
+
+@pytest.mark.parametrize(
+    "requests",
+    [
+        31,
+        pytest.param(40, marks=pytest.mark.xfail(reason="KNOWN-RED.txt, issue 2", strict=True)),
+    ],
+)
+def test_caller_that_leaves_behind_many_unanswered_requests_is_not_noticed(requests: int) -> None:
+    """Reading pauses at 32 of them, so that the close is seen only once one is answered."""
+
+    async def scenario(path: EntryPath, _upstreams: list[ScriptedUpstream]) -> None:
+        upstream = await add_held_upstream(path)
+        _, writer = await path.connect()
+        writer.write(b"".join(request(request_id=f"r{number}") for number in range(requests)))
+        await wait_for_arrivals(upstream, 4)
+        await asyncio.sleep(SETTLE_S)
+        writer.close()
+        await asyncio.sleep(GONE_S)
+        assert not path.forwarder._active_calls
+
+    run_path(scenario)
