Log each skipped, spliced and unrequested answer, and each failed attempt after which a call goes on

Each has one now, with both ids where there are two. No decision is changed; how an answer is matched moves from three places to answer_matching.

--- a/heatherhead/proxy/detour.py
+++ b/heatherhead/proxy/detour.py
@@ -13,6 +13,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from heatherhead.proxy.answer_matching import answers_call
 from heatherhead.proxy.messages import end_to_end_headers, request_bytes
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError, create_upstream_pool
@@ -150,8 +151,13 @@
         try:
             answer = await connection.exchange(
                 request_bytes(call.request, headers),
-                lambda message: (
-                    (self._dialect.request_id(message.headers) or "") == call.request_id
+                lambda message: answers_call(
+                    self._dialect,
+                    message,
+                    call.request_id,
+                    peer,
+                    reused=connection.calls > 1,
+                    may_lack_id=False,
                 ),
             )
         except BrokenAnswerError as error:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -15,6 +15,7 @@
 from heatherhead.dispatch.hedging import CHECK_INTERVAL_S, first_check_s, worth_hedging
 from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.entry.settings import HostPort
+from heatherhead.proxy.answer_matching import answers_call
 from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
 from heatherhead.proxy.detour import (
     CANNOT_SERVE,
@@ -40,7 +41,7 @@
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.proxy.caller_connection import Exchange
     from heatherhead.proxy.detour import Detours, DetourTerms
-    from heatherhead.proxy.dialect import AnswerMetadata, Dialect, Headers
+    from heatherhead.proxy.dialect import AnswerMetadata, Dialect
     from heatherhead.proxy.messages import HttpRequest
     from heatherhead.proxy.upstream_connection import UpstreamAnswer, UpstreamConnection
     from heatherhead.proxy.upstream_pool import UpstreamPool
@@ -606,10 +607,12 @@
         if outcome.end in (_AttemptEnd.UNKNOWN, _AttemptEnd.FAILED):
             call.may_have_run = True
         if call.slot_by_task:
+            self._log_failed_attempt(call, outcome, "another attempt is out")
             return None
         failed_connects = len(call.tried_ids) - call.sent
         call.unreachable = failed_connects >= FAILED_CONNECTS_BEFORE_DETOUR
         if self._may_retry(call, outcome):
+            self._log_failed_attempt(call, outcome, "retried")
             return None
         if outcome.end is _AttemptEnd.NOT_SENT and self._needs_detour(call):
             return None
@@ -629,6 +632,17 @@
         retry_after_s = RETRY_AFTER_S + (pause_s if math.isfinite(pause_s) else 0.0)
         return self._own_answer_to(call, 503, f"not run: {outcome.reason}", retry_after_s)
 
+    def _log_failed_attempt(self, call: _Call, outcome: _AttemptOutcome, then: str) -> None:
+        log_event(
+            "attempt_failed",
+            id=call.demand.request_id,
+            service=call.demand.service,
+            end=outcome.end.name,
+            reason=outcome.reason,
+            sent=call.sent,
+            then=then,
+        )
+
     def _may_retry(self, call: _Call, outcome: _AttemptOutcome) -> bool:
         now = self._loop.time()
         if call.exchange.abandoned or now + call.demand.work_s > call.demand.give_up_at:
@@ -684,8 +698,12 @@
         try:
             answer = await connection.exchange(
                 data,
-                lambda message: self._answers_call(
-                    call, message.headers, reused=connection.calls > 1
+                lambda message: answers_call(
+                    self._dialect,
+                    message,
+                    call.demand.request_id,
+                    entry.id,
+                    reused=connection.calls > 1,
                 ),
             )
         except BrokenAnswerError as error:
@@ -705,16 +723,6 @@
         self._dialect.set_request_headers(headers, upstream_id, remaining_s)
         return request_bytes(request, headers)
 
-    def _answers_call(self, call: _Call, headers: Headers, *, reused: bool) -> bool:
-        """Return whether an answer is this call's; on a reused connection it has to say so.
-
-        There a copy of an earlier answer, or of a health check's, may come first.
-        """
-        echoed = self._dialect.request_id(headers)
-        if echoed is None and not (reused and call.demand.request_id):
-            return not self._dialect.is_health_answer(headers)
-        return echoed == call.demand.request_id
-
     def _evaluate_answer(
         self, call: _Call, slot: Slot, entry: UpstreamEntry, answer: UpstreamAnswer, sent_at: float
     ) -> _AttemptOutcome:
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.entry.settings import HostPort
+from heatherhead.proxy.answer_matching import answers_health_check
 from heatherhead.proxy.dialect import read_rate_limit
 from heatherhead.proxy.health_request import health_request, record_health_pause
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
@@ -131,9 +132,8 @@
         data = health_request(entry, path)
         started_at = self._loop.time()
         async with asyncio.timeout(READ_TIMEOUT_S + state.transit_s):
-            # An answer with a request id is a late one to a call that used the connection before.
             answer = await connection.exchange(
-                data, lambda message: self._dialect.request_id(message.headers) is None
+                data, lambda message: answers_health_check(self._dialect, message, entry.id)
             )
         now = self._loop.time()
         self._reach.record_answer(state.entry.service)
--- a/heatherhead/proxy/reach_prober.py
+++ b/heatherhead/proxy/reach_prober.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.entry.settings import HostPort
+from heatherhead.proxy.answer_matching import answers_health_check
 from heatherhead.proxy.health_request import health_request, record_health_pause
 from heatherhead.proxy.upstream_connection import BrokenAnswerError
 from heatherhead.proxy.upstream_pool import ConnectError
@@ -106,10 +107,9 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S + 2 * state.transit_s):
                 connection = await self._pool.open(address)
                 if path is not None:
-                    # An answer with a request id is no health check's.
                     answer = await connection.exchange(
                         health_request(entry, path),
-                        lambda message: self._dialect.request_id(message.headers) is None,
+                        lambda message: answers_health_check(self._dialect, message, entry.id),
                     )
                     record_health_pause(self._dialect, self._dispatcher, entry, answer)
         except (ConnectError, BrokenAnswerError, TimeoutError) as error:
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -14,7 +14,10 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser
 
+from heatherhead.proxy.answer_heads import find_second_status_line
 from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
+from heatherhead.telemetry.bounded_logs import log_routine
+from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     import asyncio
@@ -35,6 +38,7 @@
 MAX_OVERHEAD_PER_BODY_BYTE = 8  # a one-byte chunk has five bytes of framing
 MAX_INTERIM_ANSWERS = 16  # answers with a status below 200 to one call; one or two are normal
 MAX_QUEUED_ANSWERS = 4  # received in one call; a late duplicate is one more than expected
+LOGGED_BYTES = 24  # of unrequested ones: a status line, or what else they are
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -107,6 +111,7 @@
         if self._unusable:
             return
         if not self.busy and data:
+            self._log_unrequested(data)
             self._break(BrokenAnswerError("bytes without a request"))
             return
         # Empty data resumes the parser on buffered bytes.
@@ -174,6 +179,20 @@
         self._fail(error)
         self.abort()
 
+    def _log_unrequested(self, data: bytes) -> None:
+        log_routine(
+            "unrequested_bytes",
+            address=self._peer_name(),
+            size=len(data),
+            begins=data[:LOGGED_BYTES],
+            calls=self.calls,
+            idle_s=f"{self._loop.time() - self.idle_since:.3f}",
+        )
+
+    def _peer_name(self) -> str:
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return ":".join(map(str, name[:2])) if name else "unknown"
+
     def _fail(self, error: Exception) -> None:
         self._error = self._error or error
         payload = self._current_payload
@@ -206,6 +225,9 @@
             self.transport.write(data)
             while True:
                 message, payload = await self._next_head()
+                place = find_second_status_line(message)
+                if place is not None:
+                    log_event("answer_spliced", address=self._peer_name(), place=place)
                 held = HeldAnswer(self._memory)
                 try:
                     body = await self._read(message, payload, held)
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -40,6 +40,7 @@
 __all__ = ["EntryPath", "ScriptedUpstream", "answer", "request", "run_path", "status_of"]
 
 LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST
+PART_INTERVAL_S = 0.01  # so that the parts of an answer are read one by one
 TEST_TIMEOUT_S = 20.0  # only reached by a test that hangs
 
 
@@ -77,7 +78,8 @@
     """Answers each request with the next step of its script.
 
     A step is the bytes of an answer, a tuple of these and 'close' or 'reset', a tuple of 'wait',
-    seconds and an answer, or one of the words 'reset' and 'hang'.
+    seconds and an answer, a list of bytes to write one after the other, or one of the words 'reset'
+    and 'hang'.
     """
 
     script: list[Any]
@@ -110,6 +112,11 @@
                 if isinstance(step, tuple) and step[0] == "wait":
                     await asyncio.sleep(step[1])
                     step = step[2]
+                if isinstance(step, list):
+                    for part in step[:-1]:
+                        writer.write(part)
+                        await asyncio.sleep(PART_INTERVAL_S)
+                    step = step[-1]
                 close = isinstance(step, tuple)
                 writer.write(step[0] if close else step)
                 await writer.drain()
