Show that a cut copy of an answer is joined with the next, and two faults beside it, failing on the present code

An answer that comes in a read behind a skipped one is dropped: 504 after the whole deadline. A whole earlier answer between the head and the body of the next, in a read after that head, is taken for the body (in one read the caller gets 502).

--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
@@ -25,6 +27,8 @@
     X_Heatherhead_Server_Load="1,0,4,100",
 )
 FAILURE = answer("r2", 500, b"failed", X_Heatherhead_Server_Stamp="failed")
+SUCCESS = answer("r2", 200, b"second")
+HEAD_BYTES = EARLIER.index(b"\r\n\r\n") + 4
 
 
 def call(request_id: str, prefix: str = "/read/") -> bytes:
@@ -33,6 +37,72 @@
     return request(f"{prefix}x", request_id, method, X_Heatherhead_Deadline_Ms="400")
 
 
+def assert_failed(received: bytes) -> None:
+    """Check that a caller got the failure as it was, or an error that claims no upstream's."""
+    if status_of(received) == 500:
+        assert received.endswith(b"failed")
+        assert received.count(b"Server-Load") == 0
+    else:
+        assert status_of(received) == 502
+        assert b"Server-Stamp" not in received
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 41", strict=True)
+@pytest.mark.parametrize("prefix", ["/read/", "/order/"])
+@pytest.mark.parametrize("where", ["before", "behind"])
+def test_part_of_an_earlier_answer_is_read_as_the_head_of_the_next(where: str, prefix: str) -> None:
+    """Cut at each byte of its head, before the next answer or right behind the first."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        for cut in range(1, HEAD_BYTES):
+            copy = EARLIER[:cut]
+            upstreams[0].script[:] = (
+                [EARLIER, copy + FAILURE] if where == "before" else [EARLIER + copy, FAILURE]
+            )
+            assert status_of(await path.send(call("r1", prefix))) == 200, cut
+            assert_failed(await path.send(call("r2", prefix)))
+
+    run_path(scenario, [], max_attempts=1)
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 41", strict=True)
+def test_answer_behind_a_skipped_one_is_not_read() -> None:
+    """Both come in reads of their own; the caller waited for its whole deadline."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert status_of(await path.send(call("r1"))) == 200
+        received = await path.send(call("r2"))
+        assert status_of(received) == 200
+        assert received.endswith(b"second")
+        assert upstreams[0].connections == 1
+        assert status_of(await path.send(call("r3"))) == 200
+        assert upstreams[0].connections == 2
+
+    run_path(scenario, [EARLIER, [EARLIER, SUCCESS], answer("r3")], max_attempts=1)
+
+
+@pytest.mark.parametrize(
+    "separate",
+    [
+        False,
+        pytest.param(True, marks=pytest.mark.xfail(reason="KNOWN-RED.txt, issue 41", strict=True)),
+    ],
+    ids=["one read", "two reads"],
+)
+def test_earlier_answer_between_head_and_body_is_taken_for_the_body(separate: bool) -> None:
+    head_bytes = SUCCESS.index(b"\r\n\r\n") + 4
+    parts = [SUCCESS[:head_bytes], EARLIER + SUCCESS[head_bytes:]]
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert status_of(await path.send(call("r1"))) == 200
+        assert status_of(await path.send(call("r2"))) == 502
+
+    run_path(scenario, [EARLIER, parts if separate else b"".join(parts)], max_attempts=1)
+
+
 def record_events(*names: str) -> tuple[list[Mapping[str, object]], object]:
     """Collect the fields of some events; the second value ends that when passed to `forget`."""
     lines: list[Mapping[str, object]] = []
