Refuse answers with the bytes of another one in their body

Callers got 200 with an earlier answer as the body, where an upstream wrote that answer whole between the head and the body of the next one, and the head had come in a read of its own. The body ended inside the copy, and what came behind it, which no parser could read, was met too late: the answer was complete by then, and only the connection was dropped. In one read the parser's error came first, which hid it.

An answer is passed on only if what is behind it begins a message: else it may be the rest of the body. Besides, no body may hold the head of this answer or of the one before it on the connection. That finds whole copies also where the rest comes later. What can't be found: a copy without its head, or of an answer before the last one, inside a body, if the rest of the body comes after the answer was passed on.

Evidence: test_earlier_answer_between_head_and_body_is_taken_for_the_body[two reads], committed failing (200, body 'HTTP/1'), passes.

--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 from aiohttp.http_parser import HttpResponseParser
 
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
+from heatherhead.proxy.answer_heads import begins_message
 from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
 from heatherhead.telemetry.bounded_logs import log_routine
 
@@ -83,6 +85,7 @@
         self._response_parser = parser
         self._framing = create_answer_framing(with_body=with_body)
         self._answer: tuple[RawResponseMessage, StreamReader] | None = None  # whose head has come
+        self._heads: deque[bytes] = deque(maxlen=2)  # of the last answer and the one before it
         # Of the call in progress:
         self._received_bytes = 0
         self._skipped_bytes = 0  # bodies of skipped answers
@@ -154,18 +157,21 @@
         if upgraded:
             self._break(BrokenAnswerError("an unasked upgrade"))
         elif is_head:
-            self._begin_message(messages)
+            self._begin_message(data, messages)
         elif messages or not self._ends_as_parsed():
             self._report_stray_bytes("an answer without a certain end", data)
             self._break(BrokenAnswerError("not HTTP: an answer without a certain end"))
 
-    def _begin_message(self, messages: Sequence[tuple[RawResponseMessage, StreamReader]]) -> None:
+    def _begin_message(
+        self, head: bytes, messages: Sequence[tuple[RawResponseMessage, StreamReader]]
+    ) -> None:
         ((message, payload),) = messages  # a whole head is one message
         self._framing.begin_body(message)
         if message.code < 200:
             self._interim_answers += 1
             return
         self._answers += 1
+        self._heads.append(head)
         self._answer = (message, payload)
         self._wake_waiter()
 
@@ -269,6 +275,7 @@
                 try:
                     body = await self._read(message, payload, held)
                     if is_match(message):
+                        self._check_boundaries(body)
                         break
                 except BaseException:
                     held.release()
@@ -310,6 +317,21 @@
         self._framing.begin_answer()
         self._parse_answer()
 
+    def _check_boundaries(self, body: bytes) -> None:
+        """Raise `BrokenAnswerError` if an answer may hold bytes of another one.
+
+        Bytes behind it that begin no message may be the rest of its body. A body that holds the
+        head of this or of the last answer was written into a copy of it, or the reverse.
+        """
+        pending = self._framing.pending
+        if pending:
+            self._report_stray_bytes("bytes behind an answer", pending)
+            if not begins_message(pending):
+                raise BrokenAnswerError("not HTTP: bytes behind the answer")
+        if any(head in body for head in self._heads):
+            self._report_stray_bytes("an answer inside another one")
+            raise BrokenAnswerError("not HTTP: the head of an answer in its body")
+
     async def _read(
         self, message: RawResponseMessage, payload: StreamReader, held: HeldAnswer
     ) -> bytes:
@@ -333,8 +355,6 @@
     def _update_reuse(self, message: RawResponseMessage) -> None:
         transport = self.transport
         request_unsent = transport is not None and transport.get_write_buffer_size() > 0
-        if self._framing.pending:
-            self._report_stray_bytes("bytes behind an answer", self._framing.pending)
         if message.should_close or self._strayed or request_unsent or self._lost:
             self._unusable = True
             self.close()
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -81,7 +81,6 @@
     run_path(scenario, [EARLIER, [EARLIER, SUCCESS], answer("r3")], max_attempts=1)
 
 
-@pytest.mark.xfail(reason="KNOWN-RED.txt, issue 41", strict=True)
 @pytest.mark.parametrize("separate", [False, True], ids=["one read", "two reads"])
 def test_earlier_answer_between_head_and_body_is_taken_for_the_body(separate: bool) -> None:
     head_bytes = SUCCESS.index(b"\r\n\r\n") + 4
