Give each call a connection of its own while its upstream answers twice

Where copies are cut, a call on a kept connection ends as broken: an idempotent one is sent again while the retry budget lasts, others get 502. On a new connection no copy of an earlier answer can come first. So an upstream from which bytes came that belong to no request keeps no connections for calls until ten seconds have passed without such bytes. Load readings go on sharing one: they come ten times a second, and a copy costs at most one old reading.

--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -117,11 +117,11 @@
                 due_at = loop.time() + RECONNECT_DELAY_S
             else:
                 failures = 0
-                self._pool.release(address, connection)
+                self._pool.release(address, connection, for_call=False)
 
     async def _connect(self, state: UpstreamState, address: HostPort) -> UpstreamConnection:
         started_at = self._loop.time()
-        connection = await self._pool.acquire(address)
+        connection = await self._pool.acquire(address, for_call=False)
         if connection.calls == 0:
             zone = state.entry.availability_zone
             self._dispatcher.record_round_trip(zone, self._loop.time() - started_at)
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -102,6 +102,7 @@
         self.idle_since = loop.time()
         self.idle_timeout_s: float | None = None
         self.on_lost: Callable[[UpstreamConnection], None] | None = None
+        self.on_stray_bytes: Callable[[str], None] | None = None  # called with what came
 
     @property
     def usable(self) -> bool:
@@ -241,6 +242,8 @@
             calls=self.calls,
             idle_s=f"{0.0 if self.busy else self._loop.time() - self.idle_since:.3f}",
         )
+        if not self._strayed and self.on_stray_bytes is not None:
+            self.on_stray_bytes(what)
         self._strayed = True
 
     def _fail(self, error: Exception) -> None:
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 
+from heatherhead.entry.settings import HostPort
+from heatherhead.proxy.upstream_pool import NOT_KEPT_S, create_upstream_pool
 from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
@@ -135,3 +138,46 @@
     assert [(each["id"], each["reason"], each["then"]) for each in lines] == [
         ("r1", "status 500", "retried")
     ]
+
+
+def test_upstream_that_answers_twice_keeps_its_connections() -> None:
+    """A non-idempotent call can't be sent again, so it must not meet what is left there."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        for number in range(1, 4):
+            assert status_of(await path.send(call("r1", "/order/"))) == 200
+            assert upstreams[0].connections == number
+
+    lines, record = record_events("connections_not_kept")
+    try:
+        run_path(scenario, [EARLIER + EARLIER])
+    finally:
+        remove_event_listener(record)  # type: ignore[arg-type]
+    assert [each["what"] for each in lines] == ["bytes behind an answer"]
+
+
+def test_upstream_without_stray_bytes_for_a_while_keeps_no_connections() -> None:
+    """Load readings share their connection all the time."""
+
+    async def main() -> None:
+        upstream = ScriptedUpstream([EARLIER + EARLIER])
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        address = HostPort(*server.sockets[0].getsockname())
+        pool = create_upstream_pool()
+        loop = asyncio.get_running_loop()
+        for for_call, connections in ((True, 1), (False, 2), (False, 2), (True, 3), (True, 4)):
+            connection = await pool.acquire(address, for_call=for_call)
+            await connection.exchange(call("r1"), lambda _: True)
+            pool.release(address, connection, for_call=for_call)
+            assert upstream.connections == connections
+        now = loop.time()
+        loop.time = lambda: now + NOT_KEPT_S  # type: ignore[method-assign]
+        for _ in range(2):
+            connection = await pool.open(address)
+            pool.release(address, connection)
+            assert await pool.acquire(address) is connection
+        pool.close()
+        server.close()
+
+    asyncio.run(main())
