Take no answer that could be another call's for that of a call without an id or of a health check

An answer names its call; a call without an id could get a copy of any earlier answer without one, so it gets a connection of its own. A health check took any answer without an id: also a late copy of a call's answer without its id, whose status it then believed; the upstream's stamp tells these apart. A success must hold one stamp and one id, as two of either are of two answers.

Tests failed before: the call shared a connection, the health check got 500, and success with two stamps or two ids was passed on.

--- a/heatherhead/platform/dialect.py
+++ b/heatherhead/platform/dialect.py
@@ -67,12 +67,18 @@
             not_run=misdirected or NOT_RUN in headers,
             wrong_upstream=misdirected,
             # Callers accept no encoding, so an encoded body was altered on its way.
-            authentic=STAMP in headers and "Content-Encoding" not in headers,
+            authentic=len(headers.getall(STAMP, ())) == 1
+            and len(headers.getall(REQUEST_ID, ())) == 1
+            and "Content-Encoding" not in headers,
         )
 
     def is_health_answer(self, headers: Headers) -> bool:
         """Return whether the headers are those of a health check's answer, not of a call's."""
-        return UPSTREAM_ID in headers and REQUEST_ID not in headers
+        return UPSTREAM_ID in headers and not self.is_call_answer(headers)
+
+    def is_call_answer(self, headers: Headers) -> bool:
+        """Return whether the headers say that a request of a caller was answered."""
+        return REQUEST_ID in headers or STAMP in headers
 
     def load_reading(self, headers: Headers, now: float) -> LoadReading | None:
         """Parse `running,waiting,slots[,percent]`; `percent` is service time relative to normal."""
--- a/heatherhead/proxy/answer_matching.py
+++ b/heatherhead/proxy/answer_matching.py
@@ -42,12 +42,12 @@
 def answers_health_check(dialect: Dialect, message: RawResponseMessage, sender: object) -> bool:
     """Return whether an answer is a health check's, and log one that is not.
 
-    One with a request id is a late answer to a call that used the connection before.
+    Calls use the connection too, and an answer to one may come late.
     """
-    echoed = dialect.request_id(message.headers)
-    if echoed is not None:
-        _log_skipped(message, "health check", echoed, sender)
-    return echoed is None
+    if not dialect.is_call_answer(message.headers):
+        return True
+    _log_skipped(message, "health check", dialect.request_id(message.headers), sender)
+    return False
 
 
 def _log_skipped(
--- a/heatherhead/proxy/dialect.py
+++ b/heatherhead/proxy/dialect.py
@@ -61,6 +61,10 @@
         """Return whether the headers are those of a health check's answer, not of a call's."""
         ...
 
+    def is_call_answer(self, headers: Headers) -> bool:
+        """Return whether the headers say that a request of a caller was answered."""
+        ...
+
     def load_reading(self, headers: Headers, now: float) -> LoadReading | None:
         """Return the load that an upstream reports, or `None` if absent or malformed."""
         ...
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -678,6 +678,8 @@
         try:
             if call.request.method == "HEAD":
                 connection = await self._pool.open_for_head(address)
+            elif not call.demand.request_id:  # no answer on a reused connection could name it
+                connection = await self._pool.open(address)
             else:
                 connection = await self._pool.acquire(address, max_idle_s)
         except ConnectError as error:
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -8,6 +8,8 @@
 import pytest
 
 from heatherhead.entry.settings import HostPort
+from heatherhead.platform.dialect import PlatformDialect
+from heatherhead.proxy.answer_matching import answers_health_check
 from heatherhead.proxy.upstream_pool import NOT_KEPT_S, create_upstream_pool
 from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import (
@@ -181,3 +183,51 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_call_without_an_id_shares_a_connection() -> None:
+    """No id tells a copy of an earlier answer from its own."""
+    call_without_id = call("r1").replace(b"X-Heatherhead-Request-Id: r1\r\n", b"")
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        for connections in (1, 2):
+            assert status_of(await path.send(call_without_id)) == 404
+            assert upstreams[0].connections == connections
+
+    run_path(scenario, [answer("r1", 404).replace(b"X-Heatherhead-Request-Id: r1\r\n", b"")] * 2)
+
+
+def test_late_answer_to_a_call_without_its_id_is_taken_for_a_health_check() -> None:
+    copy = answer("r1", 500, X_Heatherhead_Server_Stamp="s", X_Heatherhead_Instance_Id="u0")
+    copy = copy.replace(b"X-Heatherhead-Request-Id: r1\r\n", b"")
+    health = b"HTTP/1.1 200 OK\r\nX-Heatherhead-Instance-Id: u0\r\nContent-Length: 0\r\n\r\n"
+
+    async def main() -> None:
+        upstream = ScriptedUpstream([answer("r1"), [copy, health]])
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        address = HostPort(*server.sockets[0].getsockname())
+        pool = create_upstream_pool()
+        connection = await pool.open(address)
+        await connection.exchange(call("r1"), lambda _: True)
+        received = await connection.exchange(
+            b"GET /healthz HTTP/1.1\r\n\r\n",
+            lambda message: answers_health_check(PlatformDialect(), message, "u0"),
+        )
+        assert received.status == 200
+        pool.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", ["X-Heatherhead-Server-Stamp", "X-Heatherhead-Request-Id"])
+def test_success_with_two_stamps_or_ids_is_passed_on(name: str) -> None:
+    line = f"{name}: r1\r\n".encode()
+    twice = answer("r1").replace(b"Content-Length", line + b"Content-Length")
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert status_of(await path.send(call("r1", "/order/"))) == 502
+
+    run_path(scenario, [twice])
