--- a/heatherhead/proxy/answer_framing.py
+++ b/heatherhead/proxy/answer_framing.py
@@ -9,7 +9,7 @@
 
 import math
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from heatherhead.proxy.answer_heads import begins_message, find_second_status_line
@@ -68,7 +68,7 @@
 
     ended: bool = False
     _chunk_left: int = 0  # bytes of the current chunk, with the line end behind it
-    _line: bytearray = field(default_factory=bytearray)
+    _line: bytes = b""  # a line that has begun
     _in_trailers: bool = False
 
     def measure(self, data: bytes) -> int:
@@ -80,12 +80,13 @@
                 self._chunk_left -= size
                 position += size
                 continue
-            line_end = data.find(b"\n", position) + 1 or len(data)
-            self._line += data[position:line_end]
+            line_end = data.find(b"\n", position) + 1
+            if not line_end:
+                self._line += data[position:]
+                return len(data)
+            self._end_line((self._line + data[position:line_end]).rstrip(b"\r\n"))
+            self._line = b""
             position = line_end
-            if self._line.endswith(b"\n"):
-                self._end_line(bytes(self._line).rstrip(b"\r\n"))
-                self._line.clear()
         return position
 
     def _end_line(self, line: bytes) -> None:
@@ -158,8 +159,12 @@
         return head
 
     def _take_bytes(self, size: int) -> bytes:
-        taken, self.pending = self.pending[:size], self.pending[size:]
-        return taken
+        data = self.pending
+        if size == len(data):
+            self.pending = b""
+            return data
+        self.pending = data[size:]
+        return data[:size]
 
     def begin_body(self, message: RawResponseMessage) -> None:
         """Follow the body that a head announces; an interim answer is followed by another head."""
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -35,7 +35,7 @@
 PARSER_BUFFER_BYTES = 256 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 MAX_HEADERS = 128
-PARSE_SLICE_BYTES = 16 * 1024  # per parser call, so that floods of small messages stop early
+PARSE_SLICE_BYTES = 64 * 1024  # between two checks of the limits, so that floods stop early
 MAX_OVERHEAD_BYTES = 128 * 1024  # heads, interim answers, chunk framing and trailers of one call
 MAX_OVERHEAD_PER_BODY_BYTE = 8  # a one-byte chunk has five bytes of framing
 MAX_INTERIM_ANSWERS = 16  # answers with a status below 200 to one call; one or two are normal
@@ -331,9 +331,10 @@
             self._report_stray_bytes("bytes behind an answer", pending)
             if not begins_message(pending):
                 raise BrokenAnswerError("not HTTP: bytes behind the answer")
-        if any(head in body for head in self._heads):
-            self._report_stray_bytes("an answer inside another one")
-            raise BrokenAnswerError("not HTTP: the head of an answer in its body")
+        for head in self._heads:
+            if head in body:
+                self._report_stray_bytes("an answer inside another one", head)
+                raise BrokenAnswerError("not HTTP: the head of an answer in its body")
 
     async def _read(
         self, message: RawResponseMessage, payload: StreamReader, held: HeldAnswer
