Read no answer with a parser that holds the trailers of the one before

Callers got the last trailer of an answer in chunks as a header of the next answer on that connection, which may be another caller's: the library's parser (C) starts the list of headers anew with a message but keeps the last name and value of the trailers. Class: what is left in the parser becomes part of the next answer. The parser is replaced behind an answer with trailers; the framing knows of them.

Failed before: test_trailer_of_an_answer_is_added_to_the_headers_of_the_next (2), on a reused connection and behind a skipped answer.

--- a/heatherhead/proxy/answer_framing.py
+++ b/heatherhead/proxy/answer_framing.py
@@ -67,6 +67,7 @@
     """A body in chunks, with the lines behind the last one."""
 
     ended: bool = False
+    had_trailers: bool = False
     _chunk_left: int = 0  # bytes of the current chunk, with the line end behind it
     _line: bytes = b""  # a line that has begun
     _in_trailers: bool = False
@@ -93,6 +94,7 @@
         if self._in_trailers:
             _refuse_second_status_line(line, 0)
             self.ended = not line
+            self.had_trailers |= bool(line)
             return
         match = _CHUNK_SIZE.match(line)
         if match is None:
@@ -126,6 +128,11 @@
         """Return whether the answer has been given out to its end."""
         return self._body is not None and self._body.ended
 
+    @property
+    def had_trailers(self) -> bool:
+        """Return whether lines came behind the last chunk of the answer."""
+        return isinstance(self._body, _ChunkedBody) and self._body.had_trailers
+
     def begin_answer(self) -> None:
         """Go on with the next answer."""
         self._body = None
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -70,19 +70,9 @@
         self, loop: asyncio.AbstractEventLoop, memory: AnswerMemory, *, with_body: bool = True
     ) -> None:
         self._memory = memory
-        parser = HttpResponseParser(
-            self,
-            loop,
-            PARSER_BUFFER_BYTES,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            max_headers=MAX_HEADERS,
-            response_with_body=with_body,
-            read_until_eof=True,
-            auto_decompress=False,
-        )
-        super().__init__(loop, parser)
-        self._response_parser = parser
+        self._with_body = with_body
+        self._response_parser = self._create_parser(loop)
+        super().__init__(loop, self._response_parser)
         self._framing = create_answer_framing(with_body=with_body)
         self._answer: tuple[RawResponseMessage, StreamReader] | None = None  # whose head has come
         self._heads: deque[bytes] = deque(maxlen=2)  # of the last answer and the one before it
@@ -104,6 +94,19 @@
         self.on_lost: Callable[[UpstreamConnection], None] | None = None
         self.on_stray_bytes: Callable[[str], None] | None = None  # called with what came
 
+    def _create_parser(self, loop: asyncio.AbstractEventLoop) -> HttpResponseParser:
+        return HttpResponseParser(
+            self,
+            loop,
+            PARSER_BUFFER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
+            response_with_body=self._with_body,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+
     @property
     def usable(self) -> bool:
         """Return whether the connection is open and fit for another request."""
@@ -297,9 +300,15 @@
             self.idle_since = self._loop.time()
 
     def _begin_call(self) -> None:
+        self._begin_answer()
+        self._received_bytes = self._skipped_bytes = self._interim_answers = self._answers = 0
+
+    def _begin_answer(self) -> None:
+        """Prepare for the next answer."""
         self._answer = None
+        if self._framing.had_trailers:  # which the parser would add to its headers
+            self._parser = self._response_parser = self._create_parser(self._loop)
         self._framing.begin_answer()
-        self._received_bytes = self._skipped_bytes = self._interim_answers = self._answers = 0
 
     async def _next_answer(self) -> tuple[RawResponseMessage, StreamReader]:
         while self._answer is None:
@@ -316,8 +325,7 @@
         if self._answers >= MAX_ANSWERS:
             raise BrokenAnswerError("answers without an end")
         self._skipped_bytes += self._answer[1].total_bytes
-        self._answer = None
-        self._framing.begin_answer()
+        self._begin_answer()
         self._parse_answer()
 
     def _check_boundaries(self, body: bytes) -> None:
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -231,3 +231,20 @@
         assert status_of(await path.send(call("r1", "/order/"))) == 502
 
     run_path(scenario, [twice])
+
+
+@pytest.mark.parametrize("skipped", [False, True], ids=["answered", "skipped"])
+def test_trailer_of_an_answer_is_added_to_the_headers_of_the_next(skipped: bool) -> None:
+    """The library's parser keeps the last trailer for the next message."""
+    chunked = EARLIER.replace(b"Content-Length: 7", b"Transfer-Encoding: chunked")
+    chunked = chunked[: -len(b"earlier")] + b"7\r\nearlier\r\n0\r\nX-Trailer: leaked\r\n\r\n"
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert status_of(await path.send(call("r1"))) == 200
+        received = await path.send(call("r2"))
+        assert upstreams[0].connections == 1
+        assert received.endswith(b"second")
+        assert b"leaked" not in received
+
+    run_path(scenario, [chunked, chunked + SUCCESS if skipped else SUCCESS], max_attempts=1)
