Give each call of the platform's store a connection of its own

Seen with a store that sends answers twice: a compare-and-swap that ended in conflict (412) was taken for done, an ended lease (404) for renewed, the listing of one prefix for that of another (all its keys were gone, at a lower revision), and a watch took the events and the position of another one, so that its own changes in between were missed. A copy of 503, cut inside its head, made a write that was done one "without any effect"; of 200, it let a KeyError out of the client.

Cause: aiohttp's session keeps connections and takes the next message on one for the answer to the next call. It closes a connection on which a second message is parsed by the time the first is released. It doesn't notice one that comes in the read of the body, if the head came in an earlier one (the connection is released inside the parser), nor one on an idle connection: both wait in the protocol's queue, and no check is made when the connection is taken again. Behind a sent request a copy comes first, whole, or as the beginning of the next head.

Class: an answer is matched to its call by its place on a connection only. Ruled out: the framing of heatherhead/proxy, as a whole copy that comes just after the request was sent is well framed; checks of keys and rising revisions, as the answers to compare-and-swap, renewals and watches without events hold neither; a connection of its own for writes only, as a watch that takes another's position misses changes for good.

--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -307,7 +307,7 @@
     """Create a store client; must be called inside the running loop."""
     connector = aiohttp.TCPConnector(
         limit=MAX_CONNECTIONS,
-        keepalive_timeout=30.0,
+        force_close=True,  # a kept one may bring the answer to another call
         use_dns_cache=False,
         resolver=aiohttp.ThreadedResolver(),
         happy_eyeballs_delay=None,
