Read each instance list on a connection of its own

Seen with a server that sends answers twice: the list before was read as the present one, so that an instance that was gone was listed again and a new one missing, until the next poll.

Evidence: stuttering_list_tests, 3 of 4 failed before (the whole copy in the read of a whole answer didn't show: aiohttp closes that connection).

--- a/heatherhead/membership/instance_list.py
+++ b/heatherhead/membership/instance_list.py
@@ -75,9 +75,10 @@
     async def read(self) -> Result[list[Instance], HeatherheadError]:
         """Read the list; incarnations are unknown and empty."""
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
-            )
+            # A kept connection may bring an earlier list once more.
+            connector = aiohttp.TCPConnector(force_close=True)
+            timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+            self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         try:
             async with self._session.get(self._url) as reply:
                 reply.raise_for_status()
