Give each call of the store's gateway a connection of its own

Own interface (etcd). Seen with a gateway that sends replies twice: a compare-and-swap that met a conflict was taken for done, and an ended lease for renewed. Cause and class as in the platform's store: replies don't name their call, and the session takes whatever message comes next on a kept connection. A watch streams on its own connection as before.

--- a/heatherhead/store/gateway.py
+++ b/heatherhead/store/gateway.py
@@ -145,7 +145,11 @@
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=16, socket_factory=_keepalive_socket)
+            connector = aiohttp.TCPConnector(
+                limit=16,
+                force_close=True,  # a kept one may bring the reply to another call
+                socket_factory=_keepalive_socket,
+            )
             self._session = aiohttp.ClientSession(connector=connector, read_bufsize=MAX_LINE_BYTES)
         return self._session
 
