Refuse answers of the platform's store that can't be those to their call

Seen with a store that gives the answer to another call, on any connection: keys of another prefix were listed or watched, a conflict over another key was one over a missing key, a write was done at a revision below the one it replaced, and a field that is missing was a KeyError or TypeError out of the client, also for a write that may have been done. Cause: only the status was looked at.

A connection for each call leaves the store, and what lies between, as a place where answers may be mixed up. What identifies a call is checked now: the fields of its answer, the prefix of the keys, the keys of a conflict, a revision above the expected one. Reads and watches fail as unavailable, writes as perhaps done. Each refusal is a line, store_answer_refused, ten a second at most. What can't be told: an answer to another call of the same kind and prefix, that is any renewal, grant or listing of the same prefix, a watch without events, a compare-and-swap at a higher revision.

Evidence: store_answers_tests, the 12 wrong answers failed before: 8 let an error of another kind out, and 4 were taken (a listing, a watch, a write, a conflict). The three for missing keys guard the check itself.

--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -13,6 +13,7 @@
 
 from heatherhead.platform.json_values import read_json
 from heatherhead.platform.names import STORE_HISTORY
+from heatherhead.platform.store_answers import find_misfit
 from heatherhead.store.errors import (
     CompactedError,
     LeaseExpiredError,
@@ -21,6 +22,7 @@
 )
 from heatherhead.store.history import history_of, plain_revision, ranked_revision
 from heatherhead.store.interface import KeyValue, RangeAnswer, StoreLease, WatchEvent, WriteAnswer
+from heatherhead.telemetry.bounded_logs import log_routine
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -252,6 +254,10 @@
             answer = read_json(data) if data else {}
         except ValueError as error:
             raise _CallFailedError(f"unreadable answer: {error}", no_effect=False) from error
+        misfit = find_misfit(path, query, body, reply.status, answer)
+        if misfit is not None:
+            log_routine("store_answer_refused", call=path, status=reply.status, reason=misfit)
+            raise _CallFailedError(f"an answer to another call: {misfit}", no_effect=False)
         return _Reply(reply.status, answer, history)
 
     def _history_of(self, headers: Mapping[str, str]) -> int:
