Release the slot of an attempt that is cancelled before its first step

An upstream kept a slot in use for good, as seen from the instance, where a suspension or a stall ended the call between the grant of its slot and the first step of the attempt: a task that is cancelled before it runs doesn't reach its finally. The slot is released by the task's end.

Failed before: test_attempt_that_times_out_before_its_first_step_keeps_its_slot (one call in flight for ever).

--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -531,7 +531,9 @@
         call.tried_ids.add(slot.state.entry.id)
         self._estimate(call.route).attempted_at = now
         self._active_calls_by_upstream.setdefault(state.entry.id, set()).add(call)
-        task = self._loop.create_task(self._run_attempt(call, slot))
+        task = self._loop.create_task(self._send_to_upstream(call, slot))
+        # Also runs if the task is cancelled before its first step.
+        task.add_done_callback(lambda _: self._end_attempt(call, slot))
         call.slot_by_task[task] = slot
 
     def _next_check_s(self, call: _Call, now: float) -> float:
@@ -658,15 +660,12 @@
         self.metrics.events["retry" if within_budget else "retry_over_budget"] += 1
         return within_budget
 
-    async def _run_attempt(self, call: _Call, slot: Slot) -> _AttemptOutcome:
-        try:
-            return await self._send_to_upstream(call, slot)
-        finally:
-            active = self._active_calls_by_upstream[slot.state.entry.id]
-            active.discard(call)
-            if not active:
-                del self._active_calls_by_upstream[slot.state.entry.id]
-            self._dispatcher.release(slot)
+    def _end_attempt(self, call: _Call, slot: Slot) -> None:
+        active = self._active_calls_by_upstream[slot.state.entry.id]
+        active.discard(call)
+        if not active:
+            del self._active_calls_by_upstream[slot.state.entry.id]
+        self._dispatcher.release(slot)
 
     async def _send_to_upstream(self, call: _Call, slot: Slot) -> _AttemptOutcome:
         state = slot.state
