--- a/heatherhead/proxy/answer_framing.py
+++ b/heatherhead/proxy/answer_framing.py
@@ -22,16 +22,17 @@
 STATUSES_WITHOUT_BODY = (204, 304)
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _HEAD_END_BYTES = 4
-_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;|$)")
+_CHUNK_SIZE = re.compile(rb"0*([0-9A-Fa-f]{1,15})[ \t]*(?:;|$)")
+_SPACE_BEHIND_NAME = re.compile(rb"^([^\s:]+)[ \t]+:", re.MULTILINE)
 _CHUNK_END_BYTES = 2
 
 
 class FramingError(Exception):
-    """The bytes are not those of one message after the other; `excerpt` is for logs only."""
+    """The bytes are not those of one message after the other; `place` says where, for logs."""
 
-    def __init__(self, reason: str, excerpt: bytes) -> None:
+    def __init__(self, reason: str, place: str = "") -> None:
         super().__init__(reason)
-        self.excerpt = excerpt
+        self.place = place
 
 
 class _Body(Protocol):
@@ -98,7 +99,7 @@
             return
         match = _CHUNK_SIZE.match(line)
         if match is None:
-            raise FramingError("no chunk size", line)
+            raise FramingError("no chunk size")
         size = int(match[1], 16)
         self._in_trailers = not size
         self._chunk_left = size + _CHUNK_END_BYTES if size else 0
@@ -154,7 +155,7 @@
 
     def _take_head(self) -> bytes:
         if not begins_message(self.pending):
-            raise FramingError("no status line", self.pending)
+            raise FramingError("no status line")
         self.pending = self.pending.lstrip(b"\r\n")
         match = _HEAD_END.search(self.pending, max(0, self._searched_bytes - _HEAD_END_BYTES))
         if match is None:
@@ -163,6 +164,8 @@
         self._searched_bytes = 0
         head = self._take_bytes(match.end())
         _refuse_second_status_line(head, 1)
+        if b" :" in head or b"\t:" in head:  # which RFC 9112, 5.1, has a proxy remove
+            return _SPACE_BEHIND_NAME.sub(rb"\1:", head)
         return head
 
     def _take_bytes(self, size: int) -> bytes:
@@ -187,9 +190,9 @@
 
 
 def _refuse_second_status_line(lines: bytes, begins_at: int) -> None:
-    line = find_second_status_line(lines, begins_at)
-    if line is not None:
-        raise FramingError("two messages in one head", line)
+    place = find_second_status_line(lines, begins_at)
+    if place is not None:
+        raise FramingError("two messages in one head", place)
 
 
 def create_answer_framing(*, with_body: bool = True) -> AnswerFraming:
--- a/heatherhead/proxy/answer_heads.py
+++ b/heatherhead/proxy/answer_heads.py
@@ -12,6 +12,7 @@
 
 _PROTOCOL = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?=\s|$)")
+MAX_NAME_BYTES = 40  # of a header in a log line
 _BLANK = b"\r\n"
 
 
@@ -21,9 +22,11 @@
     return _PROTOCOL.startswith(start)
 
 
-def find_second_status_line(lines: bytes, begins_at: int) -> bytes | None:
-    """Return the line that holds a status line at or behind a position, to the end of its status."""
+def find_second_status_line(lines: bytes, begins_at: int) -> str | None:
+    """Return which header, or `reason`, holds a status line at or behind a position."""
     match = _STATUS_LINE.search(lines, begins_at)
     if match is None:
         return None
-    return lines[lines.rfind(b"\n", 0, match.start()) + 1 : match.end()]
+    line = lines[lines.rfind(b"\n", 0, match.start()) + 1 : match.start()]
+    name, colon, _ = line.partition(b":")
+    return name[:MAX_NAME_BYTES].decode("ascii", "replace") if colon else "reason"
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -38,9 +38,10 @@
 PARSE_SLICE_BYTES = 64 * 1024  # between two checks of the limits, so that floods stop early
 MAX_OVERHEAD_BYTES = 128 * 1024  # heads, interim answers, chunk framing and trailers of one call
 MAX_OVERHEAD_PER_BODY_BYTE = 8  # a one-byte chunk has five bytes of framing
+MAX_BEHIND_BYTES = 256 * 1024  # behind an answer: the most that one read brings
 MAX_INTERIM_ANSWERS = 16  # answers with a status below 200 to one call; one or two are normal
 MAX_ANSWERS = 4  # received in one call; a late duplicate is one more than expected
-LOGGED_BYTES = 32  # of stray ones: a status line, or what else they are
+LOGGED_BYTES = 12  # of stray ones that begin a message: its protocol and status
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -142,7 +143,7 @@
             while not self._unusable and (data := self._framing.take()):
                 self._parse(data)
         except FramingError as error:
-            self._report_stray_bytes(str(error), error.excerpt)
+            self._report_stray_bytes(f"{error} {error.place}".rstrip(), self._framing.pending)
             self._break(BrokenAnswerError(f"not HTTP: {error}"))
             return
         if self._error is not None and not self._unusable:  # it is lost, and this is the rest
@@ -155,7 +156,7 @@
         try:
             messages, upgraded, _ = self._response_parser.feed_data(data)
         except HttpProcessingError as error:
-            self._report_stray_bytes(str(error), data)
+            self._report_stray_bytes(f"refused by the parser: {type(error).__name__}", data)
             self._break(BrokenAnswerError(f"not HTTP: {type(error).__name__}"))
             return
         if upgraded:
@@ -183,16 +184,24 @@
         """Return whether framing and parser agree on the end of the answer, as far as known."""
         if self._answer is None:
             return True
-        parsed = self._answer[1].is_eof()
-        return parsed == self._framing.ended or (not parsed and self._reading_paused)
+        payload = self._answer[1]
+        if self._framing.ended and not payload.is_eof() and not self._reading_paused:
+            # A pause at the end of an earlier body makes the parser stop here once.
+            self._response_parser.feed_data(b"")
+        if self._framing.ended:
+            return payload.is_eof() or self._reading_paused
+        return not payload.is_eof()
 
     def _check_limits(self) -> None:
         """Abort if the upstream sends excessive overhead, interim answers or extra answers."""
+        behind = len(self._framing.pending) if self._framing.ended else 0
+        if behind > MAX_BEHIND_BYTES:
+            self._break(BrokenAnswerError("bytes without an end behind the answer"))
         if self._received_bytes > MAX_OVERHEAD_BYTES:
             body = self._skipped_bytes
             if self._answer is not None:
                 body += self._answer[1].total_bytes
-            overhead = self._received_bytes - body
+            overhead = self._received_bytes - body - behind
             if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * body:
                 self._break(BrokenAnswerError(f"{overhead} bytes that are no body"))
         if self._interim_answers > MAX_INTERIM_ANSWERS:
@@ -236,12 +245,16 @@
         return ":".join(map(str, name[:2])) if name else "unknown"
 
     def _report_stray_bytes(self, what: str, data: bytes = b"") -> None:
-        """Log bytes that belong to no request, and let the connection not be reused."""
+        """Log bytes that belong to no request, and let the connection not be reused.
+
+        Of the bytes only a status is logged, as they may be of any caller's answer.
+        """
         log_routine(
             "stray_bytes",
             address=self._peer_name(),
             what=what,
-            begins=data[:LOGGED_BYTES],
+            size=len(data),
+            begins=data[:LOGGED_BYTES] if begins_message(data) else b"",
             calls=self.calls,
             idle_s=f"{0.0 if self.busy else self._loop.time() - self.idle_since:.3f}",
         )
--- a/heatherhead/tests/proxy/load_reader_tests.py
+++ b/heatherhead/tests/proxy/load_reader_tests.py
@@ -58,7 +58,7 @@
     def __init__(self) -> None:
         self.ports: list[int] = []
 
-    async def acquire(self, address: Any) -> Any:
+    async def acquire(self, address: Any, *, for_call: bool) -> Any:
         """Record the port and fail."""
         self.ports.append(address.port)
         raise ConnectError("refused")
