Refuse answers whose body begins with or ends in a part of a copy

Callers got 200 with a part of a head at the end of a body that ends with its connection, and with one between head and body whose rest came in a later read: the body held no whole head. A body that begins with 32 bytes of the head of this or of the last answer, or ends inside such a copy, is refused.

--- a/heatherhead/proxy/answer_heads.py
+++ b/heatherhead/proxy/answer_heads.py
@@ -8,11 +8,12 @@
 
 import re
 
-__all__ = ["begins_message", "find_second_status_line"]
+__all__ = ["begins_message", "find_second_status_line", "holds_copy"]
 
 _PROTOCOL = b"HTTP/1."
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?=\s|$)")
 MAX_NAME_BYTES = 40  # of a header in a log line
+HEAD_SIGN_BYTES = 32  # of a head: its status line and the beginning of a header
 _BLANK = b"\r\n"
 
 
@@ -22,6 +23,15 @@
     return _PROTOCOL.startswith(start)
 
 
+def holds_copy(body: bytes, head: bytes) -> bool:
+    """Return whether a body holds a head, begins with a part of it or ends in one."""
+    sign = head[:HEAD_SIGN_BYTES]
+    last = body.rfind(sign)
+    if last < 0:
+        return False
+    return body.startswith(sign) or head.startswith(body[last:]) or head in body
+
+
 def find_second_status_line(lines: bytes, begins_at: int) -> str | None:
     """Return which header, or `reason`, holds a status line at or behind a position."""
     match = _STATUS_LINE.search(lines, begins_at)
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -17,7 +17,7 @@
 from aiohttp.http_parser import HttpResponseParser
 
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
-from heatherhead.proxy.answer_heads import begins_message
+from heatherhead.proxy.answer_heads import begins_message, holds_copy
 from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
 from heatherhead.telemetry.bounded_logs import log_routine
 
@@ -344,18 +344,17 @@
     def _check_boundaries(self, body: bytes) -> None:
         """Raise `BrokenAnswerError` if an answer may hold bytes of another one.
 
-        Bytes behind it that begin no message may be the rest of its body. A body that holds the
-        head of this or of the last answer was written into a copy of it, or the reverse.
+        Bytes behind it that begin no message may be the rest of its body. A copy of this or of the
+        last answer may also be inside the body, or at the end of one without a length.
         """
         pending = self._framing.pending
         if pending:
             self._report_stray_bytes("bytes behind an answer", pending)
             if not begins_message(pending):
                 raise BrokenAnswerError("not HTTP: bytes behind the answer")
-        for head in self._heads:
-            if head in body:
-                self._report_stray_bytes("an answer inside another one", head)
-                raise BrokenAnswerError("not HTTP: the head of an answer in its body")
+        if any(holds_copy(body, head) for head in self._heads):
+            self._report_stray_bytes("an answer inside another one")
+            raise BrokenAnswerError("not HTTP: the head of an answer in its body")
 
     async def _read(
         self, message: RawResponseMessage, payload: StreamReader, held: HeldAnswer
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -248,3 +248,35 @@
         assert b"leaked" not in received
 
     run_path(scenario, [chunked, chunked + SUCCESS if skipped else SUCCESS], max_attempts=1)
+
+
+def test_cut_copy_becomes_the_end_of_an_answer_that_ends_with_its_connection() -> None:
+    """The caller gets a success whose body ends with a part of a head."""
+    endless = answer("r1").replace(b"Content-Length: 5\r\n", b"")
+    head_bytes = endless.index(b"\r\n\r\n")
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        for cut in (head_bytes // 2, head_bytes):
+            upstreams[0].script[:] = [(endless + endless[:cut], "close")]
+            received = await path.send(call("r1"))
+            assert status_of(received) == 502 or received.endswith(b"\r\n\r\nwhole"), cut
+
+    run_path(scenario, [], max_attempts=1)
+
+
+def test_cut_copy_between_head_and_body_displaces_the_end_of_the_body() -> None:
+    """The last bytes of the body come in a read of their own, after the answer was taken."""
+    body = bytes(range(32, 127)) * 4
+    own = answer("r2", 200, body)
+    head_bytes = own.index(b"\r\n\r\n") + 4
+    copy = EARLIER[:40]
+    parts = [own[:head_bytes], copy + body[:-40], body[-40:]]
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert status_of(await path.send(call("r1"))) == 200
+        received = await path.send(call("r2"))
+        assert status_of(received) == 502 or received.endswith(body)
+
+    run_path(scenario, [EARLIER, parts], max_attempts=1)
