Keep the answers of a connection apart on the project's own interface too

Cause: aiohttp's protocol (3.14.5) parses what comes while a connection is idle and queues it; the queue is looked at when a connection is pooled, not when it is taken again, so a whole copy that came late was the next call's answer. The same if it stood behind the end of a body whose head had been read before: the connection is pooled from inside the parser, ahead of the copy. A copy that came behind the next request and was cut in its head lent its status to the answer behind it; one cut in its body, or that stood between head and body, took or gave bytes of a body.

Not told: a whole copy that comes between the next request and its answer. No header of this interface names a call.

--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -16,6 +17,7 @@
 from yarl import URL
 
 from heatherhead.calls import AttemptState, UpstreamSignal
+from heatherhead.upstreams.answer_protocol import AnswerProtocol, create_answer_protocol
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterable
@@ -94,6 +96,14 @@
         """Add no credentials."""
 
 
+class _Connector(aiohttp.TCPConnector):
+    """A connector whose connections keep answers apart."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = partial(create_answer_protocol, self._loop)
+
+
 class UpstreamClient:
     """Owns the connections to all upstreams."""
 
@@ -154,7 +164,7 @@
         long. From here on the upstream may receive the request.
         """
         protocol = connection.protocol
-        assert protocol is not None
+        assert isinstance(protocol, AnswerProtocol)
         protocol.set_response_params(
             skip_payload=request.method in METHODS_WITHOUT_ANSWER_BODY,
             read_until_eof=True,
@@ -168,7 +178,8 @@
         )
         if self._loop.time() >= attempt.deadline:
             raise DeadlinePassedError
-        attempt.connection_calls = _count_call(protocol)
+        protocol.calls += 1
+        attempt.connection_calls = protocol.calls
         attempt.sent = True
         attempt.state = AttemptState.UNKNOWN
 
@@ -177,13 +188,6 @@
         await self._connector.close()
 
 
-def _count_call(protocol: Any) -> int:
-    """Return the number of calls sent on a connection, including this one."""
-    calls: int = getattr(protocol, "calls", 0) + 1
-    protocol.calls = calls
-    return calls
-
-
 def _url(scheme: str, host: str, port: int, target: str) -> URL:
     name = f"[{host}]" if ":" in host else host
     return URL(f"{scheme}://{name}:{port}{target}", encoded=True)
@@ -200,7 +204,7 @@
 
 def create_upstream_client(settings: AdmissionSettings) -> UpstreamClient:
     """Create a client; must be called inside the running loop."""
-    connector = aiohttp.TCPConnector(
+    connector = _Connector(
         limit=settings.upstream_connections,
         limit_per_host=0,
         keepalive_timeout=settings.upstream_idle_s,
