--- a/heatherhead/tests/upstreams/stuttering_upstream_tests.py
+++ b/heatherhead/tests/upstreams/stuttering_upstream_tests.py
@@ -14,8 +14,9 @@
 from heatherhead.health.probe import create_health_probe
 from heatherhead.routing.health import HealthPassing
 from heatherhead.settings.admission import AdmissionSettings
-from heatherhead.tests.callers.fakes import raw_upstream, running_instance
+from heatherhead.tests.callers.fakes import raw_upstream, run_with_shifted_clock, running_instance
 from heatherhead.upstreams.client import Attempt, OutboundRequest, create_upstream_client
+from heatherhead.upstreams.kept_addresses import NOT_KEPT_S
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -102,8 +103,9 @@
         async with raw_upstream(stutter.serve) as port:
             await scenario(client, port)
         await client.close()
+        await asyncio.sleep(3 * PAUSE_S)  # the upstream ends its connections
 
-    asyncio.run(main())
+    run_with_shifted_clock(main())
 
 
 def second_answer(stutter: Stutter) -> tuple[int, bytes] | None:
@@ -214,6 +216,25 @@
     assert_not_believed(Stutter(parts=[long_head, EARLIER, body, b"x" * len(EARLIER)]))
 
 
+def test_upstream_that_answered_twice_gets_calls_on_kept_connections() -> None:
+    """The first whole copy that comes behind the next call is believed: nothing names a call."""
+    stutter = Stutter(parts=[EARLIER, FAILED])
+
+    async def scenario(client: UpstreamClient, port: int) -> None:
+        assert [await fetch(client, port) for _ in range(2)] == [(200, b"earlier")] * 2
+        assert stutter.connections == 1
+        await asyncio.sleep(3 * PAUSE_S)
+        for _ in range(3):
+            assert await fetch(client, port) == (500, b"failed")
+        assert stutter.connections == 4
+        asyncio.get_running_loop().advance(NOT_KEPT_S)  # type: ignore[attr-defined]
+        for _ in range(2):
+            await fetch(client, port)
+        assert stutter.connections == 5
+
+    with_client(stutter, scenario)
+
+
 @pytest.mark.parametrize(
     "stutter",
     [Stutter(behind=EARLIER), Stutter(behind=EARLIER[:30]), Stutter(parts=[EARLIER[:30], FAILED])],
--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -18,11 +18,13 @@
 
 from heatherhead.calls import AttemptState, UpstreamSignal
 from heatherhead.upstreams.answer_protocol import AnswerProtocol, create_answer_protocol
+from heatherhead.upstreams.kept_addresses import create_kept_addresses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterable
 
     from aiohttp import ClientResponse
+    from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
 
     from heatherhead.settings.admission import AdmissionSettings
@@ -81,6 +83,13 @@
     """A request whose headers are sent unchanged."""
 
     _skip_auto_headers = CIMultiDict({"Content-Type": None})
+    own_connection = False
+
+    @property
+    def connection_key(self) -> ConnectionKey:
+        """Return the key of the connections that the request may use."""
+        key = super().connection_key
+        return key._replace(proxy_headers_hash=id(self)) if self.own_connection else key
 
     def update_headers(self, headers: Any) -> None:
         """Copy the headers."""
@@ -110,6 +119,7 @@
     def __init__(self, connector: aiohttp.TCPConnector, settings: AdmissionSettings) -> None:
         self._connector = connector
         self._settings = settings
+        self._kept_addresses = create_kept_addresses()
         self._loop = asyncio.get_running_loop()
         self._connect_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=settings.connect_timeout_s
@@ -142,9 +152,7 @@
             loop=self._loop,
             ssl=request.ssl,
         )
-        connection = await self._connector.connect(
-            forwarded, traces=[], timeout=self._connect_timeout
-        )
+        connection = await self._connect(host, port, forwarded)
         try:
             self._prepare(connection, request, attempt)
             answer = await forwarded.send(connection)
@@ -157,6 +165,20 @@
             connection.close()
             raise
 
+    async def _connect(self, host: str, port: int, forwarded: _ForwardedRequest) -> Connection:
+        """Return a connection, one of its own if the upstream has lately answered twice."""
+        address = f"{host}:{port}"
+        forwarded.own_connection = not self._kept_addresses.keeps(address)
+        connection = await self._connector.connect(
+            forwarded, traces=[], timeout=self._connect_timeout
+        )
+        protocol = connection.protocol
+        assert isinstance(protocol, AnswerProtocol)
+        protocol.on_stray_bytes = partial(self._kept_addresses.stop_keeping, address)
+        if forwarded.own_connection:
+            protocol.force_close()
+        return connection
+
     def _prepare(self, connection: Connection, request: OutboundRequest, attempt: Attempt) -> None:
         """Set the limits for the answer and check the deadline just before the first byte is sent.
 
