Give health checks of the project's own interface a connection of their own

Seen: a health check whose upstream had answered 500 found it passing; a whole copy of a call's answer had come on the shared connection behind the check. Cause: checks took connections that calls had used, and nothing in an answer tells a check's from a call's. Cost: a connection a check.

--- a/heatherhead/health/probe.py
+++ b/heatherhead/health/probe.py
@@ -31,7 +31,7 @@
 
 HEALTHY_STATUSES = range(200, 300)
 UNAVAILABLE_STATUS = 503
-MAX_BODY_BYTES = 1024  # a longer body is not read; its connection is closed instead of reused
+MAX_BODY_BYTES = 1024  # a longer body is not read
 LINE_END_BYTES = 2
 SEPARATOR_BYTES = 2
 
@@ -53,7 +53,10 @@
 
 
 class HealthProbe:
-    """Sends health checks as `GET` requests over the connection pool that calls use."""
+    """Sends health checks as `GET` requests, each on a connection of its own.
+
+    On one that calls have used, a late copy of a call's answer could be taken for the check's.
+    """
 
     def __init__(self, client: UpstreamClient, timeout_s: float) -> None:
         self._client = client
@@ -82,11 +85,12 @@
 
 def _request(upstream: Upstream, path: str) -> OutboundRequest:
     host = f"[{upstream.host}]" if ":" in upstream.host else upstream.host
-    return OutboundRequest("GET", path, CIMultiDict({"Host": f"{host}:{upstream.port}"}))
+    headers = CIMultiDict({"Host": f"{host}:{upstream.port}"})
+    return OutboundRequest("GET", path, headers, own_connection=True)
 
 
 async def _read_answer(answer: ClientResponse) -> int:
-    """Read a short body, so that the connection can be reused; return the answer's size."""
+    """Read a short body, so that the upstream sees no reset; return the answer's size."""
     size = _head_bytes(answer)
     length = answer.content_length
     if length is None or length > MAX_BODY_BYTES:
--- a/heatherhead/tests/upstreams/stuttering_upstream_tests.py
+++ b/heatherhead/tests/upstreams/stuttering_upstream_tests.py
@@ -237,8 +237,13 @@
 
 @pytest.mark.parametrize(
     "stutter",
-    [Stutter(behind=EARLIER), Stutter(behind=EARLIER[:30]), Stutter(parts=[EARLIER[:30], FAILED])],
-    ids=["whole", "cut", "cut and late"],
+    [
+        Stutter(behind=EARLIER),
+        Stutter(behind=EARLIER[:30]),
+        Stutter(parts=[EARLIER, FAILED]),
+        Stutter(parts=[EARLIER[:30], FAILED]),
+    ],
+    ids=["whole", "cut", "whole and late", "cut and late"],
 )
 def test_health_check_believes_a_copy_of_an_answer_to_a_call(stutter: Stutter) -> None:
     """Did not show for a cut copy on an idle connection."""
--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -47,7 +47,8 @@
     """A request to an upstream, identical for each attempt; `headers` contains a Host header.
 
     `idle_timeout_s` bounds the wait for each chunk of the answer if there is no deadline; it costs
-    one timer per chunk.
+    one timer per chunk. `own_connection` is for a request whose answer must not be a late one to a
+    call that used the connection before.
     """
 
     method: str
@@ -57,6 +58,7 @@
     scheme: str = "http"
     ssl: Any = True
     idle_timeout_s: float | None = None
+    own_connection: bool = False
 
 
 @dataclass(slots=True)
@@ -152,6 +154,7 @@
             loop=self._loop,
             ssl=request.ssl,
         )
+        forwarded.own_connection = request.own_connection
         connection = await self._connect(host, port, forwarded)
         try:
             self._prepare(connection, request, attempt)
@@ -168,7 +171,8 @@
     async def _connect(self, host: str, port: int, forwarded: _ForwardedRequest) -> Connection:
         """Return a connection, one of its own if the upstream has lately answered twice."""
         address = f"{host}:{port}"
-        forwarded.own_connection = not self._kept_addresses.keeps(address)
+        if not self._kept_addresses.keeps(address):
+            forwarded.own_connection = True
         connection = await self._connector.connect(
             forwarded, traces=[], timeout=self._connect_timeout
         )
