Bound what an upstream can send beside a body on the project's own interface

Cause: only single headers and the count of headers were limited. Far more bytes than the body has, 512 kB and eight for each byte of it, end the call, as for the platform's calls. This replaces the limit of a head.

The tests of chunk size and interim answers failed before: 0.5 s, the call's deadline.

--- a/heatherhead/tests/upstreams/stuttering_upstream_tests.py
+++ b/heatherhead/tests/upstreams/stuttering_upstream_tests.py
@@ -216,6 +216,26 @@
     assert_not_believed(Stutter(parts=[long_head, EARLIER, body, b"x" * len(EARLIER)]))
 
 
+@pytest.mark.parametrize(
+    ("begin", "part"),
+    [
+        (b"HTTP/1.1 200 OK\r\nLong: ", b"x" * 50_000),
+        (CHUNKED + b"5;", b"x" * 50_000),
+        (b"", b"HTTP/1.1 103 Hints\r\n\r\n" * 2_000),
+    ],
+    ids=["head", "chunk size", "interim"],
+)
+def test_answer_without_an_end_fills_the_memory(begin: bytes, part: bytes) -> None:
+    stutter = Stutter(first=[begin, *[part] * 20], pause_s=0.001)
+
+    async def scenario(client: UpstreamClient, port: int) -> None:
+        started = asyncio.get_running_loop().time()
+        assert await fetch(client, port) is None
+        assert asyncio.get_running_loop().time() - started < TIMEOUT_S
+
+    with_client(stutter, scenario)
+
+
 def test_upstream_that_answered_twice_gets_calls_on_kept_connections() -> None:
     """The first whole copy that comes behind the next call is believed: nothing names a call."""
     stutter = Stutter(parts=[EARLIER, FAILED])
--- a/heatherhead/upstreams/answer_protocol.py
+++ b/heatherhead/upstreams/answer_protocol.py
@@ -28,8 +28,10 @@
 
 __all__ = ["AnswerProtocol", "create_answer_protocol"]
 
-MAX_HEAD_BYTES = 256 * 1024
+MAX_OVERHEAD_BYTES = 512 * 1024  # heads, interim answers, chunk framing and trailers of one call
+MAX_OVERHEAD_PER_BODY_BYTE = 8  # a one-byte chunk has five bytes of framing
 LOGGED_BYTES = 32  # of stray ones: a status line, or what else they are
+_PROTOCOL = b"HTTP/1."  # all heads begin with it, and it is found faster than they are
 
 
 class AnswerProtocol(ResponseHandler):
@@ -41,6 +43,7 @@
         self.on_stray_bytes: Callable[[str], None] | None = None  # called with what came
         self._framing: AnswerFraming | None = None  # of the last call
         self._heads: deque[bytes] = deque(maxlen=2)  # of the last answer and the one before it
+        self._received_bytes = 0  # of the last call
         self._strayed = False  # bytes that belong to no call came on it
 
     @property
@@ -54,6 +57,7 @@
     def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         """Begin a call; `skip_payload` for answers without a body."""
         self._framing = create_answer_framing(with_body=not skip_payload)
+        self._received_bytes = 0
         super().set_response_params(skip_payload=skip_payload, **params)
 
     def data_received(self, data: bytes) -> None:
@@ -71,20 +75,27 @@
         if framing is None or framing.ended:
             raise FramingError("bytes without a call", data)
         framing.append(data)
+        self._received_bytes += len(data)
         while part := framing.take():
             self._parse(framing, part)
-        if framing.in_head and len(framing.pending) > MAX_HEAD_BYTES:
-            raise FramingError("a head without an end", framing.pending)
+        self._check_overhead(data)
         if framing.ended and framing.pending:
             self._report("bytes behind an answer", framing.pending)
 
+    def _check_overhead(self, data: bytes) -> None:
+        """Raise `FramingError` if far more has come than a body; the framing holds some of it."""
+        body = 0 if self._payload is None else self._payload.total_bytes
+        overhead = self._received_bytes - body
+        if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * body:
+            raise FramingError(f"{overhead} bytes that are no body", data)
+
     def _parse(self, framing: AnswerFraming, part: bytes) -> None:
         """Parse a whole head or a part of a body; raises `FramingError`."""
         if framing.in_head:
             self._heads.append(part)
         else:
             _check_end(framing, reused=self.calls > 1)
-            if any(head in part for head in self._heads):
+            if _PROTOCOL in part and any(head in part for head in self._heads):
                 raise FramingError("an answer inside another one", part)
         super().data_received(part)
         if isinstance(self._exception, HttpProcessingError):
