--- a/heatherhead/tests/upstreams/stuttering_upstream_tests.py
+++ b/heatherhead/tests/upstreams/stuttering_upstream_tests.py
@@ -47,6 +47,13 @@
     pause_s: float = PAUSE_S
     connections: int = 0
     calls: int = 0
+    writing: int = 0
+
+    async def settle(self) -> None:
+        """Wait until all has been written and can be read."""
+        while self.writing:
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(PAUSE_S)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of a connection."""
@@ -57,13 +64,17 @@
                 await reader.readuntil(b"\r\n\r\n")
                 self.calls += 1
                 calls_here += 1
-                if self.calls == 1:
-                    await self._write(writer, self.first)
-                    if self.behind:
-                        await asyncio.sleep(PAUSE_S)
-                        writer.write(self.behind)
-                else:
-                    await self._write(writer, self.parts if calls_here > 1 else [FAILED])
+                self.writing += 1
+                try:
+                    if self.calls == 1:
+                        await self._write(writer, self.first)
+                        if self.behind:
+                            await asyncio.sleep(PAUSE_S)
+                            writer.write(self.behind)
+                    else:
+                        await self._write(writer, self.parts if calls_here > 1 else [FAILED])
+                finally:
+                    self.writing -= 1
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -114,7 +125,7 @@
 
     async def scenario(client: UpstreamClient, port: int) -> None:
         await fetch(client, port)
-        await asyncio.sleep(3 * PAUSE_S)
+        await stutter.settle()
         answers.append(await fetch(client, port))
 
     with_client(stutter, scenario)
@@ -243,7 +254,7 @@
     async def scenario(client: UpstreamClient, port: int) -> None:
         assert [await fetch(client, port) for _ in range(2)] == [(200, b"earlier")] * 2
         assert stutter.connections == 1
-        await asyncio.sleep(3 * PAUSE_S)
+        await stutter.settle()
         for _ in range(3):
             assert await fetch(client, port) == (500, b"failed")
         assert stutter.connections == 4
@@ -270,7 +281,7 @@
 
     async def scenario(client: UpstreamClient, port: int) -> None:
         await fetch(client, port)
-        await asyncio.sleep(3 * PAUSE_S)
+        await stutter.settle()
         probe = create_health_probe(client, TIMEOUT_S)
         result = await probe.check(Upstream("u1", "127.0.0.1", port), "/health")
         assert not isinstance(result.finding, HealthPassing)
@@ -278,6 +289,24 @@
     with_client(stutter, scenario)
 
 
+def test_streamed_answer_with_another_one_in_it_ends_as_whole() -> None:
+    long_head = FAILED[:FAILED_HEAD_BYTES].replace(b"Length: 6", b"Length: %d" % len(LARGE))
+    stutter = Stutter(parts=[long_head, EARLIER, LARGE])
+
+    async def main() -> None:
+        async with (
+            raw_upstream(stutter.serve) as port,
+            running_instance(extra_ports=[port], service={"key_required": False}) as here,
+        ):
+            async with here.session.get(here.url) as answer:
+                assert await answer.read() == b"earlier"
+            with pytest.raises(aiohttp.ClientError):
+                async with here.session.get(here.url) as answer:
+                    await answer.read()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_caller_gets_a_success_where_the_upstream_failed(method: str) -> None:
     async def main(stutter: Stutter) -> None:
@@ -288,7 +317,7 @@
                 for _ in range(2):
                     async with here.session.request(method, here.url) as answer:
                         statuses.append(answer.status)
-                    await asyncio.sleep(3 * PAUSE_S)
+                    await stutter.settle()
                 assert statuses[0] == 200
                 assert statuses[1] in (500, 502)
 
