--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -16,11 +17,14 @@
 from yarl import URL
 
 from heatherhead.calls import AttemptState, UpstreamSignal
+from heatherhead.upstreams.answer_protocol import AnswerProtocol, create_answer_protocol
+from heatherhead.upstreams.kept_addresses import create_kept_addresses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterable
 
     from aiohttp import ClientResponse
+    from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
 
     from heatherhead.settings.admission import AdmissionSettings
@@ -43,7 +47,8 @@
     """A request to an upstream, identical for each attempt; `headers` contains a Host header.
 
     `idle_timeout_s` bounds the wait for each chunk of the answer if there is no deadline; it costs
-    one timer per chunk.
+    one timer per chunk. `own_connection` is for a request whose answer must not be a late one to a
+    call that used the connection before.
     """
 
     method: str
@@ -53,6 +58,7 @@
     scheme: str = "http"
     ssl: Any = True
     idle_timeout_s: float | None = None
+    own_connection: bool = False
 
 
 @dataclass(slots=True)
@@ -79,6 +85,13 @@
     """A request whose headers are sent unchanged."""
 
     _skip_auto_headers = CIMultiDict({"Content-Type": None})
+    own_connection = False
+
+    @property
+    def connection_key(self) -> ConnectionKey:
+        """Return the key of the connections that the request may use."""
+        key = super().connection_key
+        return key._replace(proxy_headers_hash=id(self)) if self.own_connection else key
 
     def update_headers(self, headers: Any) -> None:
         """Copy the headers."""
@@ -94,12 +107,21 @@
         """Add no credentials."""
 
 
+class _Connector(aiohttp.TCPConnector):
+    """A connector whose connections keep answers apart."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = partial(create_answer_protocol, self._loop)
+
+
 class UpstreamClient:
     """Owns the connections to all upstreams."""
 
     def __init__(self, connector: aiohttp.TCPConnector, settings: AdmissionSettings) -> None:
         self._connector = connector
         self._settings = settings
+        self._kept_addresses = create_kept_addresses()
         self._loop = asyncio.get_running_loop()
         self._connect_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=settings.connect_timeout_s
@@ -132,9 +154,8 @@
             loop=self._loop,
             ssl=request.ssl,
         )
-        connection = await self._connector.connect(
-            forwarded, traces=[], timeout=self._connect_timeout
-        )
+        forwarded.own_connection = request.own_connection
+        connection = await self._connect(host, port, forwarded)
         try:
             self._prepare(connection, request, attempt)
             answer = await forwarded.send(connection)
@@ -147,6 +168,21 @@
             connection.close()
             raise
 
+    async def _connect(self, host: str, port: int, forwarded: _ForwardedRequest) -> Connection:
+        """Return a connection, one of its own if the upstream has lately answered twice."""
+        address = f"{host}:{port}"
+        if not self._kept_addresses.keeps(address):
+            forwarded.own_connection = True
+        connection = await self._connector.connect(
+            forwarded, traces=[], timeout=self._connect_timeout
+        )
+        protocol = connection.protocol
+        assert isinstance(protocol, AnswerProtocol)
+        protocol.on_stray_bytes = partial(self._kept_addresses.stop_keeping, address)
+        if forwarded.own_connection:
+            protocol.force_close()
+        return connection
+
     def _prepare(self, connection: Connection, request: OutboundRequest, attempt: Attempt) -> None:
         """Set the limits for the answer and check the deadline just before the first byte is sent.
 
@@ -154,7 +190,7 @@
         long. From here on the upstream may receive the request.
         """
         protocol = connection.protocol
-        assert protocol is not None
+        assert isinstance(protocol, AnswerProtocol)
         protocol.set_response_params(
             skip_payload=request.method in METHODS_WITHOUT_ANSWER_BODY,
             read_until_eof=True,
@@ -168,7 +204,8 @@
         )
         if self._loop.time() >= attempt.deadline:
             raise DeadlinePassedError
-        attempt.connection_calls = _count_call(protocol)
+        protocol.calls += 1
+        attempt.connection_calls = protocol.calls
         attempt.sent = True
         attempt.state = AttemptState.UNKNOWN
 
@@ -177,13 +214,6 @@
         await self._connector.close()
 
 
-def _count_call(protocol: Any) -> int:
-    """Return the number of calls sent on a connection, including this one."""
-    calls: int = getattr(protocol, "calls", 0) + 1
-    protocol.calls = calls
-    return calls
-
-
 def _url(scheme: str, host: str, port: int, target: str) -> URL:
     name = f"[{host}]" if ":" in host else host
     return URL(f"{scheme}://{name}:{port}{target}", encoded=True)
@@ -200,7 +230,7 @@
 
 def create_upstream_client(settings: AdmissionSettings) -> UpstreamClient:
     """Create a client; must be called inside the running loop."""
-    connector = aiohttp.TCPConnector(
+    connector = _Connector(
         limit=settings.upstream_connections,
         limit_per_host=0,
         keepalive_timeout=settings.upstream_idle_s,
