--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -19,7 +19,7 @@
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
 from heatherhead.proxy.answer_heads import begins_message, holds_copy
 from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
-from heatherhead.telemetry.bounded_logs import log_routine
+from heatherhead.proxy.stray_bytes import log_stray_bytes
 
 if TYPE_CHECKING:
     import asyncio
@@ -41,7 +41,6 @@
 MAX_BEHIND_BYTES = 256 * 1024  # behind an answer: the most that one read brings
 MAX_INTERIM_ANSWERS = 16  # answers with a status below 200 to one call; one or two are normal
 MAX_ANSWERS = 4  # received in one call; a late duplicate is one more than expected
-LOGGED_BYTES = 12  # of stray ones that begin a message: its protocol and status
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 
 
@@ -240,24 +239,9 @@
         self._fail(error)
         self.abort()
 
-    def _peer_name(self) -> str:
-        name = self.transport.get_extra_info("peername") if self.transport is not None else None
-        return ":".join(map(str, name[:2])) if name else "unknown"
-
     def _report_stray_bytes(self, what: str, data: bytes = b"") -> None:
-        """Log bytes that belong to no request, and let the connection not be reused.
-
-        Of the bytes only a status is logged, as they may be of any caller's answer.
-        """
-        log_routine(
-            "stray_bytes",
-            address=self._peer_name(),
-            what=what,
-            size=len(data),
-            begins=data[:LOGGED_BYTES] if begins_message(data) else b"",
-            calls=self.calls,
-            idle_s=f"{0.0 if self.busy else self._loop.time() - self.idle_since:.3f}",
-        )
+        """Log bytes that belong to no request, and let the connection not be reused."""
+        log_stray_bytes(self.transport, what, data, self.calls)
         if not self._strayed and self.on_stray_bytes is not None:
             self.on_stray_bytes(what)
         self._strayed = True
--- a/heatherhead/proxy/upstream_pool.py
+++ b/heatherhead/proxy/upstream_pool.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.proxy.answer_memory import create_answer_memory
+from heatherhead.proxy.kept_addresses import create_kept_addresses
 from heatherhead.proxy.upstream_connection import UpstreamConnection
-from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     from heatherhead.entry.settings import HostPort
@@ -21,7 +21,6 @@
 IDLE_TIMEOUT_MARGIN_S = 1.2  # subtracted from the upstream's keep-alive timeout
 DEFAULT_MAX_IDLE_S = 4.0  # for upstreams that announce no keep-alive timeout
 SWEEP_INTERVAL_S = 1.0
-NOT_KEPT_S = 10.0  # since bytes that belong to no request last came from an upstream
 
 
 class ConnectError(Exception):
@@ -36,7 +35,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._loop = asyncio.get_running_loop()
         self._idle_by_address: dict[HostPort, deque[UpstreamConnection]] = {}
-        self._not_kept_until_by_address: dict[HostPort, float] = {}
+        self._kept_addresses = create_kept_addresses()
         self.opened_connections = 0
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
@@ -50,7 +49,7 @@
         sent on a dropped one is lost. A call gets none that another request has used if the
         upstream has lately answered twice.
         """
-        if for_call and not self._keeps(address):
+        if for_call and not self._kept_addresses.keeps(address):
             return await self._open(address)
         idle = self._idle_by_address.get(address)
         now = self._loop.time()
@@ -85,28 +84,18 @@
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{type(error).__name__}: {error}") from error
         self.opened_connections += 1
-        connection.on_stray_bytes = partial(self._stop_keeping, address)
+        connection.on_stray_bytes = partial(self._kept_addresses.stop_keeping, address)
         return connection
 
     def release(
         self, address: HostPort, connection: UpstreamConnection, *, for_call: bool = True
     ) -> None:
         """Return a connection to the pool if it is usable and may be kept."""
-        if for_call and not self._keeps(address):
+        if for_call and not self._kept_addresses.keeps(address):
             connection.close()
         elif connection.usable:
             self._idle_by_address.setdefault(address, deque()).append(connection)
 
-    def _keeps(self, address: HostPort) -> bool:
-        """Return whether calls to an address may share connections."""
-        until = self._not_kept_until_by_address.get(address)
-        return until is None or until <= self._loop.time()
-
-    def _stop_keeping(self, address: HostPort, what: str) -> None:
-        if self._keeps(address):
-            log_event("connections_not_kept", address=address, what=what, for_s=NOT_KEPT_S)
-        self._not_kept_until_by_address[address] = self._loop.time() + NOT_KEPT_S
-
     def close_idle(self, address: HostPort) -> None:
         """Close the idle connections of an address that another upstream has taken over."""
         for connection in self._idle_by_address.pop(address, ()):
@@ -120,8 +109,6 @@
                 idle.popleft().close()
             if not idle:
                 del self._idle_by_address[address]
-        for address in [each for each in self._not_kept_until_by_address if self._keeps(each)]:
-            del self._not_kept_until_by_address[address]
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/heatherhead/tests/proxy/answer_reading_tests.py
+++ b/heatherhead/tests/proxy/answer_reading_tests.py
@@ -8,11 +8,8 @@
 import pytest
 
 from heatherhead.proxy.answer_memory import HeldAnswer, create_answer_memory
-from heatherhead.proxy.upstream_connection import (
-    LOGGED_BYTES,
-    MAX_OVERHEAD_BYTES,
-    UpstreamConnection,
-)
+from heatherhead.proxy.stray_bytes import LOGGED_BYTES
+from heatherhead.proxy.upstream_connection import MAX_OVERHEAD_BYTES, UpstreamConnection
 from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import answer, request, run_path, status_of
 
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -10,7 +10,8 @@
 from heatherhead.entry.settings import HostPort
 from heatherhead.platform.dialect import PlatformDialect
 from heatherhead.proxy.answer_matching import answers_health_check
-from heatherhead.proxy.upstream_pool import NOT_KEPT_S, create_upstream_pool
+from heatherhead.proxy.kept_addresses import NOT_KEPT_S
+from heatherhead.proxy.upstream_pool import create_upstream_pool
 from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
--- a/heatherhead/tests/upstreams/stuttering_upstream_tests.py
+++ b/heatherhead/tests/upstreams/stuttering_upstream_tests.py
@@ -12,11 +12,11 @@
 
 from heatherhead.configuration.model import Upstream
 from heatherhead.health.probe import create_health_probe
+from heatherhead.proxy.kept_addresses import NOT_KEPT_S
 from heatherhead.routing.health import HealthPassing
 from heatherhead.settings.admission import AdmissionSettings
 from heatherhead.tests.callers.fakes import raw_upstream, run_with_shifted_clock, running_instance
 from heatherhead.upstreams.client import Attempt, OutboundRequest, create_upstream_client
-from heatherhead.upstreams.kept_addresses import NOT_KEPT_S
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/heatherhead/upstreams/answer_protocol.py
+++ b/heatherhead/upstreams/answer_protocol.py
@@ -15,7 +15,7 @@
 
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
 from heatherhead.proxy.answer_heads import begins_message
-from heatherhead.telemetry.bounded_logs import log_routine
+from heatherhead.proxy.stray_bytes import log_stray_bytes
 
 if TYPE_CHECKING:
     import asyncio
@@ -30,7 +30,6 @@
 
 MAX_OVERHEAD_BYTES = 512 * 1024  # heads, interim answers, chunk framing and trailers of one call
 MAX_OVERHEAD_PER_BODY_BYTE = 8  # a one-byte chunk has five bytes of framing
-LOGGED_BYTES = 32  # of stray ones: a status line, or what else they are
 _PROTOCOL = b"HTTP/1."  # all heads begin with it, and it is found faster than they are
 
 
@@ -68,26 +67,26 @@
             try:
                 self._receive(data)
             except FramingError as error:
-                self._refuse(str(error), error.excerpt)
+                self._refuse(f"{error} {error.place}".rstrip(), data)
 
     def _receive(self, data: bytes) -> None:
         framing = self._framing
         if framing is None or framing.ended:
-            raise FramingError("bytes without a call", data)
+            raise FramingError("bytes without a call")
         framing.append(data)
         self._received_bytes += len(data)
         while part := framing.take():
             self._parse(framing, part)
-        self._check_overhead(data)
+        self._check_overhead()
         if framing.ended and framing.pending:
             self._report("bytes behind an answer", framing.pending)
 
-    def _check_overhead(self, data: bytes) -> None:
+    def _check_overhead(self) -> None:
         """Raise `FramingError` if far more has come than a body; the framing holds some of it."""
         body = 0 if self._payload is None else self._payload.total_bytes
         overhead = self._received_bytes - body
         if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * body:
-            raise FramingError(f"{overhead} bytes that are no body", data)
+            raise FramingError(f"{overhead} bytes that are no body")
 
     def _parse(self, framing: AnswerFraming, part: bytes) -> None:
         """Parse a whole head or a part of a body; raises `FramingError`."""
@@ -96,14 +95,14 @@
         else:
             _check_end(framing, reused=self.calls > 1)
             if _PROTOCOL in part and any(head in part for head in self._heads):
-                raise FramingError("an answer inside another one", part)
+                raise FramingError("an answer inside another one")
         super().data_received(part)
         if isinstance(self._exception, HttpProcessingError):
-            raise FramingError("refused by the parser", part)
+            raise FramingError("refused by the parser")
         payload = self._payload
         unended = payload is not None and not payload.is_eof() and not self._reading_paused
         if framing.ended and unended:
-            raise FramingError("an answer without a certain end", part)
+            raise FramingError("an answer without a certain end")
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Take a parsed head; raises `FramingError`."""
@@ -126,14 +125,7 @@
     def _report(self, what: str, data: bytes) -> None:
         """Log bytes that belong to no call, and let the connection not be reused."""
         self._strayed = True
-        name = self.transport.get_extra_info("peername") if self.transport is not None else None
-        log_routine(
-            "stray_bytes",
-            address=":".join(map(str, name[:2])) if name else "unknown",
-            what=what,
-            begins=data[:LOGGED_BYTES],
-            calls=self.calls,
-        )
+        log_stray_bytes(self.transport, what, data, self.calls)
         if self.on_stray_bytes is not None:
             self.on_stray_bytes(what)
 
@@ -145,7 +137,7 @@
     the first may be a copy of an earlier one.
     """
     if framing.ended and framing.pending and (reused or not begins_message(framing.pending)):
-        raise FramingError("bytes behind an answer", framing.pending)
+        raise FramingError("bytes behind an answer")
 
 
 def create_answer_protocol(loop: asyncio.AbstractEventLoop) -> AnswerProtocol:
--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -17,8 +17,8 @@
 from yarl import URL
 
 from heatherhead.calls import AttemptState, UpstreamSignal
+from heatherhead.proxy.kept_addresses import create_kept_addresses
 from heatherhead.upstreams.answer_protocol import AnswerProtocol, create_answer_protocol
-from heatherhead.upstreams.kept_addresses import create_kept_addresses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterable
