Refuse heads that are those of two requests

Seen: a POST to /order/r1 that broke off in its Referer, with a GET of /read/y behind it on the connection, reached the upstream as POST /order/r1 with the second one's id and headers (UNASKED). A head with two ids or two deadlines was passed on too, with both. Cause: the parser takes the request line of the second for the rest of the line at which the first broke off. Where the Host comes first, a second Host gives it away and the parser refuses it; where it comes last, nothing did. A joined head with the first one's Content-Length also took bytes of a third request for its body. Now: 400, nothing behind it is read, the connection closes, and the answer names no id. A header ahead of the Host that ends with a request line is certain enough: RFC 9110 wants Host first, and a request behind it brings a Host of its own. Behind the Host such a value is passed on, as a logged request line may be meant; so are encoded ones in paths and queries, and quoted ones. Ruled out by tests: cuts in the request line, in a name, at a line end and in the Host, in both orders (refused before too). Not told apart: a cut behind the Host when the next request has none. request_refused is bounded now, and names the caller.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -197,12 +197,14 @@
             lambda: self.table.configuration.limits,
             int(settings.memory_mb * 1024 * 1024 * BODY_MEMORY_SHARE),
             answer_memory,
+            dialect.single_request_headers,
         )
         self.peer_calls = create_caller_connections(
             self.forwarder.handle_peer,
             lambda: self.table.configuration.limits,
             int(settings.memory_mb * 1024 * 1024 * DETOUR_BODY_MEMORY_SHARE),
             answer_memory,
+            dialect.single_request_headers,
         )
         self.leaving = False
         self._reported_reach = False
--- a/heatherhead/platform/dialect.py
+++ b/heatherhead/platform/dialect.py
@@ -34,6 +34,8 @@
 class PlatformDialect:
     """Implements `Dialect`."""
 
+    single_request_headers = (REQUEST_ID, DEADLINE_MS)
+
     def request_id(self, headers: Headers) -> str | None:
         """Return the request id that the caller set, if any."""
         return headers.get(REQUEST_ID)
--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -19,10 +19,12 @@
 
 from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.messages import HttpRequest, own_answer
+from heatherhead.proxy.request_heads import find_head_fault
+from heatherhead.telemetry.bounded_logs import log_routine
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Collection
 
     from aiohttp import StreamReader
     from aiohttp.http_parser import RawRequestMessage
@@ -50,6 +52,7 @@
 STALLED_S = 2.0  # longer than the retransmission of a lost packet
 MIN_PROGRESS_BYTES = 64 * 1024  # in `STALLED_S`, of a caller whose answer others wait for
 MAX_JOINED_BODY_BYTES = 64 * 1024  # larger bodies are not copied behind their head
+MAX_LOGGED_REASON = 80  # characters
 LINGER_S = 2.0  # for the caller to read the last answer and close; bytes left unread would reset it
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST, not FIN
 
@@ -189,6 +192,10 @@
             if self._ending:
                 self._failed = True  # those behind it are not read either
                 break
+            fault = find_head_fault(message, self._owner.single_names)
+            if fault is not None:
+                self._refuse(400, fault)
+                break
             self._start(Exchange(self, message, payload, now))
         if messages or self._receives_body() or not data:
             self.head_started_at = None
@@ -307,18 +314,37 @@
 
     def _reject_malformed(self, error: HttpProcessingError) -> None:
         """Answer a request that can't be parsed, after the requests before it."""
-        self._failed = True
-        status = 431 if isinstance(error, LineTooLong) else 400
         if self.exchanges and not self.exchanges[-1].payload.is_eof():
+            self._failed = True
             payload = self.exchanges[-1].payload
             if payload.exception() is None:
                 payload.set_exception(BadHttpMessage("malformed body"))
             return
-        log_event("request_refused", status=status, reason=str(error)[:80])
+        status = 431 if isinstance(error, LineTooLong) else 400
+        self._refuse(status, str(error)[:MAX_LOGGED_REASON])
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Refuse a request and read none behind it; those before it are still answered."""
+        self._log_refusal(status, reason)
+        self._end_after_last()
+        if not self.exchanges:
+            self._answer_and_close(status, "malformed request")
+
+    def _end_after_last(self) -> None:
+        """Read nothing more, and close after the answer to the last request."""
+        self._failed = True
         if self.exchanges:
             self.exchanges[-1].message = self.exchanges[-1].message._replace(should_close=True)
-            return
-        self._answer_and_close(status, "malformed request")
+
+    def _log_refusal(self, status: int, reason: str) -> None:
+        transport = self.transport
+        caller = None if transport is None else transport.get_extra_info("peername")
+        log_routine(
+            "request_refused",
+            status=status,
+            reason=reason,
+            caller=":".join(map(str, caller[:2])) if caller else "unknown",
+        )
 
     def _answer_and_close(self, status: int, reason: str) -> None:
         transport = self.transport
@@ -379,6 +405,7 @@
         limits: Callable[[], CallerLimits],
         max_held_bytes: int,
         answer_memory: AnswerMemory,
+        single_names: Collection[str],
     ) -> None:
         self.held_bytes = 0
         self.max_held_bytes = max_held_bytes
@@ -386,6 +413,7 @@
         self.answer_memory = answer_memory
         self.handle = handle
         self.limits = limits
+        self.single_names = single_names
         self.connections: set[CallerConnection] = set()
         self.leaving = False
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -423,11 +451,13 @@
     limits: Callable[[], CallerLimits],
     max_held_bytes: int = DEFAULT_MAX_HELD_BYTES,
     answer_memory: AnswerMemory | None = None,
+    single_names: Collection[str] = (),
 ) -> CallerConnections:
     """Create the set of callers' connections; must be called inside the running loop.
 
     `max_held_bytes` bounds the memory of request bodies, `answer_memory` that of answers.
+    A request that has a header of `single_names` twice is refused.
     """
     return CallerConnections(
-        handle, limits, max_held_bytes, answer_memory or create_answer_memory()
+        handle, limits, max_held_bytes, answer_memory or create_answer_memory(), single_names
     )
--- a/heatherhead/proxy/dialect.py
+++ b/heatherhead/proxy/dialect.py
@@ -31,6 +31,8 @@
 class Dialect(Protocol):
     """Reads and writes the headers of the protocol between callers, heatherhead and upstreams."""
 
+    single_request_headers: tuple[str, ...]  # that stand once at most in a request
+
     def request_id(self, headers: Headers) -> str | None:
         """Return the request id that the caller set, if any."""
         ...
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -164,7 +164,9 @@
             self.detours,
         )
         self.callers = create_caller_connections(
-            self.forwarder.handle, lambda: self.table.configuration.limits
+            self.forwarder.handle,
+            lambda: self.table.configuration.limits,
+            single_names=PlatformDialect.single_request_headers,
         )
         self._ports = port_by_upstream
         self._max_attempts = max_attempts
