Refuse bodies with a transfer coding beside chunked, and chunked ones of HTTP/1.0

Seen: a body sent with Transfer-Encoding: gzip, chunked reached the upstream compressed and without that header, as another body than the caller's (UNASKED). A chunked request of HTTP/1.0 was run, though a sender or proxy of that version may mean bytes up to its length or the end. Cause: the parser reads the last coding only, and the header is dropped as one of the connection. Class: a message whose extent or content two readers take differently. Ruled out by tests, refused before too: Content-Length with Transfer-Encoding in both orders, two lengths, lists and signs in a length, two codings chunked, chunked before another, unknown ones, obs-fold, bare LF, CR and NUL in a value, a space before the colon, two Hosts.

Failed before: test_request_of_uncertain_extent_is_run[Transfer-Encoding: gzip, chunked], test_chunked_request_of_http_1_0_is_run.

--- a/heatherhead/proxy/request_heads.py
+++ b/heatherhead/proxy/request_heads.py
@@ -9,6 +9,8 @@
 import re
 from typing import TYPE_CHECKING
 
+from aiohttp import HttpVersion11
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -20,7 +22,7 @@
 
 
 def find_head_fault(message: RawRequestMessage, single_names: Iterable[str]) -> str | None:
-    """Return why a head is not that of one request.
+    """Return why a head is not that of one request, or its body can't be told from the next one.
 
     `single_names` are headers that stand once at most, beside those that the parser checks.
     """
@@ -28,9 +30,16 @@
     for name in single_names:
         if len(headers.getall(name, ())) > 1:
             return f"two headers {name}"
+    codings = headers.getall("Transfer-Encoding", ())
+    if codings and (message.version < HttpVersion11 or _codings_of(codings) != ["chunked"]):
+        return "a transfer coding that is not read here"
     return _find_request_line(message)
 
 
+def _codings_of(values: Iterable[str]) -> list[str]:
+    return [each.strip().lower() for each in ",".join(values).split(",")]
+
+
 def _find_request_line(message: RawRequestMessage) -> str | None:
     """Return which header ends with a request line, ahead of the Host.
 
--- a/heatherhead/tests/proxy/joined_request_tests.py
+++ b/heatherhead/tests/proxy/joined_request_tests.py
@@ -141,6 +141,48 @@
     run_path(scenario, [answer("r2")])
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ("Content-Length: 5", CHUNKED),
+        (CHUNKED, "Content-Length: 5"),
+        ("Content-Length: 5", "Content-Length: 5"),
+        ("Content-Length: 5, 5",),
+        ("Content-Length: +5",),
+        (CHUNKED, CHUNKED),
+        ("Transfer-Encoding: xchunked",),
+        ("Transfer-Encoding: chunked, identity",),
+        ("Transfer-Encoding: gzip, chunked",),
+        ("A: b\n GET /read/r2 HTTP/1.1",),
+        ("A: b\r\n GET /read/r2 HTTP/1.1",),
+        ("A: b\nC: d",),
+        ("A: b\rC: d",),
+        ("A: b\0",),
+        ("A : b",),
+        ("Host: shop.example",),
+    ],
+    ids=repr,
+)
+def test_request_of_uncertain_extent_is_run(lines: tuple[str, ...]) -> None:
+    """Only a coding beside `chunked` was: the body was passed on as it was encoded."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        await assert_refused(path, upstreams[0], order_head(*lines) + b"0\r\n\r\n")
+
+    run_path(scenario, [])
+
+
+def test_chunked_request_of_http_1_0_is_run() -> None:
+    data = order_head(CHUNKED).replace(b"HTTP/1.1", b"HTTP/1.0") + b"0\r\n\r\n"
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        await assert_refused(path, upstreams[0], data)
+
+    run_path(scenario, [])
+
+
 def test_joined_request_has_a_line_with_the_header_and_the_caller(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
