Refuse requests whose body may hold a part of the next one, as not run

(2) A request that broke off inside a chunk, with the next one behind it, was answered 502 'the call may have run' and logged as an internal error, though it had not been sent; its caller may not send it again. Cause: (1) an error behind a complete body only closed the connection. (2) The error that ends the reading of the body was handled like one of ours. Class: two messages read as one. Now: 400, and the connection closes. What comes behind a body in chunks says nothing of it, as its end is certain. Nothing can be said where the body holds the whole of the next request, or where the rest of that comes in a later read, when the first was sent on; a test says so for the first.

--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError, LineTooLong
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.http_parser import HttpRequestParser
 
 from heatherhead.proxy.answer_memory import create_answer_memory
@@ -39,6 +39,7 @@
     "CallerConnection",
     "CallerConnections",
     "Exchange",
+    "MalformedBodyError",
     "create_caller_connections",
 ]
 
@@ -65,6 +66,10 @@
     """The body exceeds the configured limit."""
 
 
+class MalformedBodyError(Exception):
+    """The body is not complete, or not certain to be the request's own."""
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a connection, from its parsed head to its answer."""
@@ -78,6 +83,7 @@
     abandoned: bool = False  # the caller has closed the connection
     detached: bool = False  # not cancelled on disconnect: an upstream may execute it already
     earlier_answered: asyncio.Event | None = None
+    body_read: bool = False
     held_bytes: int = 0  # of the body, counted in `CallerConnections.held_bytes`
 
     async def wait_for_earlier_answers(self) -> None:
@@ -88,7 +94,10 @@
         await self.earlier_answered.wait()
 
     async def read_request(self, limits: CallerLimits) -> HttpRequest:
-        """Read the body; raises `BodyTooLargeError`, `BodyMemoryError` or a connection error."""
+        """Read the body.
+
+        Raises `BodyTooLargeError`, `BodyMemoryError`, `MalformedBodyError` or a connection error.
+        """
         message = self.message
         length = message.headers.get("Content-Length")
         if length is not None and int(length) > limits.max_body_bytes:
@@ -96,6 +105,7 @@
         if message.headers.get("Expect", "").lower() == "100-continue":
             self.connection.send_continue(self)
         body = await self._read_body(limits.max_body_bytes)
+        self.body_read = True
         return HttpRequest(message.method, message.path, message.headers, body, self.received_at)
 
     async def _read_body(self, max_bytes: int) -> bytes:
@@ -221,6 +231,8 @@
             if not exchange.abandoned:
                 raise
             return
+        except MalformedBodyError:
+            answer = own_answer(400, "malformed body", close=True)
         except Exception as error:  # after an internal error the caller still gets an answer
             log_event("call_failed", level="ERROR", error=repr(error))
             answer = own_answer(502, "internal error; the call may have run")
@@ -313,15 +325,17 @@
             self.transport.write(CONTINUE_ANSWER)
 
     def _reject_malformed(self, error: HttpProcessingError) -> None:
-        """Answer a request that can't be parsed, after the requests before it."""
-        if self.exchanges and not self.exchanges[-1].payload.is_eof():
-            self._failed = True
-            payload = self.exchanges[-1].payload
-            if payload.exception() is None:
-                payload.set_exception(BadHttpMessage("malformed body"))
-            return
+        """Refuse bytes that can't be parsed, and the request in whose body they are or may be."""
         status = 431 if isinstance(error, LineTooLong) else 400
-        self._refuse(status, str(error)[:MAX_LOGGED_REASON])
+        reason = str(error)[:MAX_LOGGED_REASON]
+        if not self.exchanges or not _has_doubtful_body(self.exchanges[-1]):
+            self._refuse(status, reason)
+            return
+        self._log_refusal(status, f"in or behind a body: {reason}")
+        payload = self.exchanges[-1].payload
+        if payload.exception() is None:
+            payload.set_exception(MalformedBodyError())
+        self._end_after_last()
 
     def _refuse(self, status: int, reason: str) -> None:
         """Refuse a request and read none behind it; those before it are still answered."""
@@ -396,6 +410,18 @@
         transport.abort()
 
 
+def _has_doubtful_body(exchange: Exchange) -> bool:
+    """Return whether malformed bytes behind the last ones of a request may be part of its body.
+
+    They may as long as it has not been handled. The end of a body in chunks is certain.
+    """
+    if not exchange.payload.is_eof():
+        return True
+    return (
+        not exchange.body_read and exchange.payload.total_bytes > 0 and not exchange.message.chunked
+    )
+
+
 class CallerConnections:
     """All connections of callers to this instance."""
 
