Read requests behind a body in chunks with a parser of their own

Seen: the last trailer of a request in chunks was passed on as a header of the next request of the connection (T: a ahead of its Host); with an id as trailer the next request bore two. Cause: aiohttp's parser (3.x, C) starts the lists of headers anew with a message, but keeps the last name and value of the trailers, and adds them when the next name comes. Class: two messages read as one. An answer's trailers do the same to the next answer on a connection to an upstream (reported, not changed here). Now: a parser reads no request behind a body in chunks. If nothing has come behind the body it is replaced; else the connection closes after the answer, and the callers of what came behind send it again (requests_not_read). That costs callers that send requests behind one in chunks, before its answer and in the same read, a connection, also without trailers, as these can't be seen.

--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -54,6 +54,7 @@
 MIN_PROGRESS_BYTES = 64 * 1024  # in `STALLED_S`, of a caller whose answer others wait for
 MAX_JOINED_BODY_BYTES = 64 * 1024  # larger bodies are not copied behind their head
 MAX_LOGGED_REASON = 80  # characters
+HEAD_END = b"\r\n\r\n"  # also that of a body in chunks, with or without trailers
 LINGER_S = 2.0  # for the caller to read the last answer and close; bytes left unread would reset it
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST, not FIN
 
@@ -128,24 +129,16 @@
 
     def __init__(self, owner: CallerConnections) -> None:
         loop = owner.loop
-        limits = owner.limits()
-        parser = HttpRequestParser(
-            self,
-            loop,
-            PARSER_BUFFER_BYTES,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            max_headers=MAX_HEADERS,
-            auto_decompress=False,
-        )
-        super().__init__(loop, parser)
-        self._request_parser = parser
+        self._request_parser = _create_parser(self, loop, owner.limits())
+        super().__init__(loop, self._request_parser)
         self._owner = owner
         self.exchanges: deque[Exchange] = deque()
         self.active_at = loop.time()
         self.head_started_at: float | None = None
         self._closing = False
         self._failed = False
+        self._chunked_payload: StreamReader | None = None  # of a request that the parser has read
+        self._last_bytes = b""
         self._ending = False  # no further request is taken; it closes after the last answer
         self._linger_timer: asyncio.TimerHandle | None = None
         self._unsent: list[HeldAnswer] = []  # of answers that the caller has not taken yet
@@ -206,7 +199,13 @@
             if fault is not None:
                 self._refuse(400, fault)
                 break
+            if self._chunked_payload is not None:
+                self._end_behind_chunks()
+                break
+            if message.chunked:
+                self._chunked_payload = payload
             self._start(Exchange(self, message, payload, now))
+        self._renew_parser(data)
         if messages or self._receives_body() or not data:
             self.head_started_at = None
         elif self.head_started_at is None:
@@ -216,6 +215,27 @@
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading_for_buffer()
 
+    def _renew_parser(self, data: bytes) -> None:
+        """Replace the parser behind a body in chunks.
+
+        It would add the last trailer to the headers of the next request. Requests whose bytes it
+        has read already are not taken: their callers send them on another connection.
+        """
+        if self._chunked_payload is None:
+            return
+        self._last_bytes = (self._last_bytes + data)[-len(HEAD_END) :]
+        if self._failed or not self._chunked_payload.is_eof():
+            return
+        if self._last_bytes != HEAD_END:
+            self._end_behind_chunks()
+            return
+        self._parser = self._request_parser = _create_parser(self, self._loop, self._owner.limits())
+        self._chunked_payload = None
+
+    def _end_behind_chunks(self) -> None:
+        log_routine("requests_not_read", reason="behind a body in chunks", caller=self._caller())
+        self._end_after_last()
+
     def _receives_body(self) -> bool:
         """Return whether the body of the last request is incomplete."""
         return bool(self.exchanges) and not self.exchanges[-1].payload.is_eof()
@@ -351,14 +371,11 @@
             self.exchanges[-1].message = self.exchanges[-1].message._replace(should_close=True)
 
     def _log_refusal(self, status: int, reason: str) -> None:
-        transport = self.transport
-        caller = None if transport is None else transport.get_extra_info("peername")
-        log_routine(
-            "request_refused",
-            status=status,
-            reason=reason,
-            caller=":".join(map(str, caller[:2])) if caller else "unknown",
-        )
+        log_routine("request_refused", status=status, reason=reason, caller=self._caller())
+
+    def _caller(self) -> str:
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return ":".join(map(str, name[:2])) if name else "unknown"
 
     def _answer_and_close(self, status: int, reason: str) -> None:
         transport = self.transport
@@ -410,6 +427,20 @@
         transport.abort()
 
 
+def _create_parser(
+    protocol: BaseProtocol, loop: asyncio.AbstractEventLoop, limits: CallerLimits
+) -> HttpRequestParser:
+    return HttpRequestParser(
+        protocol,
+        loop,
+        PARSER_BUFFER_BYTES,
+        max_line_size=limits.max_header_bytes,
+        max_field_size=limits.max_header_bytes,
+        max_headers=MAX_HEADERS,
+        auto_decompress=False,
+    )
+
+
 def _has_doubtful_body(exchange: Exchange) -> bool:
     """Return whether malformed bytes behind the last ones of a request may be part of its body.
 
