Count the permits of a reply once, and only in answer to a question

Cause: a reply named the upstream, but not the request that it answers. Now: requests are numbered and replies name the number; a reply counts once, and none from before a pause. Replies of earlier versions name none and count as before; earlier versions ignore the number. permits_ignored tells of replies that don't count. Ruled out by tests: a datagram that is cut, or holds two messages, is refused; the other datagrams are states or counts that may come twice.

Failed before: test_reply_that_comes_twice_is_taken_for_two (6 permits for 2), test_late_reply_to_an_earlier_question_is_taken_for_the_next_one (4 for 2), test_reply_from_before_a_pause_is_used_after_it (2 for 0), test_reply_without_a_question_is_used.

--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -135,16 +135,21 @@
     sender: str
     wanted: int
     limit: RateLimitRow  # as the sender knows it
+    number: int = 0  # that the reply names; earlier versions have none
 
 
 @dataclass(frozen=True, slots=True)
 class PermitReply:
-    """Issues permits for an upstream; `wait_s` is the time until there may be more."""
+    """Issues permits for an upstream; `wait_s` is the time until there may be more.
+
+    `number` is that of the request, so that a reply counts once; earlier versions name none.
+    """
 
     sender: str
     permits: int
     wait_s: float
     limit: RateLimitRow  # as the issuer knows it
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,14 +237,15 @@
 
 @_row_of.register
 def _(message: PermitRequest) -> list[Any]:
-    return [_PERMIT_REQUEST, message.sender, message.wanted, encode_limit(message.limit)]
+    limit = encode_limit(message.limit)
+    return [_PERMIT_REQUEST, message.sender, message.wanted, limit, message.number]
 
 
 @_row_of.register
 def _(message: PermitReply) -> list[Any]:
     wait_ms = round(message.wait_s * 1000)
     limit = encode_limit(message.limit)
-    return [_PERMIT_REPLY, message.sender, message.permits, wait_ms, limit]
+    return [_PERMIT_REPLY, message.sender, message.permits, wait_ms, limit, message.number]
 
 
 @_row_of.register
@@ -285,10 +291,12 @@
         if kind == _RATE_LIMITS:
             return RateLimitReport(str(sender), tuple(decode_limit(row) for row in rest[0]))
         if kind == _PERMIT_REQUEST:
-            return PermitRequest(str(sender), int(rest[0]), decode_limit(rest[1]))
+            limit, number = decode_limit(rest[1]), _number(rest, 2)
+            return PermitRequest(str(sender), int(rest[0]), limit, number)
         if kind == _PERMIT_REPLY:
             wait_s = _finite(rest[1]) / 1000
-            return PermitReply(str(sender), int(rest[0]), wait_s, decode_limit(rest[2]))
+            limit, number = decode_limit(rest[2]), _number(rest, 3)
+            return PermitReply(str(sender), int(rest[0]), wait_s, limit, number)
         if kind == _REACH:
             return ReachReport(str(sender), bool(rest[0]), tuple(str(each) for each in rest[1]))
     except _MALFORMED:
@@ -296,6 +304,11 @@
     return None
 
 
+def _number(fields: list[Any], position: int) -> int:
+    """Return the number of a question, 0 from earlier versions, which have none."""
+    return int(fields[position]) if len(fields) > position else 0
+
+
 def _finite(figure: Any) -> float:
     """Return a figure as a float; raises `ValueError` if it is not finite."""
     number = float(figure)
--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -11,8 +11,11 @@
 
 from __future__ import annotations
 
+import itertools
 import math
-from dataclasses import dataclass
+import random
+from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch.rate_limits import PermitBucket, RateLimitEvidence
@@ -44,6 +47,8 @@
 ALONE_AFTER_REQUESTS = 5  # without a reply: a second
 AWAITED_REQUESTS = 2  # without a reply; calls don't wait for that to a third one
 ALONE_SHARE = 0.5  # of the limit, for all instances together that reach no issuer
+MAX_OPEN_REQUESTS = 8  # of one upstream, whose replies still count
+NUMBER_BITS = 48  # of the first request's number, which differs from those before a restart
 MIN_ALONE_INTERVAL_S = 5.0
 MAX_ALONE_INTERVAL_S = 30.0  # bounds how late an instance that is alone notices the end of a limit
 REPORT_INTERVAL_S = 1.0  # a home that has just started learns of limits by then
@@ -60,6 +65,7 @@
     unanswered: int = 0  # in a row
     issuer: int = 0  # position among the possible issuers
     alone_until: float = -math.inf  # the next permit that is taken without an issuer
+    open_numbers: deque[int] = field(default_factory=lambda: deque(maxlen=MAX_OPEN_REQUESTS))
 
 
 class PermitExchange:
@@ -82,6 +88,7 @@
         self._regions: set[str] = set()
         self._reported_at = -math.inf
         self._requests_by_id: dict[str, _Requests] = {}
+        self._numbers = itertools.count(random.getrandbits(NUMBER_BITS) + 1)
         self._bucket_by_start: dict[tuple[str, int], PermitBucket] = {}
         self._reported_limit_by_id: dict[str, float | None] = {}
         dispatcher.may_request = self.may_request
@@ -107,6 +114,8 @@
         """Drop all permits: the loop's clock stood still while they ran out."""
         for state in self._dispatcher.limited_states():
             state.rate_limit.drop_permits()
+        for requests in self._requests_by_id.values():
+            requests.open_numbers.clear()  # replies may have waited as long
 
     def limits(self) -> tuple[RateLimitRow, ...]:
         """List the limits that are in force, for the followers of this instance."""
@@ -208,7 +217,10 @@
             if requests.unanswered > 1:
                 requests.issuer += 1
             issuer = issuers[requests.issuer % len(issuers)]
-            self._send([_address_of(issuer)], PermitRequest(own_id, wanted, self._row(state)))
+            number = next(self._numbers)
+            requests.open_numbers.append(number)
+            request = PermitRequest(own_id, wanted, self._row(state), number)
+            self._send([_address_of(issuer)], request)
 
     def _take_alone(self, state: UpstreamState, requests: _Requests, now: float) -> None:
         """Take a permit now and then while no issuer replies: the limit may have ended."""
@@ -264,11 +276,20 @@
             share=f"{self._own_share():.2f}",
             evidence_age_s=f"{self._now() - state.rate_limit.evidence_at:.3f}",
         )
-        reply = PermitReply(self._members.own.id, permits, wait_s, self._row(state))
+        row = self._row(state)
+        reply = PermitReply(self._members.own.id, permits, wait_s, row, request.number)
         self._send([sender], reply)
 
     def apply_reply(self, reply: PermitReply) -> None:
-        """Apply the answer to a request for permits."""
+        """Apply the reply to a request for permits, unless it has come before."""
+        if not self._is_awaited(reply):
+            log_routine(
+                "permits_ignored",
+                upstream=reply.limit.upstream_id,
+                sender=reply.sender,
+                permits=reply.permits,
+            )
+            return
         self._apply_row(reply.limit, reply.sender)
         state = self._dispatcher.state(reply.limit.upstream_id)
         if state is None or state.entry.started_ms != reply.limit.started_ms:
@@ -279,6 +300,16 @@
         requests.next_at = now + reply.wait_s
         self._dispatcher.add_permits(state, reply.permits)
 
+    def _is_awaited(self, reply: PermitReply) -> bool:
+        """Return whether a reply is the first to its request; earlier versions don't tell."""
+        if not reply.number:
+            return True
+        requests = self._requests_by_id.get(reply.limit.upstream_id)
+        if requests is None or reply.number not in requests.open_numbers:
+            return False
+        requests.open_numbers.remove(reply.number)
+        return True
+
 
 def _start_of(state: UpstreamState) -> tuple[str, int]:
     return state.entry.id, state.entry.started_ms
