Give calls without an id that go over a peer a connection of their own

Seen: in a test; calls without an id shared the kept connection to a peer, where no id tells a copy of an earlier answer from the next one. Ruled out by tests, right before: a joined answer of the peer's upstream, an earlier answer, cut or whole, on the connection to a peer, HEAD over a peer.

Failed before: test_call_without_an_id_shares_a_connection_to_a_peer (1 connection).

--- a/heatherhead/proxy/detour.py
+++ b/heatherhead/proxy/detour.py
@@ -138,6 +138,8 @@
         try:
             if call.request.method == "HEAD":
                 connection = await self._pool.open_for_head(peer)
+            elif not call.request_id:  # which would tell an earlier answer from its own
+                connection = await self._pool.open(peer)
             else:
                 max_idle_s = None if call.idempotent else NON_IDEMPOTENT_MAX_IDLE_S
                 connection = await self._pool.acquire(peer, max_idle_s)
@@ -162,7 +164,7 @@
             )
         except BrokenAnswerError as error:
             return DetourResult(None, True, str(error))
-        if call.request.method == "HEAD":
+        if call.request.method == "HEAD" or not call.request_id:
             connection.close()
         else:
             self._pool.release(peer, connection)
