Name the call in a failure without an id that is passed on to a peer

Seen: a call went over a peer, and its upstream answered 500 or 404 without an id. The peer passed that on, the sending instance skipped it as another call's, and the caller got 504 after its whole deadline in place of the failure. Cause: an instance takes no answer without an id from a peer, and a peer added none.

Failed before: test_failure_without_an_id_is_not_read_from_a_peer (2, 504).

--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -879,6 +879,9 @@
         answer = self._relay(outcome.answer)
         if call.from_peer and outcome.leaving_upstream is not None:
             answer.headers[LEAVING_UPSTREAM] = outcome.leaving_upstream
+        if call.from_peer and self._dialect.request_id(answer.headers) is None:
+            # The peer takes no answer without an id for that to its call.
+            self._dialect.set_answer_headers(answer.headers, call.demand.request_id or None)
         return answer
 
     def _relay(self, answer: UpstreamAnswer) -> Answer:
--- a/heatherhead/tests/proxy/joined_detour_tests.py
+++ b/heatherhead/tests/proxy/joined_detour_tests.py
@@ -82,3 +82,17 @@
         assert (await cut.send(call("r2"))).endswith(b"second")
 
     run_detour(scenario, [])
+
+
+@pytest.mark.parametrize("status", [500, 404])
+def test_failure_without_an_id_is_not_read_from_a_peer(status: int) -> None:
+    """The caller waited for its whole deadline."""
+    failure = answer("r1", status, b"failed").replace(WITHOUT_ID, b"")
+
+    async def scenario(
+        cut: EntryPath, _peer: EntryPath, _upstreams: list[ScriptedUpstream]
+    ) -> None:
+        received = await cut.send(call("r1"))
+        assert status_of(received) == status
+
+    run_detour(scenario, [failure], max_attempts=1)
