Read a follower's revision that comes in parts

Seen: a follower whose revision came in two reads got no stream, and connected again. Cause: the server read once and took what had come for the whole. Ruled out by tests, right before: a stream between instances that ends inside a message, cut or joined messages, a part of a relayed batch ahead of the next stream's, and a repeated batch.

Failed before: test_revision_that_comes_in_two_parts_ends_the_stream_of_a_follower.

--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -31,6 +31,7 @@
 STREAM_TIMEOUT_S = 1.4  # a stream that misses two heartbeats is closed
 CONNECT_TIMEOUT_S = 0.5
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+MAX_REVISION_BYTES = 64
 MAX_FOLLOWERS = 256
 MAX_CACHED_BATCHES = 8  # most followers are at one of the latest revisions
 
@@ -85,9 +86,7 @@
         try:
             if self._followers > MAX_FOLLOWERS:
                 return
-            unpacker = msgpack.Unpacker()
-            unpacker.feed(await asyncio.wait_for(reader.read(64), STREAM_TIMEOUT_S))
-            revision = int(next(iter(unpacker)))
+            revision = await asyncio.wait_for(_read_revision(reader), STREAM_TIMEOUT_S)
             sent_state: RelayState | None = None
             sent_repairs = self._replica.repairs
             while True:
@@ -106,7 +105,15 @@
                     await asyncio.wait_for(changed.wait(), HEARTBEAT_S)
                 except TimeoutError:
                     continue
-        except (OSError, TimeoutError, ValueError, StopIteration, asyncio.CancelledError):
+        except (
+            OSError,
+            EOFError,
+            TimeoutError,
+            ValueError,
+            TypeError,
+            msgpack.UnpackException,
+            asyncio.CancelledError,
+        ):
             return
         finally:
             self._followers -= 1
@@ -137,6 +144,21 @@
         return packed
 
 
+async def _read_revision(reader: asyncio.StreamReader) -> int:
+    """Read the revision that a follower holds, which may come in parts.
+
+    Raises `EOFError`, or `ValueError`, `TypeError` or `UnpackException` if it is malformed.
+    """
+    unpacker = msgpack.Unpacker(max_buffer_size=MAX_REVISION_BYTES)
+    while True:
+        data = await reader.read(MAX_REVISION_BYTES)
+        if not data:
+            raise EOFError
+        unpacker.feed(data)
+        for revision in unpacker:
+            return int(revision)
+
+
 async def follow_peer(
     address: HostPort,
     replica: StoreReplica,
