--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -14,15 +14,17 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError, LineTooLong
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.http_parser import HttpRequestParser
 
 from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.messages import HttpRequest, own_answer
+from heatherhead.proxy.request_heads import find_head_fault
+from heatherhead.telemetry.bounded_logs import log_routine
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Collection
 
     from aiohttp import StreamReader
     from aiohttp.http_parser import RawRequestMessage
@@ -37,6 +39,7 @@
     "CallerConnection",
     "CallerConnections",
     "Exchange",
+    "MalformedBodyError",
     "create_caller_connections",
 ]
 
@@ -50,6 +53,8 @@
 STALLED_S = 2.0  # longer than the retransmission of a lost packet
 MIN_PROGRESS_BYTES = 64 * 1024  # in `STALLED_S`, of a caller whose answer others wait for
 MAX_JOINED_BODY_BYTES = 64 * 1024  # larger bodies are not copied behind their head
+MAX_LOGGED_REASON = 80  # characters
+HEAD_END = b"\r\n\r\n"  # also that of a body in chunks, with or without trailers
 LINGER_S = 2.0  # for the caller to read the last answer and close; bytes left unread would reset it
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST, not FIN
 
@@ -62,6 +67,10 @@
     """The body exceeds the configured limit."""
 
 
+class MalformedBodyError(Exception):
+    """The body is not complete, or not certain to be the request's own."""
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One request of a connection, from its parsed head to its answer."""
@@ -75,6 +84,7 @@
     abandoned: bool = False  # the caller has closed the connection
     detached: bool = False  # not cancelled on disconnect: an upstream may execute it already
     earlier_answered: asyncio.Event | None = None
+    body_read: bool = False
     held_bytes: int = 0  # of the body, counted in `CallerConnections.held_bytes`
 
     async def wait_for_earlier_answers(self) -> None:
@@ -85,7 +95,10 @@
         await self.earlier_answered.wait()
 
     async def read_request(self, limits: CallerLimits) -> HttpRequest:
-        """Read the body; raises `BodyTooLargeError`, `BodyMemoryError` or a connection error."""
+        """Read the body.
+
+        Raises `BodyTooLargeError`, `BodyMemoryError`, `MalformedBodyError` or a connection error.
+        """
         message = self.message
         length = message.headers.get("Content-Length")
         if length is not None and int(length) > limits.max_body_bytes:
@@ -93,6 +106,7 @@
         if message.headers.get("Expect", "").lower() == "100-continue":
             self.connection.send_continue(self)
         body = await self._read_body(limits.max_body_bytes)
+        self.body_read = True
         return HttpRequest(message.method, message.path, message.headers, body, self.received_at)
 
     async def _read_body(self, max_bytes: int) -> bytes:
@@ -115,24 +129,16 @@
 
     def __init__(self, owner: CallerConnections) -> None:
         loop = owner.loop
-        limits = owner.limits()
-        parser = HttpRequestParser(
-            self,
-            loop,
-            PARSER_BUFFER_BYTES,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            max_headers=MAX_HEADERS,
-            auto_decompress=False,
-        )
-        super().__init__(loop, parser)
-        self._request_parser = parser
+        self._request_parser = _create_parser(self, loop, owner.limits())
+        super().__init__(loop, self._request_parser)
         self._owner = owner
         self.exchanges: deque[Exchange] = deque()
         self.active_at = loop.time()
         self.head_started_at: float | None = None
         self._closing = False
         self._failed = False
+        self._chunked_payload: StreamReader | None = None  # of a request that the parser has read
+        self._last_bytes = b""
         self._ending = False  # no further request is taken; it closes after the last answer
         self._linger_timer: asyncio.TimerHandle | None = None
         self._unsent: list[HeldAnswer] = []  # of answers that the caller has not taken yet
@@ -189,7 +195,17 @@
             if self._ending:
                 self._failed = True  # those behind it are not read either
                 break
+            fault = find_head_fault(message, self._owner.single_names)
+            if fault is not None:
+                self._refuse(400, fault)
+                break
+            if self._chunked_payload is not None:
+                self._end_behind_chunks()
+                break
+            if message.chunked:
+                self._chunked_payload = payload
             self._start(Exchange(self, message, payload, now))
+        self._renew_parser(data)
         if messages or self._receives_body() or not data:
             self.head_started_at = None
         elif self.head_started_at is None:
@@ -199,6 +215,27 @@
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading_for_buffer()
 
+    def _renew_parser(self, data: bytes) -> None:
+        """Replace the parser behind a body in chunks.
+
+        It would add the last trailer to the headers of the next request. Requests whose bytes it
+        has read already are not taken: their callers send them on another connection.
+        """
+        if self._chunked_payload is None:
+            return
+        self._last_bytes = (self._last_bytes + data)[-len(HEAD_END) :]
+        if self._failed or not self._chunked_payload.is_eof():
+            return
+        if self._last_bytes != HEAD_END:
+            self._end_behind_chunks()
+            return
+        self._parser = self._request_parser = _create_parser(self, self._loop, self._owner.limits())
+        self._chunked_payload = None
+
+    def _end_behind_chunks(self) -> None:
+        log_routine("requests_not_read", reason="behind a body in chunks", caller=self._caller())
+        self._end_after_last()
+
     def _receives_body(self) -> bool:
         """Return whether the body of the last request is incomplete."""
         return bool(self.exchanges) and not self.exchanges[-1].payload.is_eof()
@@ -214,6 +251,8 @@
             if not exchange.abandoned:
                 raise
             return
+        except MalformedBodyError:
+            answer = own_answer(400, "malformed body", close=True)
         except Exception as error:  # after an internal error the caller still gets an answer
             log_event("call_failed", level="ERROR", error=repr(error))
             answer = own_answer(502, "internal error; the call may have run")
@@ -306,19 +345,37 @@
             self.transport.write(CONTINUE_ANSWER)
 
     def _reject_malformed(self, error: HttpProcessingError) -> None:
-        """Answer a request that can't be parsed, after the requests before it."""
-        self._failed = True
+        """Refuse bytes that can't be parsed, and the request in whose body they are or may be."""
         status = 431 if isinstance(error, LineTooLong) else 400
-        if self.exchanges and not self.exchanges[-1].payload.is_eof():
-            payload = self.exchanges[-1].payload
-            if payload.exception() is None:
-                payload.set_exception(BadHttpMessage("malformed body"))
+        reason = str(error)[:MAX_LOGGED_REASON]
+        if not self.exchanges or not _has_doubtful_body(self.exchanges[-1]):
+            self._refuse(status, reason)
             return
-        log_event("request_refused", status=status, reason=str(error)[:80])
+        self._log_refusal(status, f"in or behind a body: {reason}")
+        payload = self.exchanges[-1].payload
+        if payload.exception() is None:
+            payload.set_exception(MalformedBodyError())
+        self._end_after_last()
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Refuse a request and read none behind it; those before it are still answered."""
+        self._log_refusal(status, reason)
+        self._end_after_last()
+        if not self.exchanges:
+            self._answer_and_close(status, "malformed request")
+
+    def _end_after_last(self) -> None:
+        """Read nothing more, and close after the answer to the last request."""
+        self._failed = True
         if self.exchanges:
             self.exchanges[-1].message = self.exchanges[-1].message._replace(should_close=True)
-            return
-        self._answer_and_close(status, "malformed request")
+
+    def _log_refusal(self, status: int, reason: str) -> None:
+        log_routine("request_refused", status=status, reason=reason, caller=self._caller())
+
+    def _caller(self) -> str:
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return ":".join(map(str, name[:2])) if name else "unknown"
 
     def _answer_and_close(self, status: int, reason: str) -> None:
         transport = self.transport
@@ -370,6 +427,32 @@
         transport.abort()
 
 
+def _create_parser(
+    protocol: BaseProtocol, loop: asyncio.AbstractEventLoop, limits: CallerLimits
+) -> HttpRequestParser:
+    return HttpRequestParser(
+        protocol,
+        loop,
+        PARSER_BUFFER_BYTES,
+        max_line_size=limits.max_header_bytes,
+        max_field_size=limits.max_header_bytes,
+        max_headers=MAX_HEADERS,
+        auto_decompress=False,
+    )
+
+
+def _has_doubtful_body(exchange: Exchange) -> bool:
+    """Return whether malformed bytes behind the last ones of a request may be part of its body.
+
+    They may as long as it has not been handled. The end of a body in chunks is certain.
+    """
+    if not exchange.payload.is_eof():
+        return True
+    return (
+        not exchange.body_read and exchange.payload.total_bytes > 0 and not exchange.message.chunked
+    )
+
+
 class CallerConnections:
     """All connections of callers to this instance."""
 
@@ -379,6 +462,7 @@
         limits: Callable[[], CallerLimits],
         max_held_bytes: int,
         answer_memory: AnswerMemory,
+        single_names: Collection[str],
     ) -> None:
         self.held_bytes = 0
         self.max_held_bytes = max_held_bytes
@@ -386,6 +470,7 @@
         self.answer_memory = answer_memory
         self.handle = handle
         self.limits = limits
+        self.single_names = single_names
         self.connections: set[CallerConnection] = set()
         self.leaving = False
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -423,11 +508,13 @@
     limits: Callable[[], CallerLimits],
     max_held_bytes: int = DEFAULT_MAX_HELD_BYTES,
     answer_memory: AnswerMemory | None = None,
+    single_names: Collection[str] = (),
 ) -> CallerConnections:
     """Create the set of callers' connections; must be called inside the running loop.
 
     `max_held_bytes` bounds the memory of request bodies, `answer_memory` that of answers.
+    A request that has a header of `single_names` twice is refused.
     """
     return CallerConnections(
-        handle, limits, max_held_bytes, answer_memory or create_answer_memory()
+        handle, limits, max_held_bytes, answer_memory or create_answer_memory(), single_names
     )
