Let a failure reach the reader of a body at once, and tie stray bytes to the call that waits

A call whose answer failed in the read that ended a chunk waited until its deadline, and a caller's malformed chunk was not answered at all: aiohttp's reader, woken by the chunk's end without data, waits again before the failure is looked at. Besides, from the same review: a head of no message (status 099) ended in an internal error, an answer whose end framing and parser disagreed on was passed on, and a blank line behind an answer counted as an answer twice. stray_bytes names the waiting call.

Failed before: test_failure_in_the_read_that_ends_a_chunk_is_not_noticed (2), test_malformed_chunk_behind_a_chunk_of_a_request_is_not_answered, and the two last tests of the file.

--- a/heatherhead/proxy/answer_matching.py
+++ b/heatherhead/proxy/answer_matching.py
@@ -13,6 +13,8 @@
 
 __all__ = ["answers_call", "answers_health_check"]
 
+MAX_LOGGED_ID = 64  # characters
+
 
 def answers_call(
     dialect: Dialect,
@@ -57,6 +59,6 @@
         "answer_skipped",
         id=request_id,
         upstream=sender,
-        of=echoed or "none",
+        of=(echoed or "none")[:MAX_LOGGED_ID],
         status=message.code,
     )
--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -19,6 +19,7 @@
 
 from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.messages import HttpRequest, own_answer
+from heatherhead.proxy.payloads import fail_payload
 from heatherhead.proxy.request_heads import find_head_fault
 from heatherhead.telemetry.bounded_logs import log_routine
 from heatherhead.telemetry.logs import log_event
@@ -352,9 +353,7 @@
             self._refuse(status, reason)
             return
         self._log_refusal(status, f"in or behind a body: {reason}")
-        payload = self.exchanges[-1].payload
-        if payload.exception() is None:
-            payload.set_exception(MalformedBodyError())
+        fail_payload(self._loop, self.exchanges[-1].payload, MalformedBodyError())
         self._end_after_last()
 
     def _refuse(self, status: int, reason: str) -> None:
--- a/heatherhead/proxy/detour.py
+++ b/heatherhead/proxy/detour.py
@@ -161,6 +161,7 @@
                     reused=connection.calls > 1,
                     may_lack_id=False,
                 ),
+                call.request_id,
             )
         except BrokenAnswerError as error:
             return DetourResult(None, True, str(error))
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -706,6 +706,7 @@
                     entry.id,
                     reused=connection.calls > 1,
                 ),
+                call.demand.request_id,
             )
         except BrokenAnswerError as error:
             return self._handle_broken_attempt(call, slot, connection, str(error))
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -19,6 +19,7 @@
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
 from heatherhead.proxy.answer_heads import begins_message, holds_copy
 from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
+from heatherhead.proxy.payloads import fail_payload
 from heatherhead.proxy.stray_bytes import log_stray_bytes
 
 if TYPE_CHECKING:
@@ -77,6 +78,7 @@
         self._answer: tuple[RawResponseMessage, StreamReader] | None = None  # whose head has come
         self._heads: deque[bytes] = deque(maxlen=2)  # of the last answer and the one before it
         # Of the call in progress:
+        self._request_id = ""
         self._received_bytes = 0
         self._skipped_bytes = 0  # bodies of skipped answers
         self._interim_answers = 0
@@ -154,6 +156,9 @@
         is_head = bool(data) and self._framing.in_head
         try:
             messages, upgraded, _ = self._response_parser.feed_data(data)
+            if not is_head and self._parser_stands():
+                # A pause at the end of an earlier body makes the parser stop here once.
+                messages, upgraded, _ = self._response_parser.feed_data(b"")
         except HttpProcessingError as error:
             self._report_stray_bytes(f"refused by the parser: {type(error).__name__}", data)
             self._break(BrokenAnswerError(f"not HTTP: {type(error).__name__}"))
@@ -169,7 +174,10 @@
     def _begin_message(
         self, head: bytes, messages: Sequence[tuple[RawResponseMessage, StreamReader]]
     ) -> None:
-        ((message, payload),) = messages  # a whole head is one message
+        if len(messages) != 1:
+            self._break(BrokenAnswerError("not HTTP: a head of no message"))
+            return
+        message, payload = messages[0]
         self._framing.begin_body(message)
         if message.code < 200:
             self._interim_answers += 1
@@ -183,13 +191,14 @@
         """Return whether framing and parser agree on the end of the answer, as far as known."""
         if self._answer is None:
             return True
-        payload = self._answer[1]
-        if self._framing.ended and not payload.is_eof() and not self._reading_paused:
-            # A pause at the end of an earlier body makes the parser stop here once.
-            self._response_parser.feed_data(b"")
-        if self._framing.ended:
-            return payload.is_eof() or self._reading_paused
-        return not payload.is_eof()
+        parsed = self._answer[1].is_eof()
+        return parsed == self._framing.ended or (not parsed and self._reading_paused)
+
+    def _parser_stands(self) -> bool:
+        """Return whether the parser has all bytes of an answer and has not ended it."""
+        if self._answer is None or not self._framing.ended or self._reading_paused:
+            return False
+        return not self._answer[1].is_eof()
 
     def _check_limits(self) -> None:
         """Abort if the upstream sends excessive overhead, interim answers or extra answers."""
@@ -241,16 +250,15 @@
 
     def _report_stray_bytes(self, what: str, data: bytes = b"") -> None:
         """Log bytes that belong to no request, and let the connection not be reused."""
-        log_stray_bytes(self.transport, what, data, self.calls)
+        log_stray_bytes(self.transport, what, data, self.calls, self._request_id)
         if not self._strayed and self.on_stray_bytes is not None:
             self.on_stray_bytes(what)
         self._strayed = True
 
     def _fail(self, error: Exception) -> None:
         self._error = self._error or error
-        payload = None if self._answer is None else self._answer[1]
-        if payload is not None and not payload.is_eof() and payload.exception() is None:
-            payload.set_exception(error)
+        if self._answer is not None and not self._answer[1].is_eof():
+            fail_payload(self._loop, self._answer[1], error)
         self._wake_waiter()
 
     def _wake_waiter(self) -> None:
@@ -259,15 +267,20 @@
             waiter.set_result(None)
 
     async def exchange(
-        self, data: bytes, is_match: Callable[[RawResponseMessage], bool]
+        self,
+        data: bytes,
+        is_match: Callable[[RawResponseMessage], bool],
+        request_id: str = "",
     ) -> UpstreamAnswer:
         """Send a request and return its complete answer; raises `BrokenAnswerError`.
 
+        `request_id` is for log lines.
         An answer for which `is_match` is false belongs to an earlier request: it is skipped, and
         the connection is not reused. On cancellation the connection is aborted.
         """
         assert self.transport is not None
         self.busy = True
+        self._request_id = request_id
         self.calls += 1
         self._begin_call()
         try:
@@ -293,6 +306,7 @@
             raise
         finally:
             self.busy = False
+            self._request_id = ""
             self._answer = None
             self.idle_since = self._loop.time()
 
@@ -331,7 +345,9 @@
         Bytes behind it that begin no message may be the rest of its body. A copy of this or of the
         last answer may also be inside the body, or at the end of one without a length.
         """
-        pending = self._framing.pending
+        if self._unusable and self._error is not None:
+            raise self._error
+        pending = self._framing.pending.lstrip(b"\r\n")
         if pending:
             self._report_stray_bytes("bytes behind an answer", pending)
             if not begins_message(pending):
@@ -363,7 +379,8 @@
     def _update_reuse(self, message: RawResponseMessage) -> None:
         transport = self.transport
         request_unsent = transport is not None and transport.get_write_buffer_size() > 0
-        if message.should_close or self._strayed or request_unsent or self._lost:
+        behind = bool(self._framing.pending)
+        if message.should_close or self._strayed or behind or request_unsent or self._lost:
             self._unusable = True
             self.close()
             return
--- a/heatherhead/tests/proxy/answer_reading_tests.py
+++ b/heatherhead/tests/proxy/answer_reading_tests.py
@@ -9,7 +9,11 @@
 
 from heatherhead.proxy.answer_memory import HeldAnswer, create_answer_memory
 from heatherhead.proxy.stray_bytes import LOGGED_BYTES
-from heatherhead.proxy.upstream_connection import MAX_OVERHEAD_BYTES, UpstreamConnection
+from heatherhead.proxy.upstream_connection import (
+    MAX_OVERHEAD_BYTES,
+    BrokenAnswerError,
+    UpstreamConnection,
+)
 from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import answer, request, run_path, status_of
 
@@ -204,3 +208,62 @@
         assert status_of(received) == 502 or b"Transfer-Encoding" not in received
 
     run_path(scenario, [chunked], max_attempts=1)
+
+
+@pytest.mark.parametrize("behind", [b"0\r\nHTTP/1.1 20\r\n", b"0\r\nbad\x01: x\r\n"])
+def test_failure_in_the_read_that_ends_a_chunk_is_not_noticed(behind: bytes) -> None:
+    """The chunk's end wakes the reader, which waits again without a look at the failure."""
+
+    async def main() -> None:
+        connection, transport = create_connection()
+        task = await begin_call(connection, "r1")
+        connection.data_received(CHUNKED_HEAD + b"5\r\nwhole")
+        await asyncio.sleep(0.01)
+        connection.data_received(b"\r\n" + behind)
+        assert transport.closed
+        await asyncio.wait([task], timeout=0.2)
+        assert task.done()
+        assert isinstance(task.exception(), BrokenAnswerError)
+
+    asyncio.run(main())
+
+
+def test_malformed_chunk_behind_a_chunk_of_a_request_is_not_answered() -> None:
+    """The end of the chunk before it comes in the same read; the caller waits for ever."""
+    head = request("/order/x", "r1", "POST", Transfer_Encoding="chunked")
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        reader, writer = await path.connect()
+        writer.write(head + b"5\r\nwhole")
+        await asyncio.sleep(0.05)
+        writer.write(b"\r\nno size\r\n")
+        async with asyncio.timeout(1.0):
+            await reader.read(1)
+        writer.close()
+
+    run_path(scenario, [])
+
+
+def test_head_of_no_message_ends_a_call_with_an_internal_error() -> None:
+    async def main() -> None:
+        connection, _ = create_connection()
+        task = await begin_call(connection, "r1")
+        connection.data_received(b"HTTP/1.1 099 Odd\r\n\r\n" + answer("r1"))
+        with pytest.raises(BrokenAnswerError):
+            await task
+
+    asyncio.run(main())
+
+
+def test_blank_line_behind_an_answer_counts_as_an_answer_twice() -> None:
+    async def main() -> None:
+        connection, _ = create_connection()
+        strays: list[str] = []
+        connection.on_stray_bytes = strays.append
+        task = await begin_call(connection, "r1")
+        connection.data_received(answer("r1") + b"\r\n")
+        assert (await task).body == b"whole"
+        assert strays == []
+
+    asyncio.run(main())
