Hold each answer of the soak against what its upstream gave

Each upstream now logs id, status and body digest of an answer before it writes it, and its stamp and its body name instance, id and status. A caller's answer is held against the one that its stamp names, failures too: a success where the upstream failed, another status, two stamps, another id, another body.

In runs with planned work only, a call may not end with 504 half a second after an upstream wrote its success on a connection without parts of other answers. Elsewhere a link or a process may have lost the answer, and after a failure or a broken answer another attempt may wait until the deadline, so the logs don't tell.

soak.stutter writes answers twice, in the forms of the plays; a file beside the run log makes an upstream do so. Each violation and each form has a test.

--- a/heatherhead/tests/soak_tests.py
+++ b/heatherhead/tests/soak_tests.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from contextlib import suppress
 from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -14,6 +16,8 @@
 from soak.callers import Attempt, Callers
 from soak.invariants import find_violations
 from soak.links import Cut, Fault, Link
+from soak.server import ANSWER_ROW, answer_body, answer_stamp, body_digest
+from soak.stutter import FORMS, Spell, StutteringWriter, read_spell
 from soak.world import Daemon, World
 
 if TYPE_CHECKING:
@@ -186,3 +190,162 @@
     violations = list(find_violations(world, callers, 1e12, planned_only=False))
     assert any("without a matching request" in line for line in violations)
     assert any("no configuration routes to" in line for line in violations)
+
+
+def _find_mixed(
+    tmp_path: Path,
+    *,
+    status: int = 200,
+    given_status: int = 200,
+    stamps: list[str] | None = None,
+    body: bytes | None = None,
+    echoed_ids: list[str] | None = None,
+) -> list[str]:
+    """Return violations of a call "a" that i-1 answered with `given_status`."""
+    stamp = answer_stamp("i-1", "a", given_status)
+    row = [ANSWER_ROW, "i-1", "a", given_status, body_digest(answer_body(stamp)), True, 1.1]
+    world = _world(tmp_path, f'["a", "i-1", "orders", "d", 1.0]\n{json.dumps(row)}\n')
+    callers = Callers(world, None)  # type: ignore[arg-type]
+    attempt = Attempt("a", "/order/", "d", "127.0.0.10", 1.0, status, ended_at=1.2)
+    attempt.stamps = [stamp] if stamps is None else stamps
+    attempt.body = answer_body(stamp) if body is None else body
+    attempt.echoed_ids = ["a"] if echoed_ids is None else echoed_ids
+    callers.attempt_by_id["a"] = attempt
+    return list(find_violations(world, callers, 1e12, planned_only=True))
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_answer_as_its_upstream_gave_it_is_no_violation(tmp_path: Path, status: int) -> None:
+    assert _find_mixed(tmp_path, status=status, given_status=status) == []
+
+
+def test_failure_of_an_instance_is_no_violation(tmp_path: Path) -> None:
+    assert _find_mixed(tmp_path, status=502, stamps=[], body=b"broken") == []
+
+
+def test_success_where_the_upstream_failed_is_found(tmp_path: Path) -> None:
+    (line,) = _find_mixed(tmp_path, status=200, given_status=500)
+    assert line.startswith("mixed: success where the upstream answered 500")
+
+
+@pytest.mark.parametrize(("status", "given_status"), [(500, 200), (503, 500)])
+def test_failure_of_another_status_than_the_upstream_gave_is_found(
+    tmp_path: Path, status: int, given_status: int
+) -> None:
+    lines = _find_mixed(tmp_path, status=status, given_status=given_status)
+    assert any(f"mixed: failure where the upstream answered {given_status}" in x for x in lines)
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_answer_with_two_stamps_is_found(tmp_path: Path, status: int) -> None:
+    stamps = [answer_stamp("i-1", "a", status)] * 2
+    lines = _find_mixed(tmp_path, status=status, given_status=status, stamps=stamps)
+    assert any("mixed: more than one stamp" in line for line in lines)
+
+
+@pytest.mark.parametrize("stamp", ["i-1.b.200", "i-2.a.200", "i-1.a.500", "i-1.HTTP/1.1 200"])
+def test_stamp_of_another_answer_is_found(tmp_path: Path, stamp: str) -> None:
+    (line,) = _find_mixed(tmp_path, stamps=[stamp])
+    assert line.startswith("mixed: a stamp that no upstream gave to this call")
+
+
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("ids", [["b"], ["a", "a"], ["b", "a"]])
+def test_answer_of_another_id_is_found(tmp_path: Path, status: int, ids: list[str]) -> None:
+    lines = _find_mixed(tmp_path, status=status, given_status=status, echoed_ids=ids)
+    assert any(f"mixed: ids {ids}" in line for line in lines)
+
+
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("body", [b"", b"i-1.a.200", answer_body("i-1.b.200")])
+def test_body_that_its_upstream_did_not_give_is_found(
+    tmp_path: Path, status: int, body: bytes
+) -> None:
+    (line,) = _find_mixed(tmp_path, status=status, given_status=status, body=body)
+    assert line.startswith("mixed: a body that the upstream did not give")
+
+
+@pytest.mark.parametrize("missing", ["stamps", "echoed_ids"])
+def test_success_without_stamp_or_id_is_found(tmp_path: Path, missing: str) -> None:
+    lines = _find_mixed(tmp_path, **{missing: []})  # type: ignore[arg-type]
+    assert any("success without the complete answer" in line for line in lines)
+
+
+@pytest.mark.parametrize(
+    ("status", "readable", "given_at", "planned_only", "found"),
+    [
+        (200, True, 1.1, True, True),
+        (200, False, 1.1, True, False),  # joined with a part of another
+        (500, True, 1.1, True, False),  # another attempt followed
+        (200, True, 2.4, True, False),  # on its way
+        (200, True, 1.1, False, False),  # a link or process may have failed
+    ],
+)
+def test_time_out_after_the_answer_was_written_is_found(
+    tmp_path: Path,
+    status: int,
+    readable: bool,
+    given_at: float,
+    planned_only: bool,
+    found: bool,
+) -> None:
+    row = [ANSWER_ROW, "i-1", "a", status, "d", readable, given_at]
+    world = _world(tmp_path, f'["a", "i-1", "orders", "d", 1.0]\n{json.dumps(row)}\n')
+    callers = Callers(world, None)  # type: ignore[arg-type]
+    attempt = Attempt("a", "/order/", "d", "127.0.0.10", 1.0, 504, ended_at=2.5)
+    callers.attempt_by_id["a"] = attempt
+    lines = list(find_violations(world, callers, 1e12, planned_only=planned_only))
+    assert any("after its answer was written" in line for line in lines) == found
+
+
+class _Received:
+    """Keeps what is written to a connection."""
+
+    def __init__(self) -> None:
+        self.data = b""
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def is_closing(self) -> bool:
+        return False
+
+
+@pytest.mark.parametrize("form", FORMS)
+def test_stutter_writes_the_right_answer_and_one_more(form: str) -> None:
+    """Else a form that writes nothing twice passes for one that is borne."""
+    first, second, other = (
+        f"HTTP/1.1 {status} Status\r\nDate: Sat, 05 Dec 2026 00:00:00 GMT\r\n"
+        f"X-Heatherhead-Request-Id: {request_id}\r\n"
+        f"X-Heatherhead-Server-Stamp: i-1.{request_id}.{status}\r\n\r\nbody of {request_id}".encode()
+        for status, request_id in ((200, "a"), (200, "b"), (500, "b"))
+    )
+
+    async def main() -> bytes:
+        received = _Received()
+        writer = StutteringWriter(received, Random(1))  # type: ignore[arg-type]
+        await writer.write(first, "", first)
+        await writer.write(second, form, other)
+        await asyncio.sleep(0.06)
+        return received.data
+
+    written = asyncio.run(main()).removeprefix(first)
+    place, _, content = form.partition(" ")
+    repeated = {"behind": second, "late": second}.get(place, first)
+    repeated = other if content == "other status" else repeated
+    if place == "between":
+        assert written == second[:-9] + first + second[-9:]
+        return
+    more = written.removesuffix(second) if place == "before" else written.removeprefix(second)
+    assert len(written) - len(more) == len(second)
+    assert more
+    assert (more == repeated) == (content in ("whole", "other status"))
+    assert ("cut" in content) <= repeated.startswith(more)
+
+
+def test_stutter_ends_with_its_file(tmp_path: Path) -> None:
+    path = tmp_path / "i-1.stutter"
+    path.write_text('{"forms": ["late whole"], "share": 0.5}')
+    assert read_spell(path) == Spell(["late whole"], 0.5)  # type: ignore[arg-type]
+    path.unlink()
+    assert read_spell(path) is None
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -39,9 +39,9 @@
     daemon: str
     sent_at: float  # Unix time
     status: int = 0
-    has_server_stamp: bool = False
+    stamps: list[str] = field(default_factory=list)
     body: bytes = b""
-    echoed_id: str = ""
+    echoed_ids: list[str] = field(default_factory=list)
     ended_at: float = 0.0
 
 
@@ -162,17 +162,16 @@
         except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
             return False
         attempt.status, attempt.body = status, body
-        attempt.echoed_id = headers.get("x-heatherhead-request-id", "")
-        attempt.has_server_stamp = "x-heatherhead-server-stamp" in headers
-        return headers.get("connection", "") != "close"
+        attempt.echoed_ids = headers.get("x-heatherhead-request-id", [])
+        attempt.stamps = headers.get("x-heatherhead-server-stamp", [])
+        return "close" not in headers.get("connection", [])
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], bytes]:
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[str, list[str]], bytes]:
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     lines = head.split("\r\n")
     status = int(lines[0].split(" ")[1])
-    headers = {
-        name.lower(): value.strip()
-        for name, _, value in (line.partition(":") for line in lines[1:])
-    }
-    return status, headers, await reader.readexactly(int(headers.get("content-length", "0")))
+    headers: dict[str, list[str]] = {}
+    for name, _, value in (line.partition(":") for line in lines[1:]):
+        headers.setdefault(name.lower(), []).append(value.strip())
+    return status, headers, await reader.readexactly(int(headers.get("content-length", ["0"])[0]))
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -5,10 +5,17 @@
 import json
 from collections import Counter
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from soak.callers import CLIENT_TIMEOUT_S, NOT_RUN_STATUSES
-from soak.server import LIMIT_AFTER_S, LIMIT_DURATION_S, NAMED_LIMIT, answer_body
+from soak.server import (
+    ANSWER_ROW,
+    LIMIT_AFTER_S,
+    LIMIT_DURATION_S,
+    NAMED_LIMIT,
+    answer_stamp,
+    body_digest,
+)
 from soak.world import ROUTES
 
 if TYPE_CHECKING:
@@ -17,7 +24,7 @@
     from soak.callers import Attempt, Callers
     from soak.world import World
 
-__all__ = ["Execution", "find_violations", "read_executions"]
+__all__ = ["Execution", "GivenAnswer", "find_violations", "read_answers", "read_executions"]
 
 EARLY_END_SHARE = 0.7  # of the client timeout; a later end without an answer may be a time-out
 RECOVERY_S = 15.0  # after the last fault (the platform's RecoveryS)
@@ -27,6 +34,7 @@
 LIMIT_SETTLE_S = 3.0  # after that (the platform's ContactS)
 LIMIT_WINDOW_S = 4.0
 MAX_NAMED_AFTER_S = 3.0  # after an instance is off (the platform's ContactS)
+DELIVERED_AFTER_S = 0.5  # of an answer, on links without a fault
 MAX_IN_WINDOW = 1.5 * NAMED_LIMIT * LIMIT_WINDOW_S + 5
 
 
@@ -41,11 +49,37 @@
     started_at: float  # Unix time
 
 
-def read_executions(world: World) -> list[Execution]:
-    """Read the executions that the upstreams have logged."""
+@dataclass(frozen=True, slots=True)
+class GivenAnswer:
+    """The answer to one execution, as logged by its upstream before it was written."""
+
+    upstream: str
+    request_id: str
+    status: int
+    body_digest: str
+    readable: bool  # nothing on its connection made it inseparable from other answers
+    given_at: float  # Unix time
+
+
+def _read_rows(world: World) -> list[list[Any]]:
     if not world.run_log.exists():
         return []
-    return [Execution(*json.loads(line)) for line in world.run_log.read_text().splitlines()]
+    return [json.loads(line) for line in world.run_log.read_text().splitlines()]
+
+
+def read_executions(world: World) -> list[Execution]:
+    """Read the executions that the upstreams have logged."""
+    return [Execution(*row) for row in _read_rows(world) if row[0] != ANSWER_ROW]
+
+
+def read_answers(world: World) -> dict[str, list[GivenAnswer]]:
+    """Read the answers that the upstreams have logged, by request id."""
+    answers_by_id: dict[str, list[GivenAnswer]] = {}
+    for row in _read_rows(world):
+        if row[0] == ANSWER_ROW:
+            answer = GivenAnswer(*row[1:])
+            answers_by_id.setdefault(answer.request_id, []).append(answer)
+    return answers_by_id
 
 
 def find_violations(
@@ -65,26 +99,23 @@
             yield f"execution without a matching request: {execution}"
         elif execution.service not in world.allowed_services_by_prefix[attempt.prefix]:
             yield f"executed by a service that no configuration routes to: {execution}"
+    answers_by_id = read_answers(world)
     for attempt in callers.attempt_by_id.values():
         yield from _check_attempt(attempt, count_by_id[attempt.id], planned_only)
+        yield from _check_answer(attempt, answers_by_id.get(attempt.id, []), planned_only)
     yield from _check_recovery(callers, faults_ended_at)
     yield from _check_addresses(world, callers)
 
 
 def _check_attempt(attempt: Attempt, execution_count: int, planned_only: bool) -> Iterator[str]:
-    details = (
-        f"id={attempt.id} prefix={attempt.prefix} daemon={attempt.daemon} status={attempt.status}"
-        f" sent_at={attempt.sent_at:.3f} ended_at={attempt.ended_at:.3f}"
-    )
+    details = _describe(attempt)
     if ROUTES[attempt.prefix][0] != "idempotent":
         if execution_count > 1:
             yield f"executed {execution_count} times: {details}"
         if execution_count and attempt.status in NOT_RUN_STATUSES:
             yield f"answered as not executed, but was executed: {details}"
     if attempt.status // 100 == 2 and not (
-        attempt.has_server_stamp
-        and attempt.echoed_id == attempt.id
-        and attempt.body == answer_body(attempt.id)
+        len(attempt.stamps) == 1 and attempt.echoed_ids == [attempt.id]
     ):
         yield f"success without the complete answer of an upstream: {details}"
     if attempt.status in (401, 403, 404, 413, 431):
@@ -94,6 +125,40 @@
         yield f"no complete answer, though nothing failed: {details}"
 
 
+def _check_answer(attempt: Attempt, given: list[GivenAnswer], planned_only: bool) -> Iterator[str]:
+    """Check that a caller got the answer of one upstream, as that one gave it."""
+    details = f"{_describe(attempt)} stamps={attempt.stamps} given={given}"
+    if len(attempt.stamps) > 1:
+        yield f"mixed: more than one stamp: {details}"
+    if any(each != attempt.id for each in attempt.echoed_ids) or len(attempt.echoed_ids) > 1:
+        yield f"mixed: ids {attempt.echoed_ids}: {details}"
+    for stamp in attempt.stamps:
+        named = [
+            each
+            for each in given
+            if answer_stamp(each.upstream, each.request_id, each.status) == stamp
+        ]
+        if not named:
+            yield f"mixed: a stamp that no upstream gave to this call: {details}"
+        elif named[0].status != attempt.status:
+            what = "success" if attempt.status // 100 == 2 else "failure"
+            yield f"mixed: {what} where the upstream answered {named[0].status}: {details}"
+        elif body_digest(attempt.body) not in [each.body_digest for each in named]:
+            yield f"mixed: a body that the upstream did not give: {details}"
+    if planned_only and attempt.status == 504 and not attempt.stamps:
+        for each in given:
+            late_s = attempt.ended_at - each.given_at
+            if each.readable and each.status == 200 and late_s > DELIVERED_AFTER_S:
+                yield f"timed out {late_s:.2f} s after its answer was written: {details}"
+
+
+def _describe(attempt: Attempt) -> str:
+    return (
+        f"id={attempt.id} prefix={attempt.prefix} daemon={attempt.daemon} status={attempt.status}"
+        f" sent_at={attempt.sent_at:.3f} ended_at={attempt.ended_at:.3f}"
+    )
+
+
 def _check_limit(named: Execution, rows: list[Execution]) -> Iterator[str]:
     """Check the limit that one start of an upstream has named, until its next start."""
     of_upstream = [each for each in rows if each.upstream == named.upstream]
--- a/soak/server.py
+++ b/soak/server.py
@@ -1,7 +1,8 @@
 """An upstream of the soak: reports its load, drains, and gives some wrong answers on purpose.
 
 Run as `python -m soak.server ID SERVICE HOST PORT ADVERTISED STORE RUN_LOG SEED`. Each execution of a
-request is appended to the log before it begins, so that a kill of the process can't lose it.
+request is appended to the log before it begins, and each answer before it is written, so that a kill of
+the process can't lose it.
 """
 
 from __future__ import annotations
@@ -15,19 +16,26 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from email.utils import formatdate
+from pathlib import Path
 from random import Random
 
 import aiohttp
 
 from heatherhead.backoff import create_backoff
+from soak.stutter import StutteringWriter, read_spell
 
 __all__ = [
+    "ANSWER_ROW",
     "LIMIT_AFTER_S",
     "LIMIT_DURATION_S",
     "NAMED_LIMIT",
     "answer_body",
+    "answer_stamp",
+    "body_digest",
     "main",
     "request_digest",
+    "spell_path",
 ]
 
 SLOTS = 4
@@ -42,6 +50,7 @@
 NAMED_LIMIT = 2.0  # requests a second; named for a while by upstreams with an even number
 LIMIT_AFTER_S = 1.0  # since the start of the process
 LIMIT_DURATION_S = 9.0
+ANSWER_ROW = "answer"  # in place of a request id
 
 
 def request_digest(method: str, target: str, body: bytes) -> str:
@@ -49,9 +58,24 @@
     return hashlib.sha256(f"{method} {target} ".encode() + body).hexdigest()[:16]
 
 
-def answer_body(request_id: str) -> bytes:
-    """Return the correct body of the answer to a request."""
-    return (request_id.encode() * (ANSWER_BYTES // len(request_id) + 1))[:ANSWER_BYTES]
+def body_digest(body: bytes) -> str:
+    """Return the digest by which the body of an answer is matched."""
+    return hashlib.sha256(body).hexdigest()[:16]
+
+
+def answer_stamp(upstream: str, request_id: str, status: int) -> str:
+    """Return the stamp that names an answer."""
+    return f"{upstream}.{request_id}.{status}"
+
+
+def answer_body(stamp: str) -> bytes:
+    """Return the correct body of the answer with a stamp."""
+    return (stamp.encode() * (ANSWER_BYTES // len(stamp) + 1))[:ANSWER_BYTES]
+
+
+def spell_path(run_log: Path, upstream: str) -> Path:
+    """Return the path of the file that makes an upstream stutter."""
+    return run_log.with_name(f"{upstream}.stutter")
 
 
 @dataclass
@@ -68,9 +92,11 @@
     started_unix_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     slots: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(SLOTS))
     limit_named_at: float | None = None
+    spell_path: Path = field(default_factory=Path)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection, one request at a time."""
+        answers = StutteringWriter(writer, self.rng)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -80,7 +106,7 @@
                     for name, _, value in (line.partition(":") for line in head.split("\r\n")[1:])
                 }
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
-                if not await self._answer(method, target, headers, body, writer):
+                if not await self._answer(method, target, headers, body, answers):
                     return
         except (asyncio.IncompleteReadError, OSError):
             return
@@ -93,17 +119,17 @@
         target: str,
         headers: dict[str, str],
         body: bytes,
-        writer: asyncio.StreamWriter,
+        answers: StutteringWriter,
     ) -> bool:
         if target == "/healthz":
-            self._write(writer, 200 if self.state == "ready" else 503, "", b"")
+            await self._write(answers, 200 if self.state == "ready" else 503, "")
             return True
         request_id = headers.get("x-heatherhead-request-id", "")
         if headers.get("x-heatherhead-expect-instance", self.id) != self.id:
-            self._write(writer, 421, request_id, b"", not_run=True)
+            await self._write(answers, 421, request_id, not_run=True)
             return True
         if self.in_progress >= SLOTS + QUEUE_LIMIT:
-            self._write(writer, 503, request_id, b"", not_run=True)
+            await self._write(answers, 503, request_id, not_run=True)
             return True
         self.in_progress += 1
         try:
@@ -113,7 +139,7 @@
                 await asyncio.sleep(self.rng.uniform(*SERVICE_TIME_RANGE_S))
         finally:
             self.in_progress -= 1
-        return self._send_answer(writer, request_id)
+        return await self._send_answer(answers, request_id, idempotent=method == "GET")
 
     def _names_limit(self) -> bool:
         """Return whether an answer names the limit; the first one is logged."""
@@ -130,41 +156,65 @@
         row = [event, self.id, self.service, "", time.time()]
         os.write(self.run_log, (json.dumps(row) + "\n").encode())
 
-    def _send_answer(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
-        body = answer_body(request_id)
+    def _log_answer(self, request_id: str, status: int, *, readable: bool) -> None:
+        """Append the answer to an execution to the log, before any byte of it is written."""
+        digest = body_digest(answer_body(answer_stamp(self.id, request_id, status)))
+        row = [ANSWER_ROW, self.id, request_id, status, digest, readable, time.time()]
+        os.write(self.run_log, (json.dumps(row) + "\n").encode())
+
+    async def _send_answer(
+        self, answers: StutteringWriter, request_id: str, *, idempotent: bool
+    ) -> bool:
+        """Return whether the connection is kept."""
+        if idempotent and self.spell_path.exists() and self.rng.random() < 0.5:
+            await self._write(answers, 500, request_id)
+            return True
         if not self.gives_wrong_answers or self.rng.random() > WRONG_ANSWER_FRACTION:
-            self._write(writer, 200, request_id, body)
+            await self._write(answers, 200, request_id)
             return True
         match self.rng.choice(["lost", "cut", "extra", "error", "other"]):
             case "lost":
-                writer.transport.abort()
+                answers.abort()
                 return False
             case "cut":
-                self._write(writer, 200, request_id, body[: len(body) // 2], length=len(body))
+                await self._write(answers, 200, request_id, cut=True)
                 return False
             case "extra":
-                self._write(writer, 200, request_id, body)
-                self._write(writer, 200, "f" * 16, answer_body("f" * 16))
+                await self._write(answers, 200, request_id)
+                await self._write(answers, 200, "f" * 16)
             case "error":
-                self._write(writer, 500, request_id, b"failed")
+                await self._write(answers, 500, request_id)
             case _:
-                self._write(writer, 200, "e" * 16, answer_body("e" * 16))
+                await self._write(answers, 200, "e" * 16)
         return True
 
-    def _write(
+    async def _write(
         self,
-        writer: asyncio.StreamWriter,
+        answers: StutteringWriter,
         status: int,
         request_id: str,
-        body: bytes,
         *,
         not_run: bool = False,
-        length: int | None = None,
+        cut: bool = False,
     ) -> None:
+        answer = self._format(status, request_id, not_run=not_run)
+        form = "" if cut else answers.choose_form(read_spell(self.spell_path))
+        readable = answers.keeps_readable(form) and not cut
+        if request_id and not not_run:
+            self._log_answer(request_id, status, readable=readable)
+        other = answer
+        if request_id and not not_run:
+            other = self._format(500 if status == 200 else 200, request_id)
+        await answers.write(answer[: -ANSWER_BYTES // 2] if cut else answer, form, other)
+
+    def _format(self, status: int, request_id: str, *, not_run: bool = False) -> bytes:
         queued = max(0, self.in_progress - SLOTS)
+        stamp = "" if not_run or not request_id else answer_stamp(self.id, request_id, status)
+        body = answer_body(stamp) if stamp else b""
         lines = [
             f"HTTP/1.1 {status} Status",
-            f"Content-Length: {len(body) if length is None else length}",
+            f"Date: {formatdate(usegmt=True)}",
+            f"Content-Length: {len(body)}",
             f"X-Heatherhead-Server-Load: {min(self.in_progress, SLOTS)},{queued},{SLOTS},100",
             f"X-Heatherhead-Instance-Id: {self.id}",
         ]
@@ -174,11 +224,11 @@
                 lines.append(f"Server-Limit: {NAMED_LIMIT}")
         if not_run:
             lines.append("X-Heatherhead-Not-Executed: 1")
-        elif request_id:
-            lines.append(f"X-Heatherhead-Server-Stamp: {self.id}.{request_id}")
+        elif stamp:
+            lines.append(f"X-Heatherhead-Server-Stamp: {stamp}")
         if self.state != "ready":
             lines.append("Connection: close")
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
     async def register(self) -> None:
         """Maintain the upstream's entry in the store until the task is cancelled."""
@@ -237,6 +287,7 @@
         descriptor,
         Random(seed),
         number % 2 == 1,
+        spell_path=spell_path(Path(run_log), upstream_id),
     )
     upstream.log_event("start")
     await asyncio.start_server(upstream.serve, host, int(port))
