--- a/heatherhead/tests/soak_tests.py
+++ b/heatherhead/tests/soak_tests.py
@@ -29,11 +29,12 @@
 
 @pytest.mark.parametrize(("seed", "quiet_s"), [(7, 1.0), (10, 8.0)])
 def test_invariants_hold_in_a_short_run(seed: int, quiet_s: float, tmp_path: Path) -> None:
-    """Seed 10 injects planned events only, long enough for limits to be checked."""
+    """Upstreams stutter; seed 10 has planned events besides, long enough for limits to be checked."""
     plan = replace(SHORT, quiet_s=quiet_s)
     report = asyncio.run(run_seed(seed, plan, tmp_path, loopback_prefix(200 + seed)))
     assert report.violations == []
     assert report.served > 0
+    assert report.faults["stutter"] > 0
 
 
 @pytest.mark.parametrize(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
   --keep=DIR         Where the logs of failed seeds go [default: bench/out/soak].
 
 Every fifth seed has planned work only: instances that stop, back ends that drain, configurations.
+In all but every third, back ends write answers twice meanwhile.
 The exit code is 1 if a promise was broken.
 """
 
@@ -35,7 +36,7 @@
 import docopt
 
 from soak.callers import Callers
-from soak.faults import ALL_FAULTS, PLANNED_EVENTS, inject_faults
+from soak.faults import ALL_FAULTS, PLANNED_EVENTS, inject_faults, stutter
 from soak.invariants import find_violations
 from soak.world import create_world
 
@@ -43,6 +44,7 @@
 
 CONCURRENT_FAULT_SEQUENCES = 3
 PLANNED_SEED_INTERVAL = 5  # seeds divisible by this inject planned events only
+STEADY_SEED_INTERVAL = 3  # in seeds divisible by this no upstream stutters
 SEEDS_FILE = Path(__file__).parent / "seeds.txt"
 EXIT_VIOLATIONS = 1
 
@@ -88,9 +90,11 @@
             callers.run(plan.callers, started_at + plan.faults_s + plan.quiet_s)
         )
         faults_end_at = started_at + plan.faults_s
-        sequences = 1 if planned_only else CONCURRENT_FAULT_SEQUENCES
+        sequences = [kinds] * (1 if planned_only else CONCURRENT_FAULT_SEQUENCES)
+        if seed % STEADY_SEED_INTERVAL:
+            sequences.append((stutter,))
         await asyncio.gather(
-            *(inject_faults(world, kinds, faults_end_at, report.faults) for _ in range(sequences))
+            *(inject_faults(world, each, faults_end_at, report.faults) for each in sequences)
         )
         world.store.faults.clear()
         faults_ended_at = time.time()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import time
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from soak.links import Cut, Fault
+from soak.server import spell_path
+from soak.stutter import FORMS
 from soak.world import STOP_GRACE_S, wait_ready
 
 if TYPE_CHECKING:
@@ -17,11 +20,12 @@
 
     from soak.world import Daemon, Upstream, World
 
-__all__ = ["ALL_FAULTS", "PLANNED_EVENTS", "inject_faults"]
+__all__ = ["ALL_FAULTS", "PLANNED_EVENTS", "inject_faults", "stutter"]
 
 FAULT_INTERVAL_RANGE_S = (0.2, 1.2)  # between two faults of one sequence
 FAULT_DURATION_RANGE_S = (0.4, 3.0)
 MAX_LOST_FRACTION = 0.34  # of the daemons, off for good
+STUTTER_SHARE_RANGE = (0.1, 1.0)  # of the answers of an upstream
 
 
 def _pick_daemon(world: World) -> Daemon | None:
@@ -223,6 +227,22 @@
         await asyncio.sleep(world.rng.uniform(0.05, 0.4))
 
 
+async def stutter(world: World) -> None:
+    """Make up to half of the upstreams write answers twice, in one, some or all forms."""
+    names = [each.process.name for each in world.upstreams]
+    chosen = world.rng.sample(names, world.rng.randint(1, max(1, len(names) // 2)))
+    for name in chosen:
+        count = world.rng.choice([1, 3, len(FORMS)])
+        spell = {
+            "forms": world.rng.sample(FORMS, count),
+            "share": world.rng.uniform(*STUTTER_SHARE_RANGE),
+        }
+        spell_path(world.run_log, name).write_text(json.dumps(spell))
+    await _wait_fault_duration(world)
+    for name in chosen:
+        spell_path(world.run_log, name).unlink()
+
+
 PLANNED_EVENTS = (stop_daemon, drain_upstream, change_configuration)
 ALL_FAULTS = (
     *PLANNED_EVENTS,
