--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import pytest
@@ -23,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
 EARLIER = answer(
     "r1",
@@ -100,16 +101,20 @@
     run_path(scenario, [EARLIER, parts if separate else b"".join(parts)], max_attempts=1)
 
 
-def record_events(*names: str) -> tuple[list[Mapping[str, object]], object]:
-    """Collect the fields of some events; the second value ends that when passed to `forget`."""
+@contextmanager
+def recorded_events(name: str) -> Iterator[list[Mapping[str, object]]]:
+    """Collect the fields of the lines of an event."""
     lines: list[Mapping[str, object]] = []
 
     def record(event: str, _level: str, fields: Mapping[str, object]) -> None:
-        if event in names:
-            lines.append({"event": event, **fields})
+        if event == name:
+            lines.append(fields)
 
     add_event_listener(record)
-    return lines, record
+    try:
+        yield lines
+    finally:
+        remove_event_listener(record)
 
 
 def test_skipped_answer_has_a_line_with_both_ids() -> None:
@@ -118,14 +123,9 @@
         assert status_of(await path.send(call("r1"))) == 200
         assert status_of(await path.send(call("r2"))) == 500
 
-    lines, record = record_events("answer_skipped")
-    try:
+    with recorded_events("answer_skipped") as lines:
         run_path(scenario, [EARLIER, EARLIER + FAILURE], max_attempts=1)
-    finally:
-        remove_event_listener(record)  # type: ignore[arg-type]
-    assert lines == [
-        {"event": "answer_skipped", "id": "r2", "upstream": "u0", "of": "r1", "status": 200}
-    ]
+    assert lines == [{"id": "r2", "upstream": "u0", "of": "r1", "status": 200}]
 
 
 def test_failed_attempt_that_is_retried_has_a_line() -> None:
@@ -133,11 +133,8 @@
         path.configure()
         assert status_of(await path.send(call("r1"))) == 500
 
-    lines, record = record_events("attempt_failed")
-    try:
+    with recorded_events("attempt_failed") as lines:
         run_path(scenario, [answer("r1", 500)], [answer("r1", 500)], max_attempts=2)
-    finally:
-        remove_event_listener(record)  # type: ignore[arg-type]
     assert [(each["id"], each["reason"], each["then"]) for each in lines] == [
         ("r1", "status 500", "retried")
     ]
@@ -152,11 +149,8 @@
             assert status_of(await path.send(call("r1", "/order/"))) == 200
             assert upstreams[0].connections == number
 
-    lines, record = record_events("connections_not_kept")
-    try:
+    with recorded_events("connections_not_kept") as lines:
         run_path(scenario, [EARLIER + EARLIER])
-    finally:
-        remove_event_listener(record)  # type: ignore[arg-type]
     assert [each["what"] for each in lines] == ["bytes behind an answer"]
 
 
