--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 import struct
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -30,14 +31,23 @@
 )
 from heatherhead.routes.table import create_route_table
 from heatherhead.telemetry.entry_metrics import create_entry_metrics
+from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.dispatch.fakes import create_entry
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator, Mapping
 
     from heatherhead.entry.settings import HostPort
 
-__all__ = ["EntryPath", "ScriptedUpstream", "answer", "request", "run_path", "status_of"]
+__all__ = [
+    "EntryPath",
+    "ScriptedUpstream",
+    "answer",
+    "recorded_events",
+    "request",
+    "run_path",
+    "status_of",
+]
 
 LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST
 PART_INTERVAL_S = 0.01  # so that the parts of an answer are read one by one
@@ -214,6 +224,22 @@
         return received
 
 
+@contextmanager
+def recorded_events(name: str) -> Iterator[list[Mapping[str, object]]]:
+    """Collect the fields of the lines of an event."""
+    lines: list[Mapping[str, object]] = []
+
+    def record(event: str, _level: str, fields: Mapping[str, object]) -> None:
+        if event == name:
+            lines.append(fields)
+
+    add_event_listener(record)
+    try:
+        yield lines
+    finally:
+        remove_event_listener(record)
+
+
 async def read_answer(reader: asyncio.StreamReader) -> bytes:
     """Read one answer, or the part of it that a truncated connection delivered."""
     try:
--- a/heatherhead/tests/proxy/joined_request_tests.py
+++ b/heatherhead/tests/proxy/joined_request_tests.py
@@ -7,17 +7,16 @@
 import pytest
 
 from heatherhead.telemetry import bounded_logs
-from heatherhead.telemetry.logs import remove_event_listener
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
     ScriptedUpstream,
     answer,
     read_answer,
+    recorded_events,
     request,
     run_path,
     status_of,
 )
-from heatherhead.tests.proxy.stuttering_upstream_tests import record_events
 
 SEPARATE_READS_S = 0.02
 ID_HEADER = "X-Heatherhead-Request-Id"
@@ -194,11 +193,8 @@
         for _number in range(30):
             await path.send(data)
 
-    lines, record = record_events("request_refused")
-    try:
+    with recorded_events("request_refused") as lines:
         run_path(scenario, [])
-    finally:
-        remove_event_listener(record)  # type: ignore[arg-type]
     assert 10 <= len(lines) < 30
     assert lines[0]["reason"] == "a request line in Referer"
     assert str(lines[0]["caller"]).startswith("127.0.0.1:")
--- a/heatherhead/tests/proxy/stuttering_upstream_tests.py
+++ b/heatherhead/tests/proxy/stuttering_upstream_tests.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import contextmanager
-from typing import TYPE_CHECKING
 
 import pytest
 
@@ -13,19 +11,16 @@
 from heatherhead.proxy.answer_matching import answers_health_check
 from heatherhead.proxy.kept_addresses import NOT_KEPT_S
 from heatherhead.proxy.upstream_pool import create_upstream_pool
-from heatherhead.telemetry.logs import add_event_listener, remove_event_listener
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
     ScriptedUpstream,
     answer,
+    recorded_events,
     request,
     run_path,
     status_of,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
-
 EARLIER = answer(
     "r1",
     200,
@@ -101,22 +96,6 @@
     run_path(scenario, [EARLIER, parts if separate else b"".join(parts)], max_attempts=1)
 
 
-@contextmanager
-def recorded_events(name: str) -> Iterator[list[Mapping[str, object]]]:
-    """Collect the fields of the lines of an event."""
-    lines: list[Mapping[str, object]] = []
-
-    def record(event: str, _level: str, fields: Mapping[str, object]) -> None:
-        if event == name:
-            lines.append(fields)
-
-    add_event_listener(record)
-    try:
-        yield lines
-    finally:
-        remove_event_listener(record)
-
-
 def test_skipped_answer_has_a_line_with_both_ids() -> None:
     async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
         path.configure()
