--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -91,6 +91,7 @@
     def connection_key(self) -> ConnectionKey:
         """Return the key of the connections that the request may use."""
         key = super().connection_key
+        # No pooled connection has a key that holds this request's identity.
         return key._replace(proxy_headers_hash=id(self)) if self.own_connection else key
 
     def update_headers(self, headers: Any) -> None:
