Keep the port of an unreachable upstream for as long as the test needs it

The test opened a port, closed it and started the instance, whose own listener may be given that port: then its upstream is itself, and calls go round until they have too many headers. A trial with an instance whose first upstream passes all bytes to that instance's own port gives just that: 400, 'Too many headers received', 118 Via headers, four of four. The port stays bound now, without listening, so that connections to it are refused. All assertions are as before; the product is not changed.

--- a/heatherhead/tests/upstreams/attempts_tests.py
+++ b/heatherhead/tests/upstreams/attempts_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -85,9 +86,11 @@
 @pytest.mark.parametrize("method", ["GET", "POST"])
 def test_unreachable_upstream_is_skipped(method: str) -> None:
     async def main() -> None:
-        async with raw_upstream(_read_and_close) as port:
-            pass
-        async with running_instance(None, extra_ports=[port], service=NO_KEYS) as here:
+        refusing = socket.socket()
+        # Bound for all of the test, so that the instance itself isn't given the port.
+        refusing.bind(("127.0.0.1", 0))
+        extra_ports = [refusing.getsockname()[1]]
+        async with running_instance(None, extra_ports=extra_ports, service=NO_KEYS) as here:
             router = _PlainRouter(here)
             for _ in range(4):
                 async with here.session.request(method, here.url) as answer:
@@ -97,6 +100,7 @@
                 AttemptState.ANSWERED,
             ]
             assert len(here.upstreams[0].seen) == 4
+        refusing.close()
 
     run_with_shifted_clock(main())
 
