Follow a home of the own region on standby, once one is known

Callers saw: in the two regions that are not the first seed's, address answers of standby instances named only themselves, so that most calls went to instances that know neither the load of upstreams nor the calls of others.

Cause: a starting standby instance follows the first seed, of whichever region, before it knows the members of its region. It stayed with it as long as the stream lived, and a relay names the homes of its own region only.

Ruled out: overload (no call was rejected) and the directory (it answers what the relay tells).

Change: a standby instance leaves a source that does not name homes of its region once the peers to follow are others. The test fails without it.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -142,6 +142,7 @@
         )
         self.follower.is_standby = lambda: not self.members.own_listed
         self.follower.on_relay_state = self._on_relay_state
+        self.follower.names_own_homes = lambda state: state.region == settings.region
         self.follower.on_source_lost = self.homes.apply_lost_source
         self.homes.report_age_s = lambda: self.follower.peer_silence_s
         self.announcement = create_announcement(
--- a/heatherhead/fleet/store_follower.py
+++ b/heatherhead/fleet/store_follower.py
@@ -76,6 +76,9 @@
         self.is_standby: Callable[[], bool] = lambda: False
         self.on_relay_state: Callable[[RelayState], None] = lambda _: None
         self.on_source_lost: Callable[[str], None] = lambda _: None  # called with its host
+        # Returns whether a state names the homes of the own region, which standby instances need.
+        self.names_own_homes: Callable[[RelayState], bool] = lambda _: True
+        self._source_names_homes = False
         self._source: HostPort | None = None
         self._sources_with_gaps: set[HostPort] = set()  # until they are lost
         self._source_watches_store = False
@@ -285,6 +288,7 @@
                 continue
             preferred = [each for each in peers if each not in self._sources_with_gaps] or peers
             peer = self._source = preferred[number % len(preferred)]
+            self._source_names_homes = False
             try:
                 async with asyncio.timeout(None if not self.is_watcher else PEER_TIMEOUT_S):
                     await follow_peer(peer, self._replica, self._on_batch, self._handle_relay_state)
@@ -327,9 +331,12 @@
             raise RelayError(
                 f"the peer holds revision {revision_text(revision)}, others newer ones"
             )
+        if self.is_standby() and not self._source_names_homes and self._source not in self._peers():
+            raise _BetterSourceError("it names no homes of this region, and another peer may")
 
     def _handle_relay_state(self, relay_state: RelayState) -> None:
         self._source_watches_store = relay_state.watches_store
+        self._source_names_homes = self.names_own_homes(relay_state)
         self.on_relay_state(relay_state)
         assert self._source is not None
         if relay_state.gap_free:
--- a/heatherhead/tests/fleet/standby_tests.py
+++ b/heatherhead/tests/fleet/standby_tests.py
@@ -250,3 +250,46 @@
 
     monkeypatch.setattr(store_follower, "follow_peer", follow_home)
     run_with_paused_clock(main())
+
+
+@pytest.mark.parametrize("seed_state", [RelayState("another", ("h9",), True), None])
+def test_standby_instance_stays_with_a_seed_that_names_no_homes_of_its_region(
+    seed_state: RelayState | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Standby instances of two regions in three named themselves to all callers that asked them."""
+    seed, home = HostPort("10.1.0.1", 7200), HostPort("10.2.0.1", 7200)
+    peers = [seed]
+    followed = []
+
+    async def follow(
+        address: HostPort,
+        _replica: StoreReplica,
+        on_batch: Callable[[int], None],
+        on_relay_state: Callable[[RelayState], None],
+    ) -> None:
+        followed.append(address)
+        state = RelayState("r", ("h1",), True) if address == home else seed_state
+        if state is not None:
+            on_relay_state(state)
+        while True:
+            on_batch(0)
+            await asyncio.sleep(0.5)
+
+    async def main() -> None:
+        follower = create_store_follower(
+            _CountingStore(), "", create_store_replica(), lambda: None, lambda: peers, lambda: True
+        )
+        follower.is_standby = lambda: True
+        follower.names_own_homes = lambda state: state.region == "r"
+        follower.start()
+        await asyncio.sleep(1.0)
+        assert followed == [seed]  # as long as there is no other
+        peers[:] = [home]
+        await asyncio.sleep(1.0)
+        assert followed == [seed, home]
+        await asyncio.sleep(5.0)
+        assert followed == [seed, home]
+        await follower.stop()
+
+    monkeypatch.setattr(store_follower, "follow_peer", follow)
+    run_with_paused_clock(main())
