--- a/heatherhead/proxy/answer_framing.py
+++ b/heatherhead/proxy/answer_framing.py
@@ -20,6 +20,7 @@
 __all__ = ["AnswerFraming", "FramingError", "create_answer_framing"]
 
 STATUSES_WITHOUT_BODY = (204, 304)
+MAX_INTERIM_ANSWERS = 64  # before one answer; a few are usual, and each costs a parsed head
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _HEAD_END_BYTES = 4
 _CHUNK_SIZE = re.compile(rb"0*([0-9A-Fa-f]{1,15})[ \t]*(?:;|$)")
@@ -112,6 +113,7 @@
         self._with_body = with_body
         self._body: _Body | None = None  # none before the end of a head
         self._searched_bytes = 0
+        self._interim_answers = 0  # before the answer
         self.pending = b""  # bytes not given out yet
 
     @property
@@ -137,6 +139,7 @@
     def begin_answer(self) -> None:
         """Go on with the next answer."""
         self._body = None
+        self._interim_answers = 0
 
     def append(self, data: bytes) -> None:
         """Add received bytes."""
@@ -177,8 +180,14 @@
         return data[:size]
 
     def begin_body(self, message: RawResponseMessage) -> None:
-        """Follow the body that a head announces; an interim answer is followed by another head."""
+        """Follow the body that a head announces; an interim answer is followed by another head.
+
+        Raises `FramingError` if it is one interim answer too many.
+        """
         if message.code < 200:
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise FramingError("too many interim answers")
             return
         if not self._with_body or message.code in STATUSES_WITHOUT_BODY:
             self._body = _SizedBody(0)
--- a/heatherhead/tests/proxy/answer_framing_tests.py
+++ b/heatherhead/tests/proxy/answer_framing_tests.py
@@ -105,3 +105,19 @@
     head = CHUNKED[: CHUNKED.index(b"\r\n\r\n") + 4]
     with pytest.raises(FramingError):
         read_answer(framing, head + size + b"\r\nwho\r\n", set())
+
+
+def test_interim_answers_without_an_end_keep_the_process_busy() -> None:
+    """Tens of thousands of them were parsed, for up to 0.7 s on a busy machine."""
+    hints = b"HTTP/1.1 103 Hints\r\n\r\n"
+    assert read_answer(create_answer_framing(), hints * 64 + SIZED, set()) == (200, b"whole")
+    with pytest.raises(FramingError, match="interim"):
+        read_answer(create_answer_framing(), hints * 65 + SIZED, set())
+
+
+def test_interim_answers_are_counted_for_each_answer() -> None:
+    framing = create_answer_framing()
+    for _ in range(3):
+        assert read_answer(framing, AFTER_INTERIM, set()) == (200, b"whole")
+        framing.begin_answer()
+        assert framing._interim_answers == 0
