Serve a call in its allowed regions only

Cause: Demand.regions was set and nothing read it, so a call restricted by its route or customer could reach an upstream of any region.

Change: dispatch/regions.py decides which upstreams a group of calls with the same regions may use, which waiting calls compete with it, and what this instance can serve of it. The dispatcher asks it for placement, waiting calls, the overflow sample, hedges, permits, the capacity estimate, rejection and the need for a detour; detours take peers of allowed regions only. Calls without a restriction create no group and take the path they took before.

--- a/heatherhead/dispatch/admission_queue.py
+++ b/heatherhead/dispatch/admission_queue.py
@@ -37,7 +37,7 @@
 MIN_CALLS_PER_S = 0.01  # a service that serves less is as good as down
 ON_TIME_ARRIVALS_SHARE = 0.85  # of first requests; these precede late calls, the rest become late
 MIN_LATE_CALLS_SHARE = 0.05  # of the slots; left for late calls at any arrival rate
-MAX_WAITING_CALLS = 512  # of one service; more could not be served before their client timeouts
+MAX_WAITING_CALLS = 512  # of one service, and with the same regions; more could not be served before their client timeouts
 
 
 @dataclass(slots=True, eq=False)
@@ -103,29 +103,39 @@
 
     def __init__(self) -> None:
         self.calls: list[WaitingCall] = []
+        self.restricted = 0  # calls that may run in some regions only
 
     def __len__(self) -> int:
         return len(self.calls)
 
-    @property
-    def full(self) -> bool:
-        """Return whether no more calls may wait."""
-        return len(self.calls) >= MAX_WAITING_CALLS
+    def is_full(self, demand: Demand) -> bool:
+        """Return whether no more calls with the same allowed regions may wait."""
+        if len(self.calls) < MAX_WAITING_CALLS:
+            return False
+        same = sum(each.demand.regions == demand.regions for each in self.calls)
+        return same >= MAX_WAITING_CALLS
 
     def add(self, call: WaitingCall) -> None:
         """Add a call."""
         self.calls.append(call)
+        self.restricted += call.demand.regions is not None
 
     def discard(self, call: WaitingCall) -> None:
         """Remove a call if it is waiting."""
         if call in self.calls:
             self.calls.remove(call)
+            self.restricted -= call.demand.regions is not None
 
     def ahead_of(self, demand: Demand, now: float) -> int:
         """Count the calls that precede a new call."""
         rank = _rank(demand, now)
         return sum(1 for each in self.calls if _rank(each.demand, now) <= rank)
 
+    def preceding(self, demand: Demand, now: float) -> list[WaitingCall]:
+        """List the calls that precede a new call, in no particular order."""
+        rank = _rank(demand, now)
+        return [each for each in self.calls if _rank(each.demand, now) <= rank]
+
     def in_order(self, now: float) -> list[WaitingCall]:
         """List the calls, the next one to be placed first."""
         return sorted(self.calls, key=lambda call: _rank(call.demand, now))
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -22,6 +22,15 @@
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.estimates import BaselineSlowdown
 from heatherhead.dispatch.pauses import create_pause_table
+from heatherhead.dispatch.regions import (
+    Offers,
+    PrecedingCalls,
+    RegionGroups,
+    all_unreachable,
+    capacity_of,
+    hopeless_reason,
+    infeasible,
+)
 from heatherhead.dispatch.rejection import RejectedError, create_rejection_evidence
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
 from heatherhead.dispatch.upstream_state import SLOWDOWN_FRESH_S, UpstreamState
@@ -32,7 +41,9 @@
 
     from heatherhead.dispatch.contention import ContentionEvidence
     from heatherhead.dispatch.demand import Demand
+    from heatherhead.dispatch.placement import Prospect
     from heatherhead.dispatch.rate_limits import RateLimitEvidence
+    from heatherhead.dispatch.regions import RegionGroup, Regions
     from heatherhead.dispatch.rejection import RejectionEvidence
     from heatherhead.dispatch.upstream_state import LoadReading
     from heatherhead.registry.entries import UpstreamEntry
@@ -64,6 +75,7 @@
     expected_s: float
     slowdown: float
     acquired_at: float
+    confined: bool  # its call may not run in the local region
     read_at: float  # of the upstream, the last load reading when the slot was acquired
     time_full_s: float  # of the upstream, when the slot was acquired
 
@@ -86,6 +98,74 @@
     reading_at: float = -math.inf  # the last load reading of any upstream
     paused_until: float = 0.0  # of its upstreams, the last one that wants no calls from here
     applied_speed_when_full: float = 1.0  # for which `usable_slots` of the upstreams were set
+    groups: RegionGroups = field(default_factory=RegionGroups)  # of calls with allowed regions
+    displaced: bool = False  # evacuations leave no upstream in the local region
+
+    def group_of(self, regions: Regions) -> RegionGroup | None:
+        """Return the group of calls with allowed regions; `None` for calls that may run in all."""
+        if regions is None and not self.displaced:
+            return None
+        return self.groups.of(regions, self.preferred, self.overflow)
+
+    def group(self, regions: Regions) -> RegionGroup:
+        """Return the group of calls, also of those that may run in all regions."""
+        return self.groups.of(regions, self.preferred, self.overflow)
+
+    @property
+    def has_groups_waiting(self) -> bool:
+        """Return whether waiting calls differ in the upstreams that may serve them."""
+        return self.displaced or self.queue.restricted > 0
+
+    def ahead_of(self, demand: Demand, now: float) -> int:
+        """Count the waiting calls that precede a call and compete with it for slots."""
+        if demand.regions is None and not self.has_groups_waiting:
+            return self.queue.ahead_of(demand, now)
+        preceding = PrecedingCalls(self.group)
+        for each in self.queue.preceding(demand, now):
+            preceding.add(each.demand.regions)
+        return preceding.ahead_of(demand.regions)
+
+    def is_preceded(self, demand: Demand, now: float) -> bool:
+        """Return whether a waiting call has to be placed before a new one.
+
+        Calls with other regions have left the slots that are free now to others.
+        """
+        if demand.regions is None and not self.has_groups_waiting:
+            return bool(self.queue.ahead_of(demand, now))
+        preceding = self.queue.preceding(demand, now)
+        return any(each.demand.regions == demand.regions for each in preceding)
+
+    def competes(self, regions: Regions) -> bool:
+        """Return whether calls wait for slots that calls with some regions would use."""
+        if regions is None and not self.has_groups_waiting:
+            return bool(self.queue.calls)
+        group = self.group(regions)
+        waiting = {each.demand.regions for each in self.queue.calls}
+        return any(group.weight_of(self.group(each)) > 0 for each in waiting)
+
+    def arrivals_per_s(self, regions: Regions, now: float) -> float:
+        """Return the rate of first requests with the same allowed regions."""
+        group = self.group_of(regions)
+        return (self if group is None else group).arrival_rate.per_s(now)
+
+    def prospects_for(
+        self, regions: Regions, now: float, states: Iterable[UpstreamState] | None = None
+    ) -> list[Prospect]:
+        """Return the costs of upstreams for calls with some regions; those filled first if None."""
+        group = self.group_of(regions)
+        if states is None:
+            states = self.preferred if group is None else group.preferred
+        if group is None:
+            return placement.prospects_of(states, now, self.baseline.value)
+        return self.groups.prospects_of(states, now, self.baseline.value)
+
+    def update_displaced(self) -> None:
+        """Update `displaced` and the groups after a change of the upstreams or of evacuations."""
+        self.groups.invalidate()
+        states = self.state_by_id.values()
+        self.displaced = any(each.evacuated for each in states) and not any(
+            each.local_region and not each.evacuated for each in states
+        )
 
     def capacity(self, now: float, homes: int) -> CapacityEstimate:
         """Estimate what this instance can serve.
@@ -103,7 +183,7 @@
                 limited += state.rate_limit.expected_per_s(now, 1.0 / homes)
                 continue
             speed = 1.0 / max(1.0, state.slowdown_now(now, self.baseline.value))
-            own += min(state.own_in_flight, state.usable_slots) * speed
+            own += min(state.own_in_flight - state.own_confined, state.usable_slots) * speed
             if state.local_region:
                 shared += state.usable_slots * speed
         slots = max(own, shared / homes, MIN_CAPACITY_SLOTS if unlimited else 0.0)
@@ -124,6 +204,7 @@
             self.partition(is_preferred)
         else:
             self._put(state, is_preferred)
+        self.groups.invalidate()
 
     def remove(self, state: UpstreamState, is_preferred: Callable[[UpstreamState], bool]) -> None:
         """Remove an upstream."""
@@ -133,12 +214,14 @@
         (self.preferred if state.preferred else self.overflow).remove(state)
         if len(self.state_by_id) == SMALL_SERVICE_UPSTREAMS:
             self.partition(is_preferred)
+        self.groups.invalidate()
 
     def partition(self, is_preferred: Callable[[UpstreamState], bool]) -> None:
         """Divide the upstreams into those filled first and those used when these are full."""
         self.preferred, self.overflow = [], []
         for state in self.state_by_id.values():
             self._put(state, is_preferred)
+        self.groups.invalidate()
 
     def _put(self, state: UpstreamState, is_preferred: Callable[[UpstreamState], bool]) -> None:
         few = len(self.state_by_id) <= SMALL_SERVICE_UPSTREAMS
@@ -147,21 +230,23 @@
 
     def rejection_evidence(self, demand: Demand, ahead: int, now: float) -> RejectionEvidence:
         """Return what is known of a call behind `ahead` others that is rejected."""
-        prospects = placement.prospects_of(self.preferred, now, self.baseline.value)
+        group = self.group_of(demand.regions)
+        states = self.preferred if group is None else group.preferred
         return create_rejection_evidence(
             demand,
-            prospects,
-            upstreams=len(self.preferred),
-            limited=sum(each.limited for each in self.preferred),
+            self.prospects_for(demand.regions, now),
+            upstreams=len(states),
+            limited=sum(each.limited for each in states),
             ahead=ahead,
             baseline=self.baseline.value,
             reading_at=self.reading_at,
             now=now,
         )
 
-    def sample_overflow(self) -> list[UpstreamState]:
+    def sample_overflow(self, group: RegionGroup | None) -> list[UpstreamState]:
         """Return a random sample of the upstreams that other instances fill first."""
-        return sample(self.overflow, min(OVERFLOW_SAMPLE_SIZE, len(self.overflow)))
+        overflow = self.overflow if group is None else group.overflow
+        return sample(overflow, min(OVERFLOW_SAMPLE_SIZE, len(overflow)))
 
 
 class Dispatcher:
@@ -179,6 +264,8 @@
         self._zone = zone
         self._region = region_by_zone.get(zone, "")
         self._region_by_zone = region_by_zone
+        self._regions = max(1, len(set(region_by_zone.values())))
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._create_budget = create_budget
         self._service_by_name: dict[str, _Service] = {}
         self._pauses = create_pause_table()
@@ -209,16 +296,34 @@
         """List the upstreams of a service that may get calls."""
         return list(self._service(service).state_by_id.values())
 
-    def all_unreachable(self, service: str) -> bool:
-        """Return whether no upstream of a service is reachable from here at the moment."""
+    def all_unreachable(self, service: str, regions: Regions = None) -> bool:
+        """Return whether no upstream of a service in some regions is reachable from here."""
         now = self._loop.time()
-        return all(each.unreachable(now) for each in self._service(service).state_by_id.values())
+        state = self._service(service)
+        if regions is None:
+            return all_unreachable(state.state_by_id.values(), now)
+        group = state.group(regions)
+        allowed = (*group.preferred, *group.overflow)
+        return bool(allowed) and all_unreachable(allowed, now)
+
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Send no further calls to upstreams of some zones, and place waiting calls anew."""
+        self._evacuated_zones = zones
+        for state in self._state_by_id.values():
+            state.evacuated = state.entry.availability_zone in zones
+        for service in self._service_by_name.values():
+            service.update_displaced()
+            self._place_waiting(service)
 
-    def reject_waiting(self, service: str, reason: str) -> None:
-        """Reject all waiting calls of a service, which nothing has been sent for."""
+    def reject_waiting(
+        self, service: str, reason: str, is_affected: Callable[[Regions], bool]
+    ) -> None:
+        """Reject waiting calls of a service with affected regions; nothing has been sent for them."""
         state = self._service(service)
         now = self._loop.time()
-        for call in list(state.queue.calls):
+        regions = {call.demand.regions for call in state.queue.calls}
+        affected = {each for each in regions if is_affected(each)}
+        for call in [each for each in state.queue.calls if each.demand.regions in affected]:
             state.queue.discard(call)
             if not call.future.done():
                 evidence = state.rejection_evidence(call.demand, 0, now)
@@ -278,6 +383,7 @@
             return
         if held is not None:
             held.entry = current
+            held.evacuated = current.availability_zone in self._evacuated_zones
             self._set_usable_slots(self._service(current.service), held)
         else:
             held = self._add(current)
@@ -287,13 +393,18 @@
 
     def _add(self, entry: UpstreamEntry) -> UpstreamState:
         zone = entry.availability_zone
-        local_region = self._region_by_zone.get(zone) == self._region
-        state = UpstreamState(entry, self._transit_s(zone), zone == self._zone, local_region)
+        region = self._region_by_zone.get(zone)
+        state = UpstreamState(
+            entry, self._transit_s(zone), zone == self._zone, region == self._region, region
+        )
+        state.evacuated = zone in self._evacuated_zones
         state.paused_until = self._pauses.until(entry)
         self._state_by_id[entry.id] = state
         service = self._service(entry.service)
         service.paused_until = max(service.paused_until, state.paused_until)
         service.add(state, self._is_preferred)
+        if self._evacuated_zones:
+            service.update_displaced()
         self._set_usable_slots(service, state)
         return state
 
@@ -353,7 +464,10 @@
 
     def _remove(self, state: UpstreamState) -> None:
         del self._state_by_id[state.entry.id]
-        self._service(state.entry.service).remove(state, self._is_preferred)
+        service = self._service(state.entry.service)
+        service.remove(state, self._is_preferred)
+        if self._evacuated_zones:
+            service.update_displaced()
 
     def _transit_s(self, zone: str) -> float:
         measured = self._transit_by_zone.get(zone)
@@ -388,6 +502,8 @@
         before = state.slowdown
         state.apply_reading(reading)
         service = self._service(state.entry.service)
+        if not state.local_region and state.read_at == reading.read_at:
+            service.groups.record_reading(state, self._loop.time())
         slower = reading.slowdown is not None and reading.slowdown > SLOWDOWN_RISE_FACTOR * (
             before or 1.0
         )
@@ -439,9 +555,13 @@
             service.paused_until = max(service.paused_until, until)
             self._place_waiting(service)
 
-    def pause_s(self, service: str) -> float:
-        """Return how long all upstreams of a service still want no calls from here."""
-        return self._service(service).pause_s(self._loop.time())
+    def pause_s(self, service: str, regions: Regions = None) -> float:
+        """Return how long all upstreams of a service in some regions want no calls from here."""
+        state = self._service(service)
+        now = self._loop.time()
+        if state.group_of(regions) is None:
+            return state.pause_s(now)
+        return self._capacity(state, regions, now).pause_s
 
     def limited_states(self) -> list[UpstreamState]:
         """List the upstreams that name a rate limit."""
@@ -478,7 +598,9 @@
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
         """Wait for a slot; raise `RejectedError` as soon as the call is infeasible."""
         if not demand.waited_before_s:
-            self._service(demand.service).arrival_rate.record(self._loop.time())
+            service = self._service(demand.service)
+            group = service.group_of(demand.regions)
+            (service if group is None else group).arrival_rate.record(self._loop.time())
         slot = self.try_acquire(demand, avoid)
         if slot is not None:
             return slot
@@ -502,7 +624,7 @@
     def try_acquire(self, demand: Demand, avoid: Collection[str]) -> Slot | None:
         """Return a slot if one is free now and no waiting call precedes this one."""
         service = self._service(demand.service)
-        if service.queue.calls and service.queue.ahead_of(demand, self._loop.time()):
+        if service.queue.calls and service.is_preceded(demand, self._loop.time()):
             return None
         return self._acquire_free(service, demand, avoid)
 
@@ -512,10 +634,13 @@
         None if other calls wait for slots, or if none is free that is worth taking now.
         """
         service = self._service(demand.service)
-        if service.queue.calls:
+        if service.queue.calls and service.competes(demand.regions):
             return None
         now = self._loop.time()
-        found = placement.place(service.preferred, demand, avoid, now, service.baseline.value)
+        group = service.group_of(demand.regions)
+        states = service.preferred if group is None else group.preferred
+        place = placement.place if group is None else service.groups.place
+        found = place(states, demand, avoid, now, service.baseline.value)
         return found.expected_s if found.upstream is not None else None
 
     def _acquire_free(
@@ -523,18 +648,22 @@
     ) -> Slot | None:
         now = self._loop.time()
         baseline = service.baseline.value
+        group = service.group_of(demand.regions)
+        states = service.preferred if group is None else group.preferred
+        place = placement.place if group is None else service.groups.place
         if service.limited_by_id:
-            self._request_permits(service, service.preferred, demand, avoid)
-        upstream = placement.place(service.preferred, demand, avoid, now, baseline).upstream
-        if upstream is None and service.overflow:
-            sampled = service.sample_overflow()
+            self._request_permits(service, states, demand, avoid)
+        upstream = place(states, demand, avoid, now, baseline).upstream
+        if upstream is None and (sampled := service.sample_overflow(group)):
             self._request_permits(service, sampled, demand, avoid)
-            upstream = placement.place(sampled, demand, avoid, now, baseline).upstream
+            upstream = place(sampled, demand, avoid, now, baseline).upstream
         return None if upstream is None else self._occupy(upstream, demand, now, baseline)
 
     def _occupy(self, state: UpstreamState, demand: Demand, now: float, baseline: float) -> Slot:
         time_full_s = state.update_time_full(now)
         state.own_in_flight += 1
+        confined = demand.regions is not None and self._region not in demand.regions
+        state.own_confined += confined
         if state.limited:
             state.rate_limit.use_permit(now)
         self.on_count(state)
@@ -544,6 +673,7 @@
             placement.expected_s(state, demand, now, baseline),
             state.slowdown_now(now, baseline) * state.cold_factor(now),
             now,
+            confined,
             state.slowdown_at,
             time_full_s,
         )
@@ -559,6 +689,7 @@
         state.update_time_full(now)
         state.record_end(now)
         state.own_in_flight -= 1
+        state.own_confined -= slot.confined
         # Peers count by id, and know of the current start only.
         self.on_count(self._state_by_id.get(state.entry.id, state))
         self._place_waiting(self._service(state.entry.service))
@@ -612,13 +743,15 @@
                 del state.reported_by_peer[peer]
 
     def _check_feasible(self, service: _Service, demand: Demand, now: float) -> None:
-        capacity = service.capacity(now, self._homes)
-        arrivals_per_s = service.arrival_rate.per_s(now)
-        ahead = service.queue.ahead_of(demand, now)
+        capacity = self._capacity(service, demand.regions, now)
+        arrivals_per_s = service.arrivals_per_s(demand.regions, now)
+        ahead = service.ahead_of(demand, now)
         reason = None
         if not service.state_by_id:
             reason = "no upstream"
-        elif service.queue.full:
+        elif hopeless := self._hopeless_reason(service, demand, now):
+            reason = hopeless
+        elif service.queue.is_full(demand):
             reason = "too many calls wait"
         elif not is_feasible(ahead, demand, capacity, arrivals_per_s, now):
             reason = "the wait is longer than the time left"
@@ -632,15 +765,35 @@
                 service.rejection_evidence(demand, ahead, now),
             )
 
+    def _capacity(self, service: _Service, regions: Regions, now: float) -> CapacityEstimate:
+        group = service.group_of(regions)
+        if group is None:
+            return service.capacity(now, self._homes)
+        return capacity_of(
+            group,
+            service.groups,
+            now,
+            baseline=service.baseline.value,
+            homes=self._homes,
+            regions=self._regions,
+            min_slots=MIN_CAPACITY_SLOTS,
+        )
+
+    def _hopeless_reason(self, service: _Service, demand: Demand, now: float) -> str | None:
+        group = service.group_of(demand.regions)
+        return None if group is None else hopeless_reason(group, demand, now)
+
     def _retry_after_s(
         self, service: _Service, demand: Demand, waiting_s: float, now: float
     ) -> float:
-        capacity = service.capacity(now, self._homes)
+        capacity = self._capacity(service, demand.regions, now)
         interval_s = 1.0 / capacity.calls_per_s(demand.work_s)
         if capacity.slots:
             interval_s = min(interval_s, demand.work_s)
         pause_s = capacity.pause_s if math.isfinite(capacity.pause_s) else 0.0
-        return pause_s + service.retry_after.next_retry_after_s(now, waiting_s, interval_s)
+        group = service.group_of(demand.regions)
+        schedule = (service if group is None else group).retry_after
+        return pause_s + schedule.next_retry_after_s(now, waiting_s, interval_s)
 
     def _on_tick(self) -> None:
         self._tick = None
@@ -654,6 +807,9 @@
         if not service.queue.calls:
             return
         now = self._loop.time()
+        if service.has_groups_waiting:
+            self._place_waiting_groups(service, now)
+            return
         states = service.preferred
         if service.limited_by_id:
             first = service.queue.in_order(now)[0]
@@ -685,10 +841,58 @@
             ]
             free -= 1
 
+    def _place_waiting_groups(self, service: _Service, now: float) -> None:
+        """Assign free slots to waiting calls in order, to each one of those that it may use."""
+        if service.limited_by_id:
+            first_by_regions: dict[Regions, WaitingCall] = {}
+            for call in service.queue.in_order(now):
+                first_by_regions.setdefault(call.demand.regions, call)
+            for regions, call in first_by_regions.items():
+                states = service.group(regions).preferred
+                self._request_permits(service, states, call.demand, call.avoid)
+        self._reject_infeasible(service, now)
+        baseline = service.baseline.value
+        preceding = PrecedingCalls(service.group)
+        offers = Offers(lambda regions, states=None: service.prospects_for(regions, now, states))
+        for call in service.queue.in_order(now):
+            demand = call.demand
+            prospects = offers.to(demand.regions)
+            ahead = preceding.ahead_of(demand.regions)
+            preceding.add(demand.regions)
+            state = placement.choose(
+                prospects,
+                demand,
+                call.avoid,
+                ahead,
+                demand.time_to_target(now),
+                demand.give_up_at - now,
+            ).upstream
+            if state is None:
+                continue
+            service.queue.discard(call)
+            if call.future.done():
+                continue
+            call.future.set_result(self._occupy(state, demand, now, baseline))
+            offers.update(state)
+
+    def _infeasible(self, service: _Service, now: float) -> list[WaitingCall]:
+        if not service.has_groups_waiting:
+            capacity = service.capacity(now, self._homes)
+            return service.queue.infeasible(now, capacity, service.arrival_rate.per_s(now))
+        return infeasible(
+            service.queue.in_order(now),
+            PrecedingCalls(service.group),
+            lambda regions: (
+                self._capacity(service, regions, now),
+                service.arrivals_per_s(regions, now),
+            ),
+            lambda demand: self._hopeless_reason(service, demand, now),
+            now,
+        )
+
     def _reject_infeasible(self, service: _Service, now: float) -> None:
-        capacity = service.capacity(now, self._homes)
-        for call in service.queue.infeasible(now, capacity, service.arrival_rate.per_s(now)):
-            ahead = service.queue.ahead_of(call.demand, now) - 1
+        for call in self._infeasible(service, now):
+            ahead = max(0, service.ahead_of(call.demand, now) - 1)
             service.queue.discard(call)
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -49,9 +49,11 @@
     transit_s: float  # round trip
     local_zone: bool
     local_region: bool
+    region: str | None = None  # None for a zone that the settings don't know
     preferred: bool = True  # one of those that this instance fills first
     cold_until: float = 0.0
     own_in_flight: int = 0
+    own_confined: int = 0  # of these, calls that may not run in the local region
     reported_by_peer: dict[str, int] = field(default_factory=dict)  # calls in flight of other homes
     unattributed: int = 0  # calls that neither this instance nor its peers sent
     attributed_until: deque[tuple[float, int]] = field(
@@ -64,6 +66,7 @@
     failure_at: float = 0.0
     ejected_until: float = 0.0
     ejections: int = 0
+    evacuated: bool = False  # its zone is, for all instances
     misdirected: bool = False  # another upstream answers at its address
     paused_until: float = 0.0  # it wants no calls from here; infinite if it leaves
     rate_limit: RateLimit = field(default_factory=RateLimit)
@@ -139,8 +142,8 @@
         return self.misdirected or now < self.ejected_until
 
     def excluded(self, now: float) -> bool:
-        """Return whether the upstream is unreachable, or wants no calls from here."""
-        return self.unreachable(now) or now < self.paused_until
+        """Return whether the upstream is unreachable or evacuated, or wants no calls from here."""
+        return self.unreachable(now) or now < self.paused_until or self.evacuated
 
     def slowdown_now(self, now: float, baseline: float) -> float:
         """Estimate the current slowdown; `baseline` is the average of the service."""
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -59,6 +59,7 @@
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from heatherhead.dispatch.regions import Regions
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.entry.addresses import AddressAnswer
     from heatherhead.entry.pages import PageHandlers
@@ -433,11 +434,12 @@
     def _on_reading(self, state: UpstreamState, reading: LoadReading) -> None:
         self.exchange.add_reading(state.entry.id, reading)
 
-    def _detour_peers(self, service: str) -> list[HostPort]:
+    def _detour_peers(self, service: str, regions: Regions) -> list[HostPort]:
         port = self.settings.detour_port
         if port is None:
             return []
-        return [HostPort(each.callers.host, port) for each in self.homes.peers_reaching(service)]
+        peers = self.homes.peers_reaching(service, regions)
+        return [HostPort(each.callers.host, port) for each in peers]
 
     def _reach_report(self) -> ReachReport | None:
         """Return what is out of reach; `None` if nothing is, and that was reported."""
@@ -450,8 +452,11 @@
     def _on_service_lost(self, service: str) -> None:
         self.prober.probe_others(service)
         self._update_cut()
-        if self.detours.available(service):
-            self.dispatcher.reject_waiting(service, "the service is out of reach")
+        self.dispatcher.reject_waiting(
+            service,
+            "the service is out of reach",
+            lambda regions: self.detours.available(service, regions),
+        )
         self.forwarder.recheck(service)
 
     def _on_service_regained(self, service: str, lost_at: float) -> None:
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from heatherhead.dispatch.regions import Regions
     from heatherhead.fleet.members import Member, MemberTable
     from heatherhead.fleet.peer_messages import HomeStatus, LeaveNotice
 
@@ -107,14 +108,17 @@
             return self.own_cut
         return self.peer_reach.is_cut(member.id)
 
-    def peers_reaching(self, service: str) -> list[Member]:
-        """List peers that may reach a service's upstreams: homes of the own region, then others.
+    def peers_reaching(self, service: str, allowed: Regions = None) -> list[Member]:
+        """List peers in allowed regions that may reach a service's upstreams.
 
-        The latter may be unheard, since only homes hear of other regions.
+        Homes of the own region come first, then others. The latter may be unheard, since only homes
+        hear of other regions.
         """
         own = self._members.own
         regions = {each.region for each in self._known_by_id().values()} - {own.region}
-        near = list(self.current)
+        if allowed is not None:
+            regions &= allowed
+        near = list(self.current) if allowed is None or own.region in allowed else []
         shuffle(near)
         far = [
             each for region in regions for each in self.probable_homes_of(region)[:MAX_REMOTE_HOMES]
--- a/heatherhead/proxy/detour.py
+++ b/heatherhead/proxy/detour.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from heatherhead.dispatch.regions import Regions
     from heatherhead.entry.settings import HostPort
     from heatherhead.proxy.answer_memory import AnswerMemory
     from heatherhead.proxy.dialect import Dialect
@@ -66,6 +67,7 @@
     attempts_left: int
     configuration_version: int
     give_up_at: float
+    regions: Regions = None  # that may get the call; the peer finds them by its route and customer
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,21 +119,24 @@
     """Sends calls over peers, on connections that are kept."""
 
     def __init__(
-        self, memory: AnswerMemory, dialect: Dialect, peers_for: Callable[[str], list[HostPort]]
+        self,
+        memory: AnswerMemory,
+        dialect: Dialect,
+        peers_for: Callable[[str, Regions], list[HostPort]],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._pool = create_upstream_pool(memory, CONNECT_TIMEOUT_S)
         self._dialect = dialect
         self._peers_for = peers_for
 
-    def available(self, service: str) -> bool:
-        """Return whether there is a peer that may reach a service."""
-        return bool(self._peers_for(service))
+    def available(self, service: str, regions: Regions = None) -> bool:
+        """Return whether there is a peer in some regions that may reach a service."""
+        return bool(self._peers_for(service, regions))
 
     async def send(self, call: DetourCall) -> DetourResult:
         """Offer a call to peers, one after the other, until one takes it."""
         reason = "no peer"
-        for peer in self._peers_for(call.service)[:MAX_PEERS]:
+        for peer in self._peers_for(call.service, call.regions)[:MAX_PEERS]:
             result = await self._send_to(peer, call)
             log_event(
                 "detour",
@@ -196,7 +201,7 @@
 
 
 def create_detours(
-    memory: AnswerMemory, dialect: Dialect, peers_for: Callable[[str], list[HostPort]]
+    memory: AnswerMemory, dialect: Dialect, peers_for: Callable[[str, Regions], list[HostPort]]
 ) -> Detours:
-    """Create them; `peers_for` lists the peers that may reach a service, best first."""
+    """Create them; `peers_for` lists the peers in regions that may reach a service, best first."""
     return Detours(memory, dialect, peers_for)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -14,6 +14,7 @@
 from heatherhead.dispatch.demand import Demand
 from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
 from heatherhead.dispatch.hedging import CHECK_INTERVAL_S, first_check_s, worth_hedging
+from heatherhead.dispatch.regions import region_fields
 from heatherhead.dispatch.rejection import RejectedError
 from heatherhead.proxy.answer_matching import answers_call
 from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
@@ -447,11 +448,11 @@
             and (
                 call.unreachable
                 or demand.service in self._reach.lost_services
-                or self._dispatcher.all_unreachable(demand.service)
+                or self._dispatcher.all_unreachable(demand.service, demand.regions)
             )
             and call.sent < call.max_attempts
             and (demand.idempotent or not call.may_have_run)
-            and self._detours.available(demand.service)
+            and self._detours.available(demand.service, demand.regions)
         )
 
     def _abandon_lost_attempts(self, call: _Call) -> None:
@@ -480,6 +481,7 @@
             call.max_attempts - call.sent,
             self._table.configuration.version,
             demand.give_up_at,
+            demand.regions,
         )
         try:
             async with asyncio.timeout_at(demand.give_up_at + ROUTE_TIMEOUT_GRACE_S):
@@ -568,6 +570,7 @@
             excluded=evidence.excluded,
             free=evidence.free,
             fastest_s=f"{min(99.0, evidence.fastest_s):.3f}",
+            **region_fields(call.demand.regions),
         )
 
     def _launch_attempt(self, call: _Call, slot: Slot) -> None:
@@ -687,7 +690,7 @@
         )
         if outcome.end is _AttemptEnd.FAILED:
             return self._relay_to(call, outcome)
-        pause_s = self._dispatcher.pause_s(call.demand.service)
+        pause_s = self._dispatcher.pause_s(call.demand.service, call.demand.regions)
         retry_after_s = RETRY_AFTER_S + (pause_s if math.isfinite(pause_s) else 0.0)
         return self._refuse(call, outcome.reason, retry_after_s)
 
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -180,7 +180,7 @@
         )
         self.peers: list[HostPort] = []
         self.detours = create_detours(
-            create_answer_memory(), PlatformDialect(), lambda _service: self.peers
+            create_answer_memory(), PlatformDialect(), lambda _service, _regions: self.peers
         )
         self.forwarder = create_forwarder(
             self.table,
