Let the tests' upstreams answer health checks as upstreams do

Cause: LimitedUpstream's answers to health checks had the stamp of answers to calls, so instances skipped each of them (answer_skipped) and had no load readings in the tests over several instances.

Change: the answers lack the stamp; health checks are counted, and a call may name its path.

--- a/heatherhead/tests/entry/instances.py
+++ b/heatherhead/tests/entry/instances.py
@@ -40,6 +40,8 @@
 START_TIMEOUT_S = 10.0
 CALL_TIMEOUT_S = 3.0  # longer than any deadline of the calls
 WINDOW_S = 4.0  # in which the platform counts the requests at an upstream that names a limit
+# Only answers to calls have them; a load reading takes no other answer for its own.
+CALL_ANSWER_HEADERS = (b"X-Heatherhead-Request-Id: \r\n", b"X-Heatherhead-Server-Stamp: stamp\r\n")
 SETTINGS = """
 NodeName={name}
 Ip={ip}
@@ -119,6 +121,7 @@
     limit: str | None = None
     limit_in_health_answers: bool = False
     arrivals: list[float] = field(default_factory=list)
+    health_checks: int = 0
     running: int = 0
 
     def entry(self, number: int) -> dict[str, object]:
@@ -144,7 +147,10 @@
                     if self.limit is not None and self.limit_in_health_answers:
                         extra["Server_Limit"] = self.limit
                     extra["X_Heatherhead_Instance_Id"] = self.id
-                    data = answer("", **extra).replace(b"X-Heatherhead-Request-Id: \r\n", b"")
+                    self.health_checks += 1
+                    data = answer("", **extra)
+                    for header in CALL_ANSWER_HEADERS:
+                        data = data.replace(header, b"")
                     writer.write(data)
                     continue
                 self.arrivals.append(asyncio.get_running_loop().time())
@@ -204,14 +210,14 @@
                 await asyncio.sleep(0.02)
         return service
 
-    async def call(self, service: EntryService) -> int:
+    async def call(self, service: EntryService, path: str = "/read/1", **extra: str) -> int:
         """Send one call to an instance and return the status of the answer, 0 for none."""
         request_id = f"r{next(self._numbers)}"
         host = service.settings.host
         reader, writer = await asyncio.open_connection(host, PORTS["Front"])
         sent_at = asyncio.get_running_loop().time()
         headers = {"X_Heatherhead_Request_Id": request_id, "X_Heatherhead_Deadline_Ms": "1000"}
-        writer.write(request("/read/1", **headers))
+        writer.write(request(path, **headers, **extra))
         try:
             received = await asyncio.wait_for(read_answer(reader), CALL_TIMEOUT_S)
         except TimeoutError:
