Send no calls to zones that operators evacuate

Cause: nothing read the keys op/evacuate/ZONE.

Change: registry/evacuations.py holds the evacuated zones, filled by the store view from the prefix that the decoder names.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -52,6 +52,7 @@
 from heatherhead.proxy.load_reader import create_load_reader
 from heatherhead.proxy.reach_prober import create_reach_prober
 from heatherhead.proxy.upstream_pool import create_upstream_pool
+from heatherhead.registry.evacuations import create_evacuations
 from heatherhead.registry.registry import create_upstream_registry
 from heatherhead.routes.table import create_route_table
 from heatherhead.store.history import history_of, plain_revision, revision_text
@@ -102,6 +103,7 @@
         self.incarnation = secrets.token_hex(4)
         self.table = create_route_table()
         self.registry = create_upstream_registry()
+        self.evacuations = create_evacuations(settings.region_by_zone)
         self.members = create_member_table(own_member(settings, self.incarnation))
         self.dispatcher = create_dispatcher(
             settings.availability_zone,
@@ -124,7 +126,12 @@
         self.homes = create_home_view(self.members, self._loop.time)
         self.replica = create_store_replica()
         view = create_store_view(
-            decoder, self.table, self.registry, self.members, self._on_configuration
+            decoder,
+            self.table,
+            self.registry,
+            self.members,
+            self.evacuations,
+            self._on_configuration,
         )
         self.replica.subscribe(view.apply_event)
         self.relay = create_relay_server(self.replica)
@@ -217,6 +224,7 @@
         self._servers: list[asyncio.Server] = []
         self._expiry_timer: asyncio.TimerHandle | None = None
         self.registry.subscribe(self._on_entry)
+        self.evacuations.subscribe(self.dispatcher.set_evacuated_zones)
         self._create_gauges()
 
     @property
@@ -283,6 +291,7 @@
     def _expire(self) -> None:
         for upstream_id in self.registry.expire(self._loop.time()):
             log_event("upstream_lapsed", upstream=upstream_id)
+        self.evacuations.expire(self._loop.time())
         self._expiry_timer = self._loop.call_later(EXPIRY_INTERVAL_S, self._expire)
 
     def _on_entry(self, previous: UpstreamEntry | None, current: UpstreamEntry | None) -> None:
@@ -544,6 +553,7 @@
         gauges["store_revision"] = lambda: plain_revision(self.replica.revision)
         gauges["store_ok"] = lambda: float(self.follower.store_ok)
         gauges["upstreams"] = lambda: len(self.registry.by_id)
+        gauges["evacuated_zones"] = lambda: len(self.evacuations.known)
         gauges["members"] = lambda: len(self.members.by_id)
         gauges["is_home"] = lambda: float(self.homes.is_home())
         gauges["services_out_of_reach"] = lambda: len(self.reach.lost_services)
--- a/heatherhead/entry/store_view.py
+++ b/heatherhead/entry/store_view.py
@@ -1,4 +1,4 @@
-"""Applies the store's changes to the route table, the upstream registry and the member table."""
+"""Applies the store's changes to the routes, upstreams, members and evacuated zones."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
     from heatherhead.exceptions import HeatherheadError
     from heatherhead.fleet.members import MemberTable
     from heatherhead.registry.entries import UpstreamEntry
+    from heatherhead.registry.evacuations import Evacuations
     from heatherhead.registry.registry import UpstreamRegistry
     from heatherhead.routes.model import RouteConfiguration
     from heatherhead.routes.table import RouteTable
@@ -33,6 +34,7 @@
 
     configuration_key: str
     upstream_prefix: str
+    evacuation_prefix: str
 
     def configuration(self, value: bytes) -> Result[RouteConfiguration, HeatherheadError]:
         """Decode the configuration."""
@@ -54,6 +56,7 @@
         table: RouteTable,
         registry: UpstreamRegistry,
         members: MemberTable,
+        evacuations: Evacuations,
         on_configuration: Callable[[], None],
     ) -> None:
         self._on_configuration = on_configuration
@@ -62,6 +65,7 @@
         self._table = table
         self._registry = registry
         self._members = members
+        self._evacuations = evacuations
 
     def apply_event(self, event: WatchEvent, after_outage: bool) -> None:
         """Apply one change of the store; one that can't be applied keeps back no other."""
@@ -89,6 +93,9 @@
         elif key.startswith(prefix):
             upstream_id = key.removeprefix(prefix)
             self._registry.remove(upstream_id, event.mod_revision, self._expires_at(after_outage))
+        elif key.startswith(self._decoder.evacuation_prefix):
+            zone = key.removeprefix(self._decoder.evacuation_prefix)
+            self._evacuations.remove(zone, self._expires_at(after_outage))
         elif key.startswith(MEMBER_PREFIX):
             self._members.remove(key.removeprefix(MEMBER_PREFIX), event.mod_revision)
 
@@ -98,6 +105,8 @@
     def _apply_item(self, key: str, value: bytes, revision: int) -> None:
         if key == self._decoder.configuration_key:
             self.apply_configuration(value)
+        elif key.startswith(self._decoder.evacuation_prefix):
+            self._evacuations.put(key.removeprefix(self._decoder.evacuation_prefix))
         elif key.startswith(MEMBER_PREFIX):
             member = decode_member(value)
             if member is not None:
@@ -132,7 +141,8 @@
     table: RouteTable,
     registry: UpstreamRegistry,
     members: MemberTable,
+    evacuations: Evacuations,
     on_configuration: Callable[[], None],
 ) -> StoreView:
     """Create a view; must be called inside the running loop."""
-    return StoreView(decoder, table, registry, members, on_configuration)
+    return StoreView(decoder, table, registry, members, evacuations, on_configuration)
--- a/heatherhead/platform/daemon.py
+++ b/heatherhead/platform/daemon.py
@@ -32,6 +32,7 @@
 
     configuration_key = documents.CONFIGURATION_KEY
     upstream_prefix = documents.UPSTREAM_PREFIX
+    evacuation_prefix = documents.EVACUATION_PREFIX
     configuration = staticmethod(documents.decode_configuration)
     upstream = staticmethod(documents.decode_upstream)
 
--- a/heatherhead/platform/documents.py
+++ b/heatherhead/platform/documents.py
@@ -25,10 +25,17 @@
 if TYPE_CHECKING:
     from result import Result
 
-__all__ = ["CONFIGURATION_KEY", "UPSTREAM_PREFIX", "decode_configuration", "decode_upstream"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "UPSTREAM_PREFIX",
+    "decode_configuration",
+    "decode_upstream",
+]
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"  # and the name of the zone; the value tells nothing
 
 MAX_NUMBER = 2**62  # of counts and times, which messages between instances must hold
 MAX_WARMUP_S = 86_400.0
