--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -52,6 +52,7 @@
 from heatherhead.proxy.load_reader import create_load_reader
 from heatherhead.proxy.reach_prober import create_reach_prober
 from heatherhead.proxy.upstream_pool import create_upstream_pool
+from heatherhead.registry.evacuations import create_evacuations
 from heatherhead.registry.registry import create_upstream_registry
 from heatherhead.routes.table import create_route_table
 from heatherhead.store.history import history_of, plain_revision, revision_text
@@ -59,6 +60,7 @@
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from heatherhead.dispatch.regions import Regions
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.entry.addresses import AddressAnswer
     from heatherhead.entry.pages import PageHandlers
@@ -101,6 +103,7 @@
         self.incarnation = secrets.token_hex(4)
         self.table = create_route_table()
         self.registry = create_upstream_registry()
+        self.evacuations = create_evacuations(settings.region_by_zone)
         self.members = create_member_table(own_member(settings, self.incarnation))
         self.dispatcher = create_dispatcher(
             settings.availability_zone,
@@ -123,7 +126,12 @@
         self.homes = create_home_view(self.members, self._loop.time)
         self.replica = create_store_replica()
         view = create_store_view(
-            decoder, self.table, self.registry, self.members, self._on_configuration
+            decoder,
+            self.table,
+            self.registry,
+            self.members,
+            self.evacuations,
+            self._on_configuration,
         )
         self.replica.subscribe(view.apply_event)
         self.relay = create_relay_server(self.replica)
@@ -217,6 +225,7 @@
         self._servers: list[asyncio.Server] = []
         self._expiry_timer: asyncio.TimerHandle | None = None
         self.registry.subscribe(self._on_entry)
+        self.evacuations.subscribe(self.dispatcher.set_evacuated_zones)
         self._create_gauges()
 
     @property
@@ -283,6 +292,7 @@
     def _expire(self) -> None:
         for upstream_id in self.registry.expire(self._loop.time()):
             log_event("upstream_lapsed", upstream=upstream_id)
+        self.evacuations.expire(self._loop.time())
         self._expiry_timer = self._loop.call_later(EXPIRY_INTERVAL_S, self._expire)
 
     def _on_entry(self, previous: UpstreamEntry | None, current: UpstreamEntry | None) -> None:
@@ -434,11 +444,12 @@
     def _on_reading(self, state: UpstreamState, reading: LoadReading) -> None:
         self.exchange.add_reading(state.entry.id, reading)
 
-    def _detour_peers(self, service: str) -> list[HostPort]:
+    def _detour_peers(self, service: str, regions: Regions) -> list[HostPort]:
         port = self.settings.detour_port
         if port is None:
             return []
-        return [HostPort(each.callers.host, port) for each in self.homes.peers_reaching(service)]
+        peers = self.homes.peers_reaching(service, regions)
+        return [HostPort(each.callers.host, port) for each in peers]
 
     def _reach_report(self) -> ReachReport | None:
         """Return what is out of reach; `None` if nothing is, and that was reported."""
@@ -451,8 +462,11 @@
     def _on_service_lost(self, service: str) -> None:
         self.prober.probe_others(service)
         self._update_cut()
-        if self.detours.available(service):
-            self.dispatcher.reject_waiting(service, "the service is out of reach")
+        self.dispatcher.reject_waiting(
+            service,
+            "the service is out of reach",
+            lambda regions: self.detours.available(service, regions),
+        )
         self.forwarder.recheck(service)
 
     def _on_service_regained(self, service: str, lost_at: float) -> None:
@@ -540,6 +554,7 @@
         gauges["store_revision"] = lambda: plain_revision(self.replica.revision)
         gauges["store_ok"] = lambda: float(self.follower.store_ok)
         gauges["upstreams"] = lambda: len(self.registry.by_id)
+        gauges["evacuated_zones"] = lambda: len(self.evacuations.known)
         gauges["members"] = lambda: len(self.members.by_id)
         gauges["is_home"] = lambda: float(self.homes.is_home())
         gauges["services_out_of_reach"] = lambda: len(self.reach.lost_services)
