Limit the calls to cold upstreams by permits for all instances together

Cause: WarmupPerS of a service was decoded, and nothing kept to it: each instance sent to a cold upstream by its free slots alone. Change: an upstream that is cold by its entry or by a health check's answer needs permits, from the issuers of rate limits; requests name several upstreams, reports and the relay tell of what health checks say.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -25,6 +25,7 @@
 from heatherhead.dispatch.rejection import RejectedError, create_rejection_evidence
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
 from heatherhead.dispatch.upstream_state import SLOWDOWN_FRESH_S, UpstreamState
+from heatherhead.dispatch.warmup import create_warmups
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
 SMALL_SERVICE_UPSTREAMS = 64  # up to this number, each call also considers other regions
 # Two random choices balance well; a few more are likely to include one in the own region.
 OVERFLOW_SAMPLE_SIZE = 8
+MAX_WARMUP_PERMITS = 8  # requested at once; a slot that gets free meanwhile wastes one
 MIN_CAPACITY_SLOTS = 0.5  # of normal speed; used if less is estimated of unlimited upstreams
 
 
@@ -82,7 +84,8 @@
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
     baseline: BaselineSlowdown = field(default_factory=BaselineSlowdown)
     contention: Contention = field(default_factory=Contention)
-    limited_by_id: dict[str, UpstreamState] = field(default_factory=dict)  # with a rate limit
+    # Those with a rate limit, or cold ones whose calls are limited.
+    limited_by_id: dict[str, UpstreamState] = field(default_factory=dict)
     reading_at: float = -math.inf  # the last load reading of any upstream
     paused_until: float = 0.0  # of its upstreams, the last one that wants no calls from here
     applied_speed_when_full: float = 1.0  # for which `usable_slots` of the upstreams were set
@@ -195,6 +198,10 @@
         self.on_rate_limit: Callable[[UpstreamState], None] = lambda _: None
         self.may_request: Callable[[UpstreamState], bool] = lambda _: False
         self.request_permits: Callable[[UpstreamState], None] = lambda _: None
+        self.may_request_warmup: Callable[[UpstreamState], bool] = lambda _: False
+        # Requests so many permits for any of some cold upstreams, the best one first.
+        self.request_warmup_permits: Callable[[list[UpstreamState], int], None] = lambda *_: None
+        self.warmups = create_warmups(self._state_by_id.get, self._update_limited)
 
     @property
     def states(self) -> Collection[UpstreamState]:
@@ -276,6 +283,7 @@
             held = None
         if current is None or current.draining:
             return
+        repeated = held is not None and 0 < current.sequence == held.entry.sequence
         if held is not None:
             held.entry = current
             self._set_usable_slots(self._service(current.service), held)
@@ -283,6 +291,7 @@
             held = self._add(current)
         if current.warmup_left_s > 0:
             held.cold_until = self._loop.time() + current.warmup_left_s
+        self.warmups.apply_entry(held, repeated=repeated)
         self._place_waiting(self._service(current.service))
 
     def _add(self, entry: UpstreamEntry) -> UpstreamState:
@@ -353,6 +362,7 @@
 
     def _remove(self, state: UpstreamState) -> None:
         del self._state_by_id[state.entry.id]
+        self.warmups.remove(state)
         self._service(state.entry.service).remove(state, self._is_preferred)
 
     def _transit_s(self, zone: str) -> float:
@@ -406,27 +416,31 @@
         `reported_by` is the instance that got the answer, if it is another one.
         """
         limit = state.rate_limit
-        before = limit.calls_per_s
+        before = limit.named_per_s
         if not limit.apply(evidence):
             return
         log_event(
             "rate_limit",
             upstream=state.entry.id,
             service=state.entry.service,
-            calls_per_s="none" if limit.calls_per_s is None else limit.calls_per_s,
+            calls_per_s="none" if limit.named_per_s is None else limit.named_per_s,
             before="none" if before is None else before,
             source=reported_by or ("health answer" if evidence.in_health_answer else "answer"),
             evidence_age_s=f"{self._loop.time() - evidence.at:.3f}",
         )
         if self._state_by_id.get(state.entry.id) is not state:
             return  # a late answer of an earlier start
+        if reported_by is None:
+            self.on_rate_limit(state)
+        self._update_limited(state)
+
+    def _update_limited(self, state: UpstreamState) -> None:
+        """Apply that calls to an upstream need permits from now on, or no longer."""
         service = self._service(state.entry.service)
         if state.limited:
             service.limited_by_id[state.entry.id] = state
         else:
             service.limited_by_id.pop(state.entry.id, None)
-        if reported_by is None:
-            self.on_rate_limit(state)
         self._place_waiting(service)
 
     def record_pause(self, entry: UpstreamEntry, pause_s: float) -> None:
@@ -444,16 +458,18 @@
         return self._service(service).pause_s(self._loop.time())
 
     def limited_states(self) -> list[UpstreamState]:
-        """List the upstreams that name a rate limit."""
+        """List the upstreams that name a rate limit, and the cold ones whose calls are limited."""
         return [
             state
             for service in self._service_by_name.values()
             for state in service.limited_by_id.values()
         ]
 
-    def add_permits(self, state: UpstreamState, permits: int) -> None:
+    def add_permits(
+        self, state: UpstreamState, permits: int, requested_at: float | None = None
+    ) -> None:
         """Add permits issued by another instance, then place waiting calls or reject them."""
-        state.rate_limit.add_permits(permits, self._loop.time())
+        state.rate_limit.add_permits(permits, self._loop.time(), requested_at)
         self._place_waiting(self._service(state.entry.service))
 
     def _request_permits(
@@ -468,13 +484,46 @@
         requestable = [
             state
             for state in states
-            if state.lacks_permit(now) and not state.excluded(now) and self.may_request(state)
+            if state.lacks_permit(now) and not state.excluded(now) and self._may_request(state)
         ]
+        baseline = service.baseline.value
+        cold = [each for each in requestable if each.rate_limit.warmup_per_s is not None]
+        if cold:
+            self._request_warmup_permits(service, states, cold, demand, avoid)
+            requestable = [each for each in requestable if each.rate_limit.warmup_per_s is None]
         if requestable:
-            baseline = service.baseline.value
             for state in placement.worth_permits(states, requestable, demand, avoid, now, baseline):
                 self.request_permits(state)
 
+    def _may_request(self, state: UpstreamState) -> bool:
+        if state.rate_limit.warmup_per_s is not None:
+            return self.may_request_warmup(state)
+        return self.may_request(state)
+
+    def _request_warmup_permits(
+        self,
+        service: _Service,
+        states: Collection[UpstreamState],
+        cold: list[UpstreamState],
+        demand: Demand,
+        avoid: Collection[str],
+    ) -> None:
+        """Request permits for the waiting calls, or this one, if they would take cold upstreams."""
+        now = self._loop.time()
+        waiting = max(1, len(service.queue))
+        in_sight = sum(
+            each.rate_limit.permits_in_sight(now)
+            for each in service.limited_by_id.values()
+            if each.rate_limit.warmup_per_s is not None
+        )
+        wanted = min(MAX_WARMUP_PERMITS, waiting - in_sight)
+        if wanted <= 0:
+            return
+        baseline, ahead = service.baseline.value, waiting - 1
+        best = placement.cold_choices(states, cold, demand, avoid, now, baseline, ahead)
+        if best:
+            self.request_warmup_permits(best, wanted)
+
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
         """Wait for a slot; raise `RejectedError` as soon as the call is infeasible."""
         if not demand.waited_before_s:
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from random import sample
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     "Placement",
     "Prospect",
     "choose",
+    "cold_choices",
     "expected_s",
     "place",
     "prospect_of",
@@ -144,6 +146,36 @@
     return wanted
 
 
+def cold_choices(
+    states: Collection[UpstreamState],
+    cold: list[UpstreamState],
+    demand: Demand,
+    avoid: Collection[str],
+    now: float,
+    baseline: float,
+    ahead: int,
+) -> list[UpstreamState]:
+    """List the cold upstreams that a call would take with a permit, the best one first.
+
+    Those as near as the best one follow in random order; any of them will do. With `ahead` calls
+    before it, a call takes a cold upstream rather than wait for a slot of a warm one.
+    """
+    shuffled = [each for each in sample(cold, len(cold)) if each.entry.id not in avoid]
+    prospects = prospects_of(states, now, baseline)
+    prospects += [prospect_of(each, now, baseline) for each in shuffled]
+    to_target_s, to_give_up_s = demand.time_to_target(now), demand.give_up_at - now
+    best = choose(prospects, demand, avoid, ahead, to_target_s, to_give_up_s).upstream
+    if best is None or best not in shuffled:
+        return []
+    return [best] + [
+        each
+        for each in shuffled
+        if each is not best
+        and (each.local_zone, each.local_region) == (best.local_zone, best.local_region)
+        and each.free_slots(now) > 0
+    ]
+
+
 def expected_s(state: UpstreamState, demand: Demand, now: float, baseline: float) -> float:
     """Estimate the time from dispatch to answer."""
     slowdown = state.slowdown_now(now, baseline) * _load_factor(state, state.occupancy(now), now)
--- a/heatherhead/dispatch/rate_limits.py
+++ b/heatherhead/dispatch/rate_limits.py
@@ -3,6 +3,9 @@
 A limit is the number of calls a second that an upstream takes from all instances together, for as
 long as its answers name it. So an instance sends a call there only with a permit. One instance of
 the upstream's region issues them (`fleet/permits.py`); a permit that is not used soon expires.
+
+An upstream that is cold is limited in the same way while it warms up (`dispatch/warmup.py`). That
+bound holds in each second instead of four, so permits expire sooner and fewer are saved.
 """
 
 from __future__ import annotations
@@ -10,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["PermitBucket", "RateLimit", "RateLimitEvidence"]
+__all__ = ["MAX_PERMIT_WAIT_S", "PermitBucket", "RateLimit", "RateLimitEvidence"]
 
 PERMIT_TTL_S = 0.5  # so four seconds have the permits of four and a half at the most
 MAX_SAVED_S = 0.25  # of the limit; an issuer saves at most that many permits, but at least one
@@ -20,6 +23,11 @@
 MAX_PERMIT_WAIT_S = 5.0  # until the next request, however low the limit
 RECEIVED_WINDOW_S = 10.0  # over which an instance counts the permits that it gets
 MIN_RECEIVED_S = 2.0  # of counting, before the estimate rests on it
+# All issuers together issue up to 1.25 times a warm-up's rate. With these two, at most 1.25 x 1.22
+# = 1.525 times the rate and a permit for each issuer are used in a second. The platform allows 1.5
+# times and 8.
+WARMUP_PERMIT_TTL_S = 0.2  # since the request for it, as replies may be late
+WARMUP_SAVED_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +47,8 @@
 class RateLimit:
     """The newest evidence of an upstream's limit, and this instance's permits."""
 
-    calls_per_s: float | None = None
+    named_per_s: float | None = None  # by the upstream's answers
+    warmup_per_s: float | None = None  # while the upstream is cold
     evidence_at: float = -1.0
     health_answers_name_it: bool = False
     awaited: int = 0  # permits that were requested, until `awaited_until`
@@ -48,8 +57,22 @@
     _received: deque[tuple[float, int]] = field(default_factory=deque)  # times with permits
     _received_since: float = -1.0  # without a longer gap than the window
 
+    @property
+    def calls_per_s(self) -> float | None:
+        """Return the lowest limit in force, `None` if there is none."""
+        if self.named_per_s is None or self.warmup_per_s is None:
+            return self.warmup_per_s if self.named_per_s is None else self.named_per_s
+        return min(self.named_per_s, self.warmup_per_s)
+
+    def set_warmup(self, calls_per_s: float | None) -> None:
+        """Set the limit of the warm-up, `None` for none; permits of another limit are dropped."""
+        if calls_per_s != self.warmup_per_s:
+            self.warmup_per_s = calls_per_s
+            self._received.clear()
+            self.drop_permits()
+
     def apply(self, evidence: RateLimitEvidence) -> bool:
-        """Apply evidence unless newer one is known; return whether the limit changed.
+        """Apply evidence unless newer one is known; return whether the named limit changed.
 
         Health checks may never name limits, so that an answer to one without a limit counts only
         after one with it.
@@ -61,13 +84,14 @@
                 return False
             # If answers to calls still name it, the next health check ends nothing.
             self.health_answers_name_it = evidence.calls_per_s is not None
-        before, self.calls_per_s = self.calls_per_s, evidence.calls_per_s
+        named_before, before = self.named_per_s, self.calls_per_s
+        self.named_per_s = evidence.calls_per_s
         self.evidence_at = evidence.at
         if before != self.calls_per_s:
             self._received.clear()
         if self.calls_per_s is None or (before is not None and self.calls_per_s < before):
             self.drop_permits()
-        return before != self.calls_per_s
+        return named_before != self.named_per_s
 
     def permits(self, now: float) -> int:
         """Count the permits that have not expired."""
@@ -76,13 +100,18 @@
             expires_at.popleft()
         return len(expires_at)
 
-    def add_permits(self, permits: int, now: float) -> None:
-        """Add permits that have just been issued, or none; those awaited have come."""
+    def add_permits(self, permits: int, now: float, requested_at: float | None = None) -> None:
+        """Add permits that were issued since `requested_at`, or none; those awaited have come."""
         self.awaited = 0
         if not self._recent_replies(now):
             self._received_since = now
         self._received.append((now, permits))
-        self._expires_at_by_permit.extend([now + PERMIT_TTL_S] * permits)
+        expires_at = now + PERMIT_TTL_S
+        if self.warmup_per_s is not None:
+            expires_at = (now if requested_at is None else requested_at) + WARMUP_PERMIT_TTL_S
+        self._expires_at_by_permit.extend([expires_at] * permits)
+        if requested_at is not None:
+            self._expires_at_by_permit = deque(sorted(self._expires_at_by_permit))
 
     def _recent_replies(self, now: float) -> deque[tuple[float, int]]:
         received = self._received
@@ -121,11 +150,21 @@
     def issued_per_s(self, share: float) -> float:
         """Return the permits to issue a second for a `share` of the limit.
 
-        Some are issued under the lowest limit too, unless health checks will tell of its end.
+        Some are issued under the lowest named limit too, unless health checks will tell of its end.
+        A warm-up needs none: it ends by time.
         """
         assert self.calls_per_s is not None
         rate = self.calls_per_s * share
-        return rate if self.health_answers_name_it else max(rate, TRIAL_CALLS_PER_S)
+        if self.health_answers_name_it or self.named_per_s is None:
+            return rate
+        if self.warmup_per_s is not None:
+            return max(rate, min(TRIAL_CALLS_PER_S, self.warmup_per_s * share))
+        return max(rate, TRIAL_CALLS_PER_S)
+
+    @property
+    def saved_s(self) -> float:
+        """Return for how many seconds of the limit an issuer saves permits."""
+        return MAX_SAVED_S if self.warmup_per_s is None else WARMUP_SAVED_S
 
 
 @dataclass(slots=True)
@@ -142,9 +181,9 @@
     def __post_init__(self) -> None:
         self.filled_at = self.created_at
 
-    def take(self, wanted: int, per_s: float, now: float) -> int:
+    def take(self, wanted: int, per_s: float, now: float, saved_s: float = MAX_SAVED_S) -> int:
         """Take up to `wanted` permits at the rate `per_s`; return how many were taken."""
-        most = max(1.0, per_s * MAX_SAVED_S)
+        most = max(1.0, per_s * saved_s)
         self.tokens = min(most, self.tokens + (now - self.filled_at) * per_s)
         self.filled_at = now
         taken = min(wanted, int(self.tokens))
--- a/heatherhead/dispatch/upstream_state.py
+++ b/heatherhead/dispatch/upstream_state.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from heatherhead.dispatch.rate_limits import RateLimit
+from heatherhead.dispatch.warmup import Warmup
 
 if TYPE_CHECKING:
     from heatherhead.registry.entries import UpstreamEntry
@@ -67,6 +68,7 @@
     misdirected: bool = False  # another upstream answers at its address
     paused_until: float = 0.0  # it wants no calls from here; infinite if it leaves
     rate_limit: RateLimit = field(default_factory=RateLimit)
+    warmup: Warmup = field(default_factory=Warmup)
     usable_slots: int = 1
     time_full_s: float = 0.0  # total time with all slots in use, up to `time_full_at`
     time_full_at: float = 0.0
@@ -121,17 +123,17 @@
         return self.usable_slots - self.occupancy(now)
 
     def usable_now(self, now: float) -> int:
-        """Count the free slots for which there is a permit, if the upstream names a rate limit."""
+        """Count the free slots for which there is a permit, if calls need one."""
         free = self.free_slots(now)
         return min(free, self.rate_limit.permits(now)) if self.limited else free
 
     @property
     def limited(self) -> bool:
-        """Return whether the upstream names a rate limit, so that each call needs a permit."""
+        """Return whether the upstream names a rate limit or warms up: each call needs a permit."""
         return self.rate_limit.calls_per_s is not None
 
     def lacks_permit(self, now: float) -> bool:
-        """Return whether the upstream names a rate limit and this instance has no permit."""
+        """Return whether calls to the upstream need a permit and this instance has none."""
         return self.limited and not self.rate_limit.permits(now)
 
     def unreachable(self, now: float) -> bool:
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -45,6 +45,12 @@
 from heatherhead.fleet.relay import RelayState, create_relay_server
 from heatherhead.fleet.replica import create_store_replica
 from heatherhead.fleet.store_follower import create_store_follower
+from heatherhead.fleet.warmup_exchange import create_warmup_exchange
+from heatherhead.fleet.warmup_messages import (
+    WarmupPermitReply,
+    WarmupPermitRequest,
+    WarmupReport,
+)
 from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.caller_connection import create_caller_connections
 from heatherhead.proxy.detour import create_detours
@@ -160,6 +166,14 @@
             lambda addresses, message: self.exchange.send_to(addresses, message),
             self._loop.time,
         )
+        self.dispatcher.warmups.calls_per_s = self._warmup_calls_per_s
+        self.warmups = create_warmup_exchange(
+            self.dispatcher,
+            self.permits,
+            self.homes,
+            self.members,
+            lambda addresses, message: self.exchange.send_to(addresses, message),
+        )
         self.detours = create_detours(answer_memory, dialect, self._detour_peers)
         self._find_homes_task: asyncio.Task[None] | None = None
         self.crashes = create_crash_table()
@@ -272,13 +286,18 @@
         self._servers.append(server)
 
     def _on_configuration(self) -> None:
-        """Join the fleet as soon as there is a configuration, without waiting for the next tick."""
+        """Apply the rules of services, and join the fleet with the first configuration."""
+        self.dispatcher.warmups.apply_rules(list(self.dispatcher.states))
         if not self._joined:
             self._joined = True
             self.homes.provisional_members = []
             self.homes.own_ready = self.ready
             self._loop.call_soon(self.exchange.publish_status)
 
+    def _warmup_calls_per_s(self, service: str) -> float:
+        rules = self.table.configuration.service_by_name.get(service)
+        return 0.0 if rules is None else rules.warmup_calls_per_s
+
     def _expire(self) -> None:
         for upstream_id in self.registry.expire(self._loop.time()):
             log_event("upstream_lapsed", upstream=upstream_id)
@@ -330,6 +349,8 @@
             self.crashes.recent(self._loop.time()),
             self.permits.limits(),
             self.replica.gap_free,
+            self.warmups.rows(),
+            self.dispatcher.warmups.changes,
         )
 
     def _on_relay_state(self, relay_state: RelayState) -> None:
@@ -337,6 +358,7 @@
         for fingerprint, crashes in relay_state.crashes_by_request:
             self._apply_crash(fingerprint, crashes)
         self.permits.apply_relayed(relay_state.rate_limits)
+        self.warmups.apply_relayed(relay_state.warmups)
 
     def _apply_crash(self, fingerprint: int, crashes: int) -> None:
         now = self._loop.time()
@@ -352,6 +374,7 @@
             log_event("suspended", level="WARNING", for_s=f"{suspended_s:.2f}")
             self.forwarder.apply_suspension(suspended_s)
             self.permits.drop()
+            self.warmups.drop()
             self.follower.record_store_failure("the process was suspended")
         self.homes.own_ready = self.ready
         self._measure_rate()
@@ -365,6 +388,7 @@
         self.dispatcher.retain_peers(self.homes.live_home_ids())
         self._update_own_slack()
         self.permits.tick()
+        self.warmups.tick()
         relay_state = self._relay_state()
         if relay_state != self._published_state:
             self._published_state = relay_state
@@ -518,6 +542,18 @@
     def _(self, message: PermitReply, _sender: HostPort) -> None:
         self.permits.apply_reply(message)
 
+    @_on_message.register(WarmupReport)
+    def _(self, message: WarmupReport, sender: HostPort) -> None:
+        self.warmups.apply_report(message, sender)
+
+    @_on_message.register(WarmupPermitRequest)
+    def _(self, message: WarmupPermitRequest, sender: HostPort) -> None:
+        self.warmups.apply_request(message, sender)
+
+    @_on_message.register(WarmupPermitReply)
+    def _(self, message: WarmupPermitReply, _sender: HostPort) -> None:
+        self.warmups.apply_reply(message)
+
     @_on_message.register(ReachReport)
     def _(self, message: ReachReport, _sender: HostPort) -> None:
         self.homes.peer_reach.apply(message)
@@ -539,6 +575,7 @@
         gauges["store_revision"] = lambda: plain_revision(self.replica.revision)
         gauges["store_ok"] = lambda: float(self.follower.store_ok)
         gauges["upstreams"] = lambda: len(self.registry.by_id)
+        gauges["upstreams_cold"] = lambda: len(self.dispatcher.warmups.cold)
         gauges["members"] = lambda: len(self.members.by_id)
         gauges["is_home"] = lambda: float(self.homes.is_home())
         gauges["services_out_of_reach"] = lambda: len(self.reach.lost_services)
@@ -599,6 +636,7 @@
         self.detours.close()
         self.pages.stop()
         self.pool.close()
+        self.warmups.stop()
         self.exchange.stop()
         await self.follower.stop()
         await self._store.close()
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -10,6 +10,15 @@
 import msgpack
 
 from heatherhead.dispatch.contention import ContentionEvidence
+from heatherhead.fleet.warmup_messages import (
+    WARMUP_KINDS,
+    WarmupMessage,
+    WarmupPermitReply,
+    WarmupPermitRequest,
+    WarmupReport,
+    decode_warmup_message,
+    warmup_fields,
+)
 
 __all__ = [
     "CallCounts",
@@ -175,6 +184,7 @@
     | PermitRequest
     | PermitReply
     | ReachReport
+    | WarmupMessage
 )
 
 
@@ -253,6 +263,13 @@
     return [_REACH, message.sender, message.cut, message.lost_services]
 
 
+@_row_of.register(WarmupReport)
+@_row_of.register(WarmupPermitRequest)
+@_row_of.register(WarmupPermitReply)
+def _(message: WarmupMessage) -> list[Any]:
+    return warmup_fields(message)
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message."""
     packed: bytes = msgpack.packb([VERSION, *_row_of(message)])
@@ -299,6 +316,8 @@
             return PermitReply(str(sender), int(rest[0]), wait_s, limit, number)
         if kind == _REACH:
             return ReachReport(str(sender), bool(rest[0]), tuple(str(each) for each in rest[1]))
+        if kind in WARMUP_KINDS:
+            return decode_warmup_message(kind, str(sender), rest)
     except _MALFORMED:
         return None
     return None
--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from heatherhead.dispatch.rate_limits import PermitBucket, RateLimitEvidence
+from heatherhead.dispatch.rate_limits import MAX_PERMIT_WAIT_S, PermitBucket, RateLimitEvidence
 from heatherhead.fleet.homes import rank_members
 from heatherhead.fleet.peer_messages import (
     PermitReply,
@@ -42,6 +42,9 @@
 __all__ = ["PermitExchange", "create_permit_exchange"]
 
 STAND_IN_SHARE = 1 / 5  # 1 + 1/5 + 1/25 and so on is 1.25
+# Each issuer may issue a permit beyond its share at any moment, so no more than five issue any for
+# cold upstreams, whose bound allows 8 calls beyond the rate.
+MIN_WARMUP_SHARE = 0.9 * STAND_IN_SHARE**4
 REQUESTED_S = 0.1  # of the limit; one request asks for that many permits, but at least one
 REPLY_TIMEOUT_S = 0.2  # four round trips between regions
 ALONE_AFTER_REQUESTS = 5  # without a reply: a second
@@ -104,7 +107,8 @@
         self._requests_by_start = {k: v for k, v in self._requests_by_start.items() if k in starts}
         self._bucket_by_start = {k: v for k, v in self._bucket_by_start.items() if k in starts}
         now = self._now()
-        issued = [state for state in limited if self._issues_for(state)]
+        named = [state for state in limited if state.rate_limit.named_per_s is not None]
+        issued = [state for state in named if self.issues_for(state)]
         if issued and now - self._reported_at >= REPORT_INTERVAL_S:
             self._reported_at = now
             self._report(issued)
@@ -117,12 +121,15 @@
             requests.open_numbers.clear()  # replies may have waited as long
 
     def limits(self) -> tuple[RateLimitRow, ...]:
-        """List the limits that are in force, for the followers of this instance."""
-        return tuple(self._row(state) for state in self._dispatcher.limited_states())
+        """List the named limits that are in force, for the followers of this instance."""
+        limited = self._dispatcher.limited_states()
+        return tuple(
+            self._row(state) for state in limited if state.rate_limit.named_per_s is not None
+        )
 
     def report_change(self, state: UpstreamState) -> None:
         """Report a limit that this instance has found changed to the homes of all regions."""
-        limit = state.rate_limit.calls_per_s
+        limit = state.rate_limit.named_per_s
         reported = self._reported_limit_by_id.get(state.entry.id)
         if limit is None:
             self._reported_limit_by_id.pop(state.entry.id, None)
@@ -141,7 +148,7 @@
         limit = state.rate_limit
         return RateLimitRow(
             *_start_of(state),
-            limit.calls_per_s,
+            limit.named_per_s,
             max(0.0, self._now() - limit.evidence_at),
             limit.health_answers_name_it,
         )
@@ -167,22 +174,23 @@
             state.rate_limit.health_answers_name_it = row.calls_per_s is not None
         self._dispatcher.record_rate_limit(state, evidence, source)
 
-    def _region_of(self, state: UpstreamState) -> str:
+    def region_of(self, state: UpstreamState) -> str:
         """Return the region that issues the permits: the upstream's, if it has instances."""
         region = self._dispatcher.region_of(state.entry.availability_zone) or ""
         if region in self._regions or not self._regions:
             return region
         return min(self._regions)
 
-    def _issuers(self, region: str) -> list[Member]:
+    def issuers(self, region: str) -> list[Member]:
+        """List the members that may issue the permits of a region, the most probable one first."""
         if region == self._members.own.region:
             return self._homes.current
         return self._homes.probable_homes_of(region)
 
-    def _issues_for(self, state: UpstreamState) -> bool:
+    def issues_for(self, state: UpstreamState) -> bool:
         """Return whether this instance issues the permits of an upstream."""
         own = self._members.own
-        if self._region_of(state) != own.region:
+        if self.region_of(state) != own.region:
             return False
         homes = self._homes.current
         return bool(homes) and homes[0].id == own.id
@@ -199,8 +207,8 @@
         limit = state.rate_limit
         assert limit.calls_per_s is not None
         wanted = max(1, math.ceil(limit.calls_per_s * REQUESTED_S))
-        if self._issues_for(state):
-            permits, wait_s = self._issue(state, wanted)
+        if self.issues_for(state):
+            permits, wait_s = self.issue(state, wanted)
             limit.add_permits(permits, now)
             requests.next_at = now + wait_s
             return
@@ -211,7 +219,7 @@
         elif requests.unanswered <= AWAITED_REQUESTS:
             limit.await_permits(wanted, requests.next_at)
         own_id = self._members.own.id
-        issuers = [each for each in self._issuers(self._region_of(state)) if each.id != own_id]
+        issuers = [each for each in self.issuers(self.region_of(state)) if each.id != own_id]
         if issuers:
             if requests.unanswered > 1:
                 requests.issuer += 1
@@ -233,14 +241,18 @@
         state.rate_limit.add_permits(1, now)
         log_event("permit_taken_alone", upstream=state.entry.id, unanswered=requests.unanswered)
 
-    def _issue(self, state: UpstreamState, wanted: int) -> tuple[int, float]:
+    def issue(self, state: UpstreamState, wanted: int) -> tuple[int, float]:
         """Issue permits; return their number and, if there are none, the time until the next."""
         now = self._now()
         bucket = self._bucket_by_start.get(_start_of(state))
         if bucket is None:
             bucket = self._bucket_by_start[_start_of(state)] = PermitBucket(now)
-        per_s = state.rate_limit.issued_per_s(self._own_share())
-        permits = bucket.take(wanted, per_s, now)
+        limit = state.rate_limit
+        share = self._own_share()
+        if limit.warmup_per_s is not None and share < MIN_WARMUP_SHARE:
+            return 0, MAX_PERMIT_WAIT_S
+        per_s = limit.issued_per_s(share)
+        permits = bucket.take(wanted, per_s, now, limit.saved_s)
         return permits, 0.0 if permits else bucket.wait_s(per_s)
 
     def _own_share(self) -> float:
@@ -259,12 +271,12 @@
         if (
             state is None
             or state.entry.started_ms != request.limit.started_ms
-            or not self._issues_for(state)
+            or not self.issues_for(state)
         ):
             return  # the requester then asks the next home
         permits, wait_s = 0, 0.0
         if state.rate_limit.calls_per_s is not None:
-            permits, wait_s = self._issue(state, request.wanted)
+            permits, wait_s = self.issue(state, request.wanted)
         log_routine(
             "permits_issued",
             upstream=state.entry.id,
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -16,11 +16,13 @@
 import msgpack
 
 from heatherhead.fleet.peer_messages import decode_limit, encode_limit
+from heatherhead.fleet.warmup_messages import decode_warmup, encode_warmup
 from heatherhead.store.interface import WatchEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from heatherhead.dispatch.warmup import WarmupRow
     from heatherhead.entry.settings import HostPort
     from heatherhead.fleet.peer_messages import RateLimitRow
     from heatherhead.fleet.replica import StoreReplica
@@ -50,6 +52,8 @@
     crashes_by_request: tuple[tuple[int, int], ...] = ()  # fingerprints with their counts
     rate_limits: tuple[RateLimitRow, ...] = ()  # those in force
     gap_free: bool = False  # of its replica; earlier versions don't say so
+    warmups: tuple[WarmupRow, ...] = ()  # that answers to health checks told of
+    warmup_changes: int = 0  # counted, as the times in `warmups` change always; not sent
 
 
 class RelayServer:
@@ -222,7 +226,10 @@
     """Pack a state; earlier versions read the key `word` only."""
     word = [state.region, state.home_ids, state.watches_store, state.crashes_by_request]
     limits = [encode_limit(row) for row in state.rate_limits]
-    packed: bytes = msgpack.packb({"word": word, "limits": limits, "gap_free": state.gap_free})
+    message = {"word": word, "limits": limits, "gap_free": state.gap_free}
+    if state.warmups:
+        message["warmups"] = [encode_warmup(row) for row in state.warmups]
+    packed: bytes = msgpack.packb(message)
     return packed
 
 
@@ -235,6 +242,7 @@
         tuple((int(fingerprint), int(count)) for fingerprint, count in crashes),
         tuple(decode_limit(row) for row in message.get("limits", ())),
         bool(message.get("gap_free", False)),
+        tuple(decode_warmup(row) for row in message.get("warmups", ())),
     )
 
 
--- a/heatherhead/platform/dialect.py
+++ b/heatherhead/platform/dialect.py
@@ -19,6 +19,7 @@
     RETRY_AFTER,
     STAMP,
     UPSTREAM_ID,
+    WARMUP_LEFT_MS,
 )
 from heatherhead.proxy.dialect import AnswerMetadata
 
@@ -34,6 +35,7 @@
 WRONG_UPSTREAM_STATUS = 421
 TURNED_AWAY_STATUS = 503
 KEY_SCHEME = "token"
+MAX_WARMUP_MS = 86_400_000.0  # as in an upstream's entry
 
 
 class PlatformDialect:
@@ -144,6 +146,19 @@
             raise ValueError(f"{text!r} is no time")
         return pause_s
 
+    def warmup_left_s(self, headers: Headers) -> float:
+        """Return for how long an upstream stays cold by a health check's answer, 0 if it is not.
+
+        Raises `ValueError` if the time is malformed.
+        """
+        text = headers.get(WARMUP_LEFT_MS)
+        if text is None:
+            return 0.0
+        left_ms = float(text)
+        if not 0 <= left_ms <= MAX_WARMUP_MS:
+            raise ValueError(f"{text!r} is no time")
+        return left_ms / 1000
+
     def answering_upstream(self, headers: Headers) -> str | None:
         """Return the id of the upstream that sent the answer, if the answer names it."""
         return headers.get(UPSTREAM_ID)
--- a/heatherhead/proxy/dialect.py
+++ b/heatherhead/proxy/dialect.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from heatherhead.dispatch.rate_limits import RateLimitEvidence
+from heatherhead.dispatch.warmup import WarmupEvidence
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -15,7 +16,14 @@
 
     Headers = CIMultiDict[str] | CIMultiDictProxy[str]
 
-__all__ = ["AnswerMetadata", "Dialect", "Headers", "read_pause_s", "read_rate_limit"]
+__all__ = [
+    "AnswerMetadata",
+    "Dialect",
+    "Headers",
+    "read_pause_s",
+    "read_rate_limit",
+    "read_warmup",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +102,13 @@
         """
         ...
 
+    def warmup_left_s(self, headers: Headers) -> float:
+        """Return for how long an upstream stays cold by a health check's answer, 0 if it is not.
+
+        Raises `ValueError` if the time is malformed.
+        """
+        ...
+
     def answering_upstream(self, headers: Headers) -> str | None:
         """Return the id of the upstream that sent the answer, if the answer names it."""
         ...
@@ -121,3 +136,15 @@
     except ValueError as error:
         log_event("pause_unreadable", upstream=upstream_id, reason=error)
         return 0.0
+
+
+def read_warmup(
+    dialect: Dialect, headers: Headers, upstream_id: str, *, sent_at: float, now: float
+) -> WarmupEvidence | None:
+    """Return what a health check's answer tells of the warm-up, `None` if it is malformed."""
+    try:
+        left_s = dialect.warmup_left_s(headers)
+    except ValueError as error:
+        log_event("warmup_unreadable", upstream=upstream_id, reason=error)
+        return None
+    return WarmupEvidence(now + left_s, now) if left_s else WarmupEvidence(None, sent_at)
--- a/heatherhead/proxy/health_request.py
+++ b/heatherhead/proxy/health_request.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from heatherhead.proxy.dialect import read_pause_s
+from heatherhead.proxy.dialect import read_pause_s, read_warmup
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
@@ -28,11 +28,17 @@
 
 
 def record_health_answer(
-    dialect: Dialect, dispatcher: Dispatcher, state: UpstreamState, answer: UpstreamAnswer
+    dialect: Dialect,
+    dispatcher: Dispatcher,
+    state: UpstreamState,
+    answer: UpstreamAnswer,
+    *,
+    sent_at: float,
+    now: float,
 ) -> None:
-    """Record for how long an upstream wants no calls, and that it is at its address.
+    """Record for how long an upstream wants no calls or stays cold, and that it is at its address.
 
-    Only what it says itself counts.
+    Only what it says itself counts. `sent_at` is when the health check was sent.
     """
     entry = state.entry
     if is_of_another_upstream(dialect, entry, answer):
@@ -41,6 +47,10 @@
     if state.misdirected and dialect.answering_upstream(headers) == entry.id:
         state.misdirected = False
         log_event("upstream_at_address", upstream=entry.id, service=entry.service)
+    if dialect.answering_upstream(headers) == entry.id:
+        warmup = read_warmup(dialect, headers, entry.id, sent_at=sent_at, now=now)
+        if warmup is not None:
+            dispatcher.warmups.apply_answer(state, warmup)
     pause_s = read_pause_s(dialect, answer.status, headers, entry.id)
     if pause_s:
         dispatcher.record_pause(entry, pause_s)
--- a/heatherhead/proxy/load_reader.py
+++ b/heatherhead/proxy/load_reader.py
@@ -147,7 +147,9 @@
         if reading is not None:
             self._dispatcher.apply_reading(state, reading)
             self._on_reading(state, reading)
-        record_health_answer(self._dialect, self._dispatcher, state, answer)
+        record_health_answer(
+            self._dialect, self._dispatcher, state, answer, sent_at=started_at, now=now
+        )
         if self._dialect.answering_upstream(answer.message.headers) == state.entry.id:
             evidence = read_rate_limit(
                 self._dialect, answer.message.headers, state.entry.id, sent_at=started_at, now=now
--- a/heatherhead/proxy/reach_prober.py
+++ b/heatherhead/proxy/reach_prober.py
@@ -106,11 +106,19 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S + 2 * state.transit_s):
                 connection = await self._pool.open(address)
                 if path is not None:
+                    sent_at = self._loop.time()
                     answer = await connection.exchange(
                         health_request(entry, path),
                         lambda message: answers_health_check(self._dialect, message, entry.id),
                     )
-                    record_health_answer(self._dialect, self._dispatcher, state, answer)
+                    record_health_answer(
+                        self._dialect,
+                        self._dispatcher,
+                        state,
+                        answer,
+                        sent_at=sent_at,
+                        now=self._loop.time(),
+                    )
         except (ConnectError, BrokenAnswerError, TimeoutError) as error:
             connected = connection is not None and isinstance(error, TimeoutError)
             reason = f"probe: {error!r}"
