--- a/heatherhead/dispatch/rate_limits.py
+++ b/heatherhead/dispatch/rate_limits.py
@@ -23,11 +23,12 @@
 MAX_PERMIT_WAIT_S = 5.0  # until the next request, however low the limit
 RECEIVED_WINDOW_S = 10.0  # over which an instance counts the permits that it gets
 MIN_RECEIVED_S = 2.0  # of counting, before the estimate rests on it
-# All issuers together issue up to 1.25 times a warm-up's rate. With these two, at most 1.25 x 1.22
-# = 1.525 times the rate and a permit for each issuer are used in a second. The platform allows 1.5
-# times and 8.
+# All issuers together issue up to 1.25 times a warm-up's rate, so that the permits used in a second
+# are at most 1.25 x 1.2 = 1.5 times the rate and those saved: four of the first home, and one of
+# each of the four that may stand in for it. The platform allows 1.5 times and 8.
 WARMUP_PERMIT_TTL_S = 0.2  # since the request for it, as replies may be late
-WARMUP_SAVED_S = 0.02
+WARMUP_SAVED_S = 0.1  # of the limit, by the first home
+MIN_WARMUP_SAVED, MAX_WARMUP_SAVED = 2.0, 4.0  # one more than needed: instances ask late
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,10 +162,12 @@
             return max(rate, min(TRIAL_CALLS_PER_S, self.warmup_per_s * share))
         return max(rate, TRIAL_CALLS_PER_S)
 
-    @property
-    def saved_s(self) -> float:
-        """Return for how many seconds of the limit an issuer saves permits."""
-        return MAX_SAVED_S if self.warmup_per_s is None else WARMUP_SAVED_S
+    def most_saved(self, share: float) -> float:
+        """Return the most permits that an issuer of a `share` of the limit saves."""
+        if self.warmup_per_s is not None:
+            saved = max(MIN_WARMUP_SAVED, self.warmup_per_s * WARMUP_SAVED_S)
+            return min(MAX_WARMUP_SAVED, saved) if share >= 1 else 1.0
+        return max(1.0, self.issued_per_s(share) * MAX_SAVED_S)
 
 
 @dataclass(slots=True)
@@ -181,9 +184,13 @@
     def __post_init__(self) -> None:
         self.filled_at = self.created_at
 
-    def take(self, wanted: int, per_s: float, now: float, saved_s: float = MAX_SAVED_S) -> int:
-        """Take up to `wanted` permits at the rate `per_s`; return how many were taken."""
-        most = max(1.0, per_s * saved_s)
+    def take(self, wanted: int, per_s: float, now: float, most: float | None = None) -> int:
+        """Take up to `wanted` permits at the rate `per_s`; return how many were taken.
+
+        At most `most` are saved, by default those of a rate limit.
+        """
+        if most is None:
+            most = max(1.0, per_s * MAX_SAVED_S)
         self.tokens = min(most, self.tokens + (now - self.filled_at) * per_s)
         self.filled_at = now
         taken = min(wanted, int(self.tokens))
--- a/heatherhead/dispatch/warmup.py
+++ b/heatherhead/dispatch/warmup.py
@@ -152,10 +152,12 @@
         self._state_of = state_of
         self._on_limit = on_limit
         self._timer_by_state: dict[UpstreamState, asyncio.TimerHandle] = {}
-        self.changes = 0  # of what followers are told
+        self.changes = 0
         # Returns the calls a second to a cold upstream of a service, 0 if they are not limited.
         self.calls_per_s: Callable[[str], float] = lambda _: 0.0
+        # Called when other instances have to learn of an answer that this one got.
         self.on_answer: Callable[[UpstreamState], None] = lambda _: None
+        self.on_change: Callable[[], None] = lambda: None  # of what followers are told
 
     @property
     def cold(self) -> list[UpstreamState]:
@@ -182,14 +184,19 @@
         changed = state.warmup.apply_answer(evidence, self._loop.time())
         self._update(state, "health answer")
         if changed and self.limits(state):
-            self.changes += 1
+            self._count_change()
             self.on_answer(state)
 
     def apply_row(self, state: UpstreamState, row: WarmupRow, source: str) -> None:
         """Apply what another instance knows."""
-        if state.warmup.apply_row(row, self._loop.time()):
-            self.changes += 1
+        changed = state.warmup.apply_row(row, self._loop.time())
         self._update(state, source)
+        if changed and self.limits(state):
+            self._count_change()
+
+    def _count_change(self) -> None:
+        self.changes += 1
+        self.on_change()
 
     def apply_rules(self, states: list[UpstreamState]) -> None:
         """Apply the limits of the services after a change of the configuration."""
@@ -198,7 +205,7 @@
             limited = state.rate_limit.warmup_per_s is not None
             self._update(state, "configuration")
             if not limited and self.limits(state) and state.warmup.is_told(now):
-                self.changes += 1
+                self._count_change()
                 self.on_answer(state)
 
     def limits(self, state: UpstreamState) -> bool:
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -167,6 +167,7 @@
             self._loop.time,
         )
         self.dispatcher.warmups.calls_per_s = self._warmup_calls_per_s
+        self.dispatcher.warmups.on_change = self.relay.notify_followers
         self.warmups = create_warmup_exchange(
             self.dispatcher,
             self.permits,
--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -252,7 +252,7 @@
         if limit.warmup_per_s is not None and share < MIN_WARMUP_SHARE:
             return 0, MAX_PERMIT_WAIT_S
         per_s = limit.issued_per_s(share)
-        permits = bucket.take(wanted, per_s, now, limit.saved_s)
+        permits = bucket.take(wanted, per_s, now, limit.most_saved(share))
         return permits, 0.0 if permits else bucket.wait_s(per_s)
 
     def _own_share(self) -> float:
--- a/heatherhead/fleet/warmup_exchange.py
+++ b/heatherhead/fleet/warmup_exchange.py
@@ -15,7 +15,6 @@
 import itertools
 import math
 import random
-from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -56,13 +55,21 @@
 UNPLACED_TTL_S = 5.0  # an entry takes less to arrive than that
 
 
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """One request for permits for any of some upstreams of a service."""
+
+    sent_at: float
+    states: list[UpstreamState]
+
+
 @dataclass(slots=True)
 class _Requests:
     """The requests for permits to the issuers of one region."""
 
     unanswered: int = 0  # in a row
     issuer: int = 0  # position among the possible issuers
-    sent_at_by_number: dict[int, float] = field(default_factory=dict)  # that still count
+    open_by_number: dict[int, _Request] = field(default_factory=dict)  # whose replies still count
 
 
 class WarmupExchange:
@@ -92,7 +99,6 @@
         self._unreported: dict[str, UpstreamState] = {}
         self._report_timer: asyncio.TimerHandle | None = None
         self._unplaced: list[tuple[WarmupRow, float, str]] = []  # of upstreams not known yet
-        self.counts: Counter[str] = Counter()
         dispatcher.may_request_warmup = self.may_request
         dispatcher.request_warmup_permits = self.request
         self._warmups.on_answer = self._add_to_report
@@ -120,7 +126,7 @@
     def drop(self) -> None:
         """Ignore the replies to requests so far: the loop's clock stood still meanwhile."""
         for requests in self._requests_by_region.values():
-            requests.sent_at_by_number.clear()
+            requests.open_by_number.clear()
 
     def _limited_cold(self) -> list[UpstreamState]:
         states = self._dispatcher.limited_states()
@@ -154,7 +160,6 @@
     def _send_rows(self, addresses: list[HostPort], rows: tuple[WarmupRow, ...]) -> None:
         for first in range(0, len(rows), MAX_REPORT_ROWS):
             report = WarmupReport(self._members.own.id, rows[first : first + MAX_REPORT_ROWS])
-            self.counts["reports"] += len(addresses)
             self._send(addresses, report)
 
     def apply_report(self, report: WarmupReport, sender: HostPort) -> None:
@@ -234,12 +239,10 @@
             requests.issuer += 1
         issuer = issuers[requests.issuer % len(issuers)]
         number = next(self._numbers)
-        open_requests = requests.sent_at_by_number
-        open_requests[number] = now
-        if len(open_requests) > MAX_OPEN_REQUESTS:
-            del open_requests[next(iter(open_requests))]
+        requests.open_by_number[number] = _Request(now, states)
+        if len(requests.open_by_number) > MAX_OPEN_REQUESTS:
+            del requests.open_by_number[next(iter(requests.open_by_number))]
         rows = tuple(self._warmups.row_of(state) for state in states)
-        self.counts["requests"] += 1
         self._send([issuer.peer_address], WarmupPermitRequest(own_id, number, wanted, rows))
 
     def _issue(
@@ -253,8 +256,8 @@
             permits_by_state[state] = permits
             wanted -= permits
             soonest_s = min(soonest_s, wait_s) if not permits else soonest_s
-        wait_s = max(soonest_s, self._turn_s(asker, service))
-        return permits_by_state, wait_s * random.uniform(1.0, 1.0 + TURN_JITTER)
+        turn_s = self._turn_s(asker, service) * random.uniform(1.0 - TURN_JITTER, 1.0)
+        return permits_by_state, max(soonest_s, turn_s)
 
     def _turn_s(self, asker: str, service: str) -> float:
         """Return the time in which all instances that ask get a permit each."""
@@ -284,8 +287,8 @@
         grants = tuple(
             WarmupGrant(permits_by_state.get(each, 0), self._warmups.row_of(each))
             for each in states
+            if permits_by_state.get(each) or each not in cold
         )
-        self.counts["replies"] += 1
         reply = WarmupPermitReply(self._members.own.id, request.number, wait_s, grants)
         self._send([sender], reply)
         log_routine(
@@ -301,28 +304,31 @@
 
     def apply_reply(self, reply: WarmupPermitReply) -> None:
         """Apply the reply to a request for permits, unless it has come before."""
-        sent_at = None
-        for requests in self._requests_by_region.values():
-            sent_at = requests.sent_at_by_number.pop(reply.number, None)
-            if sent_at is not None:
-                requests.unanswered = 0
-                break
-        if sent_at is None:
+        request = self._take_request(reply.number)
+        if request is None:
             permits = sum(each.permits for each in reply.grants)
             log_routine("warmup_permits_ignored", sender=reply.sender, permits=permits)
             return
         now = self._now()
-        answered = []
+        for state in request.states:
+            self._next_at_by_state[state] = now + reply.wait_s
+            state.rate_limit.add_permits(0, now)
         for grant in reply.grants:
-            state = self._apply_row(grant.row, reply.sender)
-            if state is None:
-                continue
-            answered.append(state)
-            self._next_at_by_state[state] = now + (0.0 if grant.permits else reply.wait_s)
-            state.rate_limit.add_permits(grant.permits, now, sent_at)
-        if answered:
-            # Of one service; its waiting calls are placed once for all.
-            self._dispatcher.add_permits(answered[0], 0)
+            granted = self._apply_row(grant.row, reply.sender)
+            if granted in request.states and grant.permits:
+                self._next_at_by_state[granted] = now
+                granted.rate_limit.add_permits(grant.permits, now, request.sent_at)
+        # All are of one service; its waiting calls are placed once for all.
+        self._dispatcher.add_permits(request.states[0], 0)
+
+    def _take_request(self, number: int) -> _Request | None:
+        """Return the request that a reply answers, if it still counts, and discard it."""
+        for requests in self._requests_by_region.values():
+            request = requests.open_by_number.pop(number, None)
+            if request is not None:
+                requests.unanswered = 0
+                return request
+        return None
 
 
 def create_warmup_exchange(
--- a/heatherhead/fleet/warmup_messages.py
+++ b/heatherhead/fleet/warmup_messages.py
@@ -57,7 +57,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WarmupPermitReply:
-    """Issues permits; those upstreams without any may have some after `wait_s`."""
+    """Issues permits, and tells which upstreams are not cold to the issuer.
+
+    Those that are not named may have permits after `wait_s`.
+    """
 
     sender: str
     number: int
