Add usage caps: a customer's calls are bounded over all instances

Calls of a customer with a cap were not counted (UncappedUsage). Owners of equal shares now lend these to a coordinator in the customer's region, whose bucket holds the tokens of the lent shares; see usage_caps.py.

--- a/heatherhead/customers/usage.py
+++ b/heatherhead/customers/usage.py
@@ -13,10 +13,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CapDecision:
-    """Whether a call is within its customer's cap; if not, when its caller may come back."""
+    """Whether a call is within its customer's cap; if not, why, and when its caller may come back."""
 
     admitted: bool
     retry_after_s: float = 0.0
+    reason: str = ""
 
 
 class UsageCaps(Protocol):
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -7,7 +7,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from heatherhead.customers.usage import UncappedUsage
+from heatherhead.customers.usage_caps import CapBounds
 from heatherhead.dispatch.budget import slack_of
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
@@ -40,11 +40,14 @@
     PermitRequest,
     RateLimitReport,
     ReachReport,
+    UsageBalance,
+    UsageReport,
 )
 from heatherhead.fleet.permits import create_permit_exchange
 from heatherhead.fleet.relay import RelayState, create_relay_server
 from heatherhead.fleet.replica import create_store_replica
 from heatherhead.fleet.store_follower import create_store_follower
+from heatherhead.fleet.usage_exchange import create_usage_exchange
 from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.caller_connection import create_caller_connections
 from heatherhead.proxy.detour import create_detours
@@ -68,6 +71,7 @@
     from heatherhead.fleet.peer_messages import PeerMessage
     from heatherhead.proxy.dialect import Dialect
     from heatherhead.registry.entries import UpstreamEntry
+    from heatherhead.routes.model import Customer
     from heatherhead.store.interface import Store
 
 __all__ = ["EntryService", "create_entry_service"]
@@ -87,6 +91,7 @@
 FIND_HOMES_INTERVAL_S = 0.5  # between two reads of the members in the store
 FIND_HOMES_ATTEMPTS = 4  # after these, a standby instance reads the whole store itself
 CALL_RATE_WINDOW_S = 1.0  # short enough to follow bursts, which last for seconds
+NO_CUSTOMERS: dict[str, Customer] = {}
 RELOADABLE_FIELDS = frozenset({"drain_s", "grace_s", "retry_slack", "seeds"})
 
 
@@ -160,6 +165,15 @@
             lambda addresses, message: self.exchange.send_to(addresses, message),
             self._loop.time,
         )
+        self.usage = create_usage_exchange(
+            CapBounds(settings.cap_window_s, settings.cap_overage, settings.cap_slack),
+            settings.region_by_zone,
+            self.homes,
+            self.members,
+            self._customer_by_name,
+            lambda addresses, message: self.exchange.send_to(addresses, message),
+            self.metrics.events,
+        )
         self.detours = create_detours(answer_memory, dialect, self._detour_peers)
         self._find_homes_task: asyncio.Task[None] | None = None
         self.crashes = create_crash_table()
@@ -173,7 +187,7 @@
             self.metrics,
             self.reach,
             self.detours,
-            UncappedUsage(),
+            self.usage,
         )
         self.prober = create_reach_prober(
             self.table,
@@ -352,6 +366,7 @@
             log_event("suspended", level="WARNING", for_s=f"{suspended_s:.2f}")
             self.forwarder.apply_suspension(suspended_s)
             self.permits.drop()
+            self.usage.drop()
             self.follower.record_store_failure("the process was suspended")
         self.homes.own_ready = self.ready
         self._measure_rate()
@@ -365,6 +380,7 @@
         self.dispatcher.retain_peers(self.homes.live_home_ids())
         self._update_own_slack()
         self.permits.tick()
+        self.usage.tick()
         relay_state = self._relay_state()
         if relay_state != self._published_state:
             self._published_state = relay_state
@@ -382,6 +398,9 @@
         own_slack = slack_of(slack, homes, members, is_home=self.homes.is_home())
         self.dispatcher.set_own_slack(own_slack)
 
+    def _customer_by_name(self) -> dict[str, Customer]:
+        return self.table.configuration.customer_by_name or NO_CUSTOMERS
+
     def _measure_rate(self) -> None:
         now = self._loop.time()
         seconds = now - self._rate_measured_at
@@ -518,6 +537,14 @@
     def _(self, message: PermitReply, _sender: HostPort) -> None:
         self.permits.apply_reply(message)
 
+    @_on_message.register(UsageReport)
+    def _(self, message: UsageReport, sender: HostPort) -> None:
+        self.usage.apply_report(message, sender)
+
+    @_on_message.register(UsageBalance)
+    def _(self, message: UsageBalance, _sender: HostPort) -> None:
+        self.usage.apply_balance(message)
+
     @_on_message.register(ReachReport)
     def _(self, message: ReachReport, _sender: HostPort) -> None:
         self.homes.peer_reach.apply(message)
@@ -542,6 +569,8 @@
         gauges["members"] = lambda: len(self.members.by_id)
         gauges["is_home"] = lambda: float(self.homes.is_home())
         gauges["services_out_of_reach"] = lambda: len(self.reach.lost_services)
+        gauges["cap_share_owned"] = lambda: self.usage.own_share
+        gauges["cap_share_lent"] = self.usage.lent
         gauges["calls_in_progress"] = self._calls_in_progress
         gauges["connections_opened"] = lambda: self.pool.opened_connections
 
--- a/heatherhead/entry/settings.py
+++ b/heatherhead/entry/settings.py
@@ -54,3 +54,12 @@
     retry_window_s: float = Field(gt=0, description="Window in which retries are counted.")
     retry_slack: float = Field(ge=0, description="Retries per window beyond the ratio.")
     probes_per_s: float = Field(gt=0, description="Health checks per upstream, all instances.")
+    cap_window_s: float = Field(
+        default=5.0, gt=0, description="Window in which calls of a customer are counted."
+    )
+    cap_overage: float = Field(
+        default=0.1, ge=0, description="Calls beyond a customer's cap, as a part of it."
+    )
+    cap_slack: float = Field(
+        default=20.0, ge=0, description="Calls per window beyond a customer's cap and its overage."
+    )
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -24,6 +24,10 @@
     "RateLimitReport",
     "RateLimitRow",
     "ReachReport",
+    "UsageBalance",
+    "UsageBalanceRow",
+    "UsageReport",
+    "UsageReportRow",
     "decode_limit",
     "decode_message",
     "encode_limit",
@@ -51,7 +55,9 @@
     _PERMIT_REQUEST,
     _PERMIT_REPLY,
     _REACH,
-) = range(10)
+    _USAGE_REPORT,
+    _USAGE_BALANCE,
+) = range(12)
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +170,59 @@
     lost_services: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UsageReportRow:
+    """What an instance has got and wants of a customer's tokens; `account` is 0 at first."""
+
+    customer: str
+    account: int
+    received: int  # in total
+    returned: int  # in total
+    waiting: int  # calls
+    deficit: int  # of the credit
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """Lends a share of the caps of a group of customers, and asks for tokens.
+
+    `epoch` and `stamp_ms` are those of the last balance: the loan counts from that on.
+    """
+
+    sender: str
+    incarnation: str
+    group: str
+    epoch: int
+    stamp_ms: int
+    share: float
+    rows: tuple[UsageReportRow, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class UsageBalanceRow:
+    """The tokens granted to an instance so far; with a wait, it was granted too few."""
+
+    customer: str
+    account: int
+    granted: int  # in total
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UsageBalance:
+    """The answer to a `UsageReport`; `stamp_ms` is the time of this start (`epoch`) of the sender.
+
+    `lent` is the sum of the shares that the sender was lent for the group.
+    """
+
+    sender: str
+    group: str
+    epoch: int
+    stamp_ms: int
+    lent: float
+    rows: tuple[UsageBalanceRow, ...] = ()
+
+
 PeerMessage = (
     HomeStatus
     | LoadReport
@@ -175,6 +234,8 @@
     | PermitRequest
     | PermitReply
     | ReachReport
+    | UsageReport
+    | UsageBalance
 )
 
 
@@ -253,6 +314,29 @@
     return [_REACH, message.sender, message.cut, message.lost_services]
 
 
+@_row_of.register
+def _(message: UsageReport) -> list[Any]:
+    rows = [list(astuple(row)) for row in message.rows]
+    terms = [message.group, message.epoch, message.stamp_ms, message.share]
+    return [_USAGE_REPORT, message.sender, message.incarnation, *terms, rows]
+
+
+@_row_of.register
+def _(message: UsageBalance) -> list[Any]:
+    rows = [
+        [row.customer, row.account, row.granted, round(row.wait_s * 1000)] for row in message.rows
+    ]
+    return [
+        _USAGE_BALANCE,
+        message.sender,
+        message.group,
+        message.epoch,
+        message.stamp_ms,
+        message.lent,
+        rows,
+    ]
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message."""
     packed: bytes = msgpack.packb([VERSION, *_row_of(message)])
@@ -299,6 +383,18 @@
             return PermitReply(str(sender), int(rest[0]), wait_s, limit, number)
         if kind == _REACH:
             return ReachReport(str(sender), bool(rest[0]), tuple(str(each) for each in rest[1]))
+        if kind == _USAGE_REPORT:
+            return _usage_report(str(sender), rest)
+        if kind == _USAGE_BALANCE:
+            group, epoch, stamp_ms, lent, rows = rest
+            return UsageBalance(
+                str(sender),
+                str(group),
+                int(epoch),
+                int(stamp_ms),
+                _share(lent),
+                tuple(_usage_balance_row(row) for row in rows),
+            )
     except _MALFORMED:
         return None
     return None
@@ -334,6 +430,45 @@
     return RateLimitRow(str(upstream_id), int(started_ms), limit, age_s, bool(health))
 
 
+def _usage_report(sender: str, fields: list[Any]) -> UsageReport:
+    incarnation, group, epoch, stamp_ms, share, rows = fields
+    return UsageReport(
+        sender,
+        str(incarnation),
+        str(group),
+        int(epoch),
+        int(stamp_ms),
+        _share(share),
+        tuple(_usage_report_row(row) for row in rows),
+    )
+
+
+def _usage_report_row(row: list[Any]) -> UsageReportRow:
+    customer, *counts = row
+    account, received, returned, waiting, deficit = (_count(each) for each in counts)
+    return UsageReportRow(str(customer), account, received, returned, waiting, deficit)
+
+
+def _usage_balance_row(row: list[Any]) -> UsageBalanceRow:
+    customer, account, granted, wait_ms = row
+    wait_s = max(0.0, _finite(wait_ms) / 1000)
+    return UsageBalanceRow(str(customer), _count(account), _count(granted), wait_s)
+
+
+def _share(figure: Any) -> float:
+    share = _finite(figure)
+    if not 0.0 <= share <= 1.0:
+        raise ValueError(f"{share} is no share")
+    return share
+
+
+def _count(figure: Any) -> int:
+    number = int(figure)
+    if number < 0:
+        raise ValueError(f"{number} is no count")
+    return number
+
+
 def _evidence(row: list[Any]) -> ContentionEvidence:
     answers, full_share, full_share_squared, service_time, product = map(_finite, row)
     return ContentionEvidence(answers, full_share, full_share_squared, service_time, product)
--- a/heatherhead/platform/settings_file.py
+++ b/heatherhead/platform/settings_file.py
@@ -110,6 +110,9 @@
         retry_window_s=bounds.get("BudgetWindowS", float, 10.0),
         retry_slack=bounds.get("BudgetSlack", float, 50.0),
         probes_per_s=bounds.get("ProbesPerS", float, 60.0),
+        cap_window_s=bounds.get("QuotaWindowS", float, 5.0),
+        cap_overage=bounds.get("QuotaOverage", float, 0.1),
+        cap_slack=bounds.get("QuotaSlack", float, 20.0),
     )
 
 
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -340,6 +340,13 @@
             return await self._execute(call)
         decision = await self._caps.admit(customer)
         if not decision.admitted:
+            log_event(
+                "rejected_over_cap",
+                id=call.demand.request_id or None,
+                customer=customer.name,
+                reason=decision.reason,
+                retry_after_s=f"{decision.retry_after_s:.3f}",
+            )
             return self._own_answer_to(
                 call, 429, "not run: over the customer's cap", decision.retry_after_s
             )
