--- a/heatherhead/customers/usage_caps.py
+++ b/heatherhead/customers/usage_caps.py
@@ -44,7 +44,7 @@
 # burst of 1 refuses a part of them at any rate; the spare tokens admit most of these.
 CREDIT_SLACK_SHARE = 0.5
 SPARE_SLACK_SHARE = 0.25
-KEPT_TOKENS = 4.0  # or a quarter of the burst; below these, tokens are for waiting calls only
+KEPT_TOKENS = 8.0  # or a quarter of the burst; below these, tokens are for waiting calls only
 KEPT_SHARE = 0.25
 MAX_LEDGER_CHANGES = 64  # a bucket that was not used for more of them starts empty at the oldest
 SHARE_DIGITS = 6
@@ -94,7 +94,7 @@
 
     def kept(self, lent: float) -> float:
         """Return the tokens that restore no credit; a full bucket always restores some."""
-        burst = self.cap.burst
+        burst = max(1.0, self.cap.burst)
         kept = min(burst, max(KEPT_TOKENS, KEPT_SHARE * burst)) * lent
         return min(kept, self.depth(lent) - 1.0)
 
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -316,7 +316,10 @@
 
 @_row_of.register
 def _(message: UsageReport) -> list[Any]:
-    rows = [list(astuple(row)) for row in message.rows]
+    rows = [
+        [row.customer, row.account, row.received, row.returned, row.waiting, row.deficit]
+        for row in message.rows
+    ]
     terms = [message.group, message.epoch, message.stamp_ms, message.share]
     return [_USAGE_REPORT, message.sender, message.incarnation, *terms, rows]
 
--- a/heatherhead/fleet/usage_exchange.py
+++ b/heatherhead/fleet/usage_exchange.py
@@ -81,7 +81,6 @@
     heard_at: float = -math.inf
     unanswered_since: float | None = None
     sent_at: float = -math.inf
-    idle_until: float = -math.inf  # it was lent nothing
 
     def failed(self, now: float) -> bool:
         """Return whether it does not answer."""
@@ -100,6 +99,7 @@
     lent_to: str = ""
     promised_until: float = -math.inf
     asked_at: float = -math.inf
+    idle_until_by_id: dict[str, float] = field(default_factory=dict)  # coordinators without loans
     changed: set[str] = field(default_factory=set)  # customers to report
     timer: asyncio.TimerHandle | None = None
 
@@ -153,6 +153,7 @@
         self._peer_heard_at = self._started_at
         self._alone = False
         self._peer_by_id: dict[str, _Peer] = {}
+        self._homes_by_region: dict[str, list[Member]] = {}
         self._group_by_customer: dict[str, _Group] = {}
         self._bucket_by_customer: dict[str, UsageBucket] = {}
         self._local_by_customer: dict[str, _Local] = {}
@@ -397,12 +398,21 @@
         if balance.epoch != peer.epoch or balance.stamp_ms >= peer.stamp_ms:
             peer.epoch, peer.stamp_ms, peer.heard_at = balance.epoch, balance.stamp_ms, now
             peer.unanswered_since = None
-            peer.idle_until = now + IDLE_S if not balance.lent else -math.inf
+            self._record_lent(balance, now)
         for row in balance.rows:
             local = self._local_by_customer.get(row.customer)
             if local is not None:
                 self._apply_balance_row(local, row, now)
 
+    def _record_lent(self, balance: UsageBalance, now: float) -> None:
+        group = self._group_by_region.get(balance.group)
+        if group is None:
+            return
+        if balance.lent:
+            group.idle_until_by_id.pop(balance.sender, None)
+        else:
+            group.idle_until_by_id[balance.sender] = now + IDLE_S
+
     def _apply_balance_row(self, local: _Local, row: UsageBalanceRow, now: float) -> None:
         tokens = local.usage.receive(row.account, row.granted)
         while tokens and local.waiting:
@@ -431,6 +441,7 @@
             return
         now = self._now()
         self._update_share(now)
+        self._homes_by_region.clear()
         for group in self._group_by_region.values():
             group.candidates = self._find_candidates(group.region)
             group.ledger.update(now)
@@ -470,7 +481,7 @@
             self._zone_owners = is_owner(own, ranked, count)
         self._owners = zones * count
         share = 1.0 / (zones * self._zone_owners) if self._zone_owners else 0.0
-        alone = len(ids) > 1 and now - self._peer_heard_at > PEER_SILENT_S
+        alone = bool(share) and len(ids) > 1 and now - self._peer_heard_at > PEER_SILENT_S
         if alone != self._alone:
             self._alone = alone
             event = "usage_alone" if alone else "usage_peers_heard"
@@ -548,12 +559,16 @@
         """List the possible coordinators of a group, the same order on all instances."""
         regions = {each.region for each in self._members.by_id.values()}
         order = sorted(regions, key=lambda each: (each != region, hash_of(f"{region}/{each}")))
-        candidates = []
-        for each in order:
-            is_own = each == self._members.own.region
-            homes = self._homes.current if is_own else self._homes.probable_homes_of(each)
-            candidates += homes[:HOMES_PER_REGION]
-        return candidates
+        return [member for each in order for member in self._homes_of(each)]
+
+    def _homes_of(self, region: str) -> list[Member]:
+        """List the first homes of a region, as of the last tick."""
+        homes = self._homes_by_region.get(region)
+        if homes is None:
+            is_own = region == self._members.own.region
+            found = self._homes.current if is_own else self._homes.probable_homes_of(region)
+            homes = self._homes_by_region[region] = found[:HOMES_PER_REGION]
+        return homes
 
     def _choose_target(self, group: _Group) -> Member:
         """Return the first possible coordinator that answers, at last this instance."""
@@ -565,7 +580,8 @@
             if member.id == own.id or peer is None:
                 chosen = member
                 break
-            if not peer.failed(now) and (self.own_share or now >= peer.idle_until):
+            idle = now < group.idle_until_by_id.get(member.id, now)
+            if not peer.failed(now) and (self.own_share or not idle):
                 chosen = member
                 break
         if chosen.id != group.target_id:
@@ -580,8 +596,6 @@
         return chosen
 
     def _is_target(self, group: _Group) -> bool:
-        if not group.candidates:
-            group.candidates = self._find_candidates(group.region)
         return self._choose_target(group).id == self._members.own.id
 
     # What is forgotten.
