Leave retries to the more urgent calls where the budget is short

Change: a call of a lower priority leaves in the budget what calls of a higher one will need over the window at the rate of their retries in the last second, less what they have had. Hedges wait for the same, and count for nobody. Services whose calls have one priority are served as before.

--- a/heatherhead/dispatch/budget.py
+++ b/heatherhead/dispatch/budget.py
@@ -4,13 +4,22 @@
 the load. An instance may send extra attempts up to a ratio of the calls it saw itself plus its part
 of the slack, which is the number of extra attempts allowed beyond the ratio. So the sum over all
 instances stays below the bound without coordination.
+
+Where upstreams refuse half of their calls for seconds, the budget is a fraction of what all retries
+would need. What calls of a higher priority will need at their present rate is then left to them.
 """
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from heatherhead.dispatch.demand import Demand
 
-__all__ = ["RetryBudget", "create_retry_budget", "slack_of"]
+__all__ = ["Priority", "RetryBudget", "create_retry_budget", "slack_of"]
+
+Priority = tuple[int, int]  # of the customer, then of the route; the lowest is the most urgent
 
 # Applied to the configured ratio, as an instance counts calls a little later than upstreams do.
 RATIO_SAFETY_FACTOR = 0.75
@@ -18,6 +27,7 @@
 # replaced loses the count of what it has spent. Instances that are not homes see few calls.
 HOMES_SLACK_SHARE = 0.5
 OTHERS_SLACK_SHARE = 0.25
+RETRY_RATE_WINDOW_S = 1.0  # over which the retries that a priority needs are counted
 
 
 class RetryBudget:
@@ -28,7 +38,9 @@
         self._window_s = window_s
         self.slack = slack
         self._call_times: deque[float] = deque()
-        self._extra_attempt_times: deque[float] = deque()
+        self._extra_attempts: deque[tuple[float, Priority]] = deque()
+        self._spent_by_priority: Counter[Priority] = Counter()
+        self._retry_times_by_priority: dict[Priority, deque[float]] = {}  # wanted, also refused
 
     def record_call(self, now: float) -> None:
         """Record the first attempt of a call."""
@@ -38,20 +50,52 @@
     def remaining(self, now: float) -> float:
         """Return how many extra attempts may be sent now."""
         self._expire(now)
-        return self._ratio * len(self._call_times) + self.slack - len(self._extra_attempt_times)
-
-    def try_spend(self, now: float) -> bool:
-        """Spend one extra attempt if the budget allows it; return whether it did."""
-        if self.remaining(now) < 1.0:
+        return self._ratio * len(self._call_times) + self.slack - len(self._extra_attempts)
+
+    def allows(self, demand: Demand, now: float) -> bool:
+        """Return whether a call may get an extra attempt now."""
+        priority = _priority_of(demand)
+        return self.remaining(now) - self._reserved(priority, now) >= 1.0
+
+    def try_retry(self, demand: Demand, now: float) -> bool:
+        """Spend one extra attempt on a call that failed, if allowed; return whether it was."""
+        times = self._retry_times_by_priority.setdefault(_priority_of(demand), deque())
+        times.append(now)
+        while times[0] < now - RETRY_RATE_WINDOW_S:
+            times.popleft()
+        return self.try_spend(demand, now)
+
+    def try_spend(self, demand: Demand, now: float) -> bool:
+        """Spend one extra attempt if allowed; return whether it was."""
+        if not self.allows(demand, now):
             return False
-        self._extra_attempt_times.append(now)
+        priority = _priority_of(demand)
+        self._extra_attempts.append((now, priority))
+        self._spent_by_priority[priority] += 1
         return True
 
+    def _reserved(self, priority: Priority, now: float) -> float:
+        """Return what more urgent calls will need in a window at their present rate of retries."""
+        since = now - RETRY_RATE_WINDOW_S
+        reserved = 0.0
+        for other, times in self._retry_times_by_priority.items():
+            if other >= priority or not times or times[-1] < since:
+                continue
+            wanted = sum(at >= since for at in times) * self._window_s / RETRY_RATE_WINDOW_S
+            reserved += max(0.0, wanted - self._spent_by_priority[other])
+        return reserved
+
     def _expire(self, now: float) -> None:
         oldest = now - self._window_s
-        for times in (self._call_times, self._extra_attempt_times):
-            while times and times[0] < oldest:
-                times.popleft()
+        while self._call_times and self._call_times[0] < oldest:
+            self._call_times.popleft()
+        while self._extra_attempts and self._extra_attempts[0][0] < oldest:
+            _, priority = self._extra_attempts.popleft()
+            self._spent_by_priority[priority] -= 1
+
+
+def _priority_of(demand: Demand) -> Priority:
+    return demand.customer_priority, demand.priority
 
 
 def slack_of(slack: float, homes: int, instances: int, *, is_home: bool) -> float:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -462,7 +462,7 @@
             now = self._loop.time()
             if not call.demand.idempotent:
                 return
-            if not self._dispatcher.budget(call.demand.service).try_spend(now):
+            if not self._dispatcher.budget(call.demand.service).try_spend(call.demand, now):
                 return
         for task in call.slot_by_task:
             task.cancel()
@@ -641,7 +641,7 @@
         if not worth_hedging(demand, now, elapsed_s, slowdown, second_s):
             return
         budget = self._dispatcher.budget(demand.service)
-        if budget.remaining(now) < 1.0:
+        if not budget.allows(demand, now):
             return
         second = self._dispatcher.try_acquire(demand, call.tried_ids)
         if second is None:
@@ -649,7 +649,7 @@
         if self._outlasts_instance(call, second):
             self._dispatcher.release(second)
             return
-        budget.try_spend(now)
+        budget.try_spend(demand, now)
         self.metrics.events["hedge"] += 1
         log_event(
             "hedged",
@@ -713,7 +713,7 @@
             return False
         if call.sent >= call.max_attempts:
             return False
-        within_budget = self._dispatcher.budget(call.demand.service).try_spend(now)
+        within_budget = self._dispatcher.budget(call.demand.service).try_retry(call.demand, now)
         self.metrics.events["retry" if within_budget else "retry_over_budget"] += 1
         return within_budget
 
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -201,12 +201,13 @@
     slacks = [slack_of(56.0, 2, 4, is_home=is_home) for is_home in (True, True, False, False)]
     budgets = [create_retry_budget(0.2, 10.0, slack) for slack in slacks]
     calls = extra_attempts = 0
+    demand = create_demand()
     for step in range(1000):
         now = NOW + step * 0.01
         budget = budgets[step % 4]
         budget.record_call(now)
         calls += 1
-        extra_attempts += budget.try_spend(now) + budget.try_spend(now)
+        extra_attempts += budget.try_spend(demand, now) + budget.try_retry(demand, now)
     assert extra_attempts <= 0.2 * calls + 56.0
 
 
@@ -219,9 +220,55 @@
 
 
 def test_budget_expires_what_left_the_window() -> None:
-    budget = create_retry_budget(0.0, 10.0, 2.0)
-    assert [budget.try_spend(NOW) for _ in range(3)] == [True, True, False]
-    assert budget.try_spend(NOW + 10.1)
+    budget, demand = create_retry_budget(0.0, 10.0, 2.0), create_demand()
+    assert [budget.try_spend(demand, NOW) for _ in range(3)] == [True, True, False]
+    assert budget.try_spend(demand, NOW + 10.1)
+
+
+def _retries_of_a_shedding_service(priorities: tuple[int, int]) -> list[float]:
+    """Return which part of the refused calls two routes may retry, while half are refused for 8 s.
+
+    The first route has 10 calls a second, the second 60.
+    """
+    budget = create_retry_budget(0.2, 10.0, 30.0)
+    for n in range(700):
+        budget.record_call(NOW - 10.0 + n / 70)
+    demands = [create_demand(priority=priority) for priority in priorities]
+    refused, retried = [0, 0], [0, 0]
+    for n in range(560):
+        now = NOW + n / 70
+        budget.record_call(now)
+        route = int(n % 7 > 0)
+        if n // 7 % 2:
+            refused[route] += 1
+            retried[route] += budget.try_retry(demands[route], now)
+    return [done / wanted for done, wanted in zip(retried, refused, strict=True)]
+
+
+def test_retries_of_urgent_calls_are_lost_to_those_of_other_routes() -> None:
+    """Upstreams refused half of all calls; orders were retried no more often than reads."""
+    orders, reads = _retries_of_a_shedding_service((0, 1))
+    assert orders == 1.0
+    assert reads > 0.3
+    alike = _retries_of_a_shedding_service((1, 1))
+    assert alike[0] < 0.7
+
+
+def test_budget_is_not_kept_for_retries_that_have_ended() -> None:
+    budget = create_retry_budget(0.0, 10.0, 10.0)
+    urgent, other = create_demand(priority=0), create_demand(priority=1)
+    assert all(budget.try_retry(urgent, NOW) for _ in range(3))
+    assert not budget.try_spend(other, NOW + 0.5)
+    assert budget.try_spend(other, NOW + 1.1)
+
+
+def test_customer_s_priority_goes_before_that_of_the_route() -> None:
+    budget = create_retry_budget(0.0, 10.0, 4.0)
+    first = create_demand(priority=2, customer_priority=0)
+    second = create_demand(priority=0, customer_priority=1)
+    assert budget.try_retry(first, NOW)
+    assert not budget.try_retry(second, NOW)
+    assert budget.try_retry(first, NOW)
 
 
 def test_last_slot_stays_free_if_full_upstreams_slow_down() -> None:
