--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -86,6 +86,8 @@
 WATCHERS_PER_REGION = 2  # one may lose the store; all other instances follow these
 FIND_HOMES_INTERVAL_S = 0.5  # between two reads of the members in the store
 FIND_HOMES_ATTEMPTS = 4  # after these, a standby instance reads the whole store itself
+# A seed may be of another region; by then the members that have just started are in the store.
+SEEDS_AFTER_S = 1.0
 CALL_RATE_WINDOW_S = 1.0  # short enough to follow bursts, which last for seconds
 RELOADABLE_FIELDS = frozenset({"drain_s", "grace_s", "retry_slack", "seeds"})
 
@@ -163,6 +165,7 @@
         )
         self.detours = create_detours(answer_memory, dialect, self._detour_peers)
         self._find_homes_task: asyncio.Task[None] | None = None
+        self._seeds_after = self._loop.time() + SEEDS_AFTER_S
         self.crashes = create_crash_table()
         self.forwarder = create_forwarder(
             self.table,
@@ -308,6 +311,7 @@
             listing = await self._store.read_prefix(MEMBER_PREFIX, stale=True)
             if listing.is_err():
                 log_event("homes_not_found", reason=listing.err_value.reason)
+                self._seeds_after = self._loop.time()
             else:
                 values = [item.value for item in listing.ok_value.by_key.values()]
                 found = [member for member in map(decode_member, values) if member is not None]
@@ -409,11 +413,14 @@
         return own_rank * len(regions) + regions.index(own.region)
 
     def _relay_peers(self) -> list[HostPort]:
-        """List the relays to follow: live homes, else candidates, else the seeds at the start."""
+        """List the relays to follow: live homes, else candidates, else the seeds.
+
+        Until `SEEDS_AFTER_S` after its start, an instance uses seeds only if the store fails.
+        """
         hosts = self.homes.source_hosts()
         if not hosts:
             hosts = self.homes.candidate_hosts()
-        if not hosts:
+        if not hosts and (not self.follower.store_ok or self._loop.time() >= self._seeds_after):
             hosts = [seed.host for seed in self.settings.seeds if seed.host != self.settings.host]
         return [HostPort(host, self.settings.peer_port) for host in hosts]
 
--- a/heatherhead/tests/entry/entry_tests.py
+++ b/heatherhead/tests/entry/entry_tests.py
@@ -8,7 +8,9 @@
 import socket
 from typing import TYPE_CHECKING
 
-from heatherhead.entry.service import create_entry_service
+import pytest
+
+from heatherhead.entry.service import SEEDS_AFTER_S, create_entry_service
 from heatherhead.entry.settings import HostPort
 from heatherhead.entry.suspensions import create_suspension_watch
 from heatherhead.fleet import exchange
@@ -19,11 +21,11 @@
 from heatherhead.store.memory import create_memory_store
 from heatherhead.telemetry import bounded_logs
 from heatherhead.telemetry.bounded_logs import BoundedWriter
+from heatherhead.tests.base import run_with_paused_clock
+from heatherhead.tests.faulty_store import create_faulty_store
 from heatherhead.tests.platform.documents_tests import SETTINGS, UPSTREAM
 
 if TYPE_CHECKING:
-    import pytest
-
     from heatherhead.entry.settings import EntrySettings
 
 
@@ -71,6 +73,27 @@
     assert lines[-2:] == ["lines_left_out", "placed"]
 
 
+@pytest.mark.parametrize("store_fails", [True, False])
+def test_starting_instance_follows_a_seed_before_it_has_looked_for_homes(store_fails: bool) -> None:
+    """Standby instances got the whole replica over a link between regions, and again at home."""
+
+    async def main() -> None:
+        store = create_faulty_store(create_memory_store())
+        store.is_down = store_fails
+        service = create_entry_service(
+            settings_from_text(SETTINGS), store, PlatformDecoder(), PlatformDialect()
+        )
+        assert service._relay_peers() == []
+        task = asyncio.create_task(service._find_homes())
+        await asyncio.sleep(0.1)
+        assert bool(service._relay_peers()) is store_fails
+        await asyncio.sleep(SEEDS_AFTER_S)
+        assert [peer.host for peer in service._relay_peers()] == ["10.2.0.34"]
+        task.cancel()
+
+    run_with_paused_clock(main())
+
+
 def test_changed_limits_are_applied_and_changed_addresses_need_a_restart() -> None:
     async def main() -> None:
         settings = settings_from_text(SETTINGS)
