Let small instances decide on their candidacy over four seconds

Of 30 small instances in each region of the two new deployments, 9 to 11 announced themselves where two were missing, as all checked within 1.5 s and an announcement takes about a second to be seen. Each costs two writes and a renewal each second.

--- a/heatherhead/fleet/candidacy.py
+++ b/heatherhead/fleet/candidacy.py
@@ -25,7 +25,9 @@
 CANDIDATES_PER_HOME = 3  # in a region; two in three may be lost before more are needed
 MIN_CANDIDATES = 6  # in a region, however few homes it has
 FIRST_CHECK_DELAY_S = 0.5  # after the first read; large instances have announced themselves by then
-FIRST_CHECK_JITTER_S = 1.5  # random; spreads out small instances that all find too few candidates
+# Random; spreads out small instances that all find too few candidates. An announcement reaches the
+# others within about a second, and those that check meanwhile announce themselves too.
+FIRST_CHECK_JITTER_S = 4.0
 HOMES_LOST_AFTER_S = 3.0  # without a home to follow; the region's homes are then assumed lost
 
 
