Keep the loss of one region from looking like that of all links

Cause: an instance whose only calls of a service may run in one other region took the service for out of reach when that region was lost. It then rejected all waiting calls of the service and stepped down as a home (seen in a test over six instances: cut_from_upstreams on five of them).

Change: failed attempts of calls that may not run in the local region don't count; the service's upstreams are probed instead, and these answers or failures decide.

--- a/heatherhead/dispatch/reach.py
+++ b/heatherhead/dispatch/reach.py
@@ -65,9 +65,22 @@
         self.on_regained(service, lost_at)
 
     def record_failure(
-        self, service: str, upstream_id: str, reason: str, *, connected: bool
+        self,
+        service: str,
+        upstream_id: str,
+        reason: str,
+        *,
+        connected: bool,
+        confined: bool = False,
     ) -> None:
-        """Record that an upstream did not answer; `connected` if it accepted the connection."""
+        """Record that an upstream did not answer; `connected` if it accepted the connection.
+
+        Calls that are `confined` to other regions tell nothing of the local one: where they are the
+        only ones, the loss of a region would look like that of all links. So others are probed.
+        """
+        if confined:
+            self.probe(service)
+            return
         reach = self._reach_by_service.setdefault(service, _ServiceReach())
         now = self._now()
         reach.failed_at = min(reach.failed_at, now)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -745,7 +745,9 @@
         except ConnectError as error:
             state.eject(loop.time())
             reason = f"connection: {error}"
-            self._reach.record_failure(entry.service, entry.id, reason, connected=False)
+            self._reach.record_failure(
+                entry.service, entry.id, reason, connected=False, confined=slot.confined
+            )
             log_event("connect_failed", upstream=entry.id, reason=str(error))
             return _AttemptOutcome(_AttemptEnd.NOT_SENT, "an upstream can't be reached")
         now = loop.time()
@@ -897,7 +899,11 @@
             self._reach.record_answer(state.entry.service)
         else:
             self._reach.record_failure(
-                state.entry.service, state.entry.id, f"attempt: {reason}", connected=False
+                state.entry.service,
+                state.entry.id,
+                f"attempt: {reason}",
+                connected=False,
+                confined=slot.confined,
             )
         log_event(
             "attempt_broken",
--- a/heatherhead/tests/dispatch/reach_tests.py
+++ b/heatherhead/tests/dispatch/reach_tests.py
@@ -120,3 +120,16 @@
         if reach.lost_services:
             assert clock.now - answered_at >= MIN_SILENCE_S
             assert len(failed) >= 2
+
+
+def test_failures_of_calls_confined_to_other_regions_put_no_service_out_of_reach() -> None:
+    """Guards against the loss of a region that looks like that of all links, and moves all calls."""
+    clock, reach = _create()
+    probed: list[str] = []
+    reach.probe = probed.append
+    for _ in range(20):
+        clock.now += 0.1
+        for upstream in ("u1", "u2", "u3", "u4"):
+            reach.record_failure("stock", upstream, "test", connected=False, confined=True)
+    assert not reach.lost_services
+    assert "stock" in probed  # whose answers, or failures, decide
