--- a/heatherhead/dispatch/regions.py
+++ b/heatherhead/dispatch/regions.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from random import getrandbits
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from heatherhead.dispatch.admission_queue import ArrivalRate, CapacityEstimate, is_feasible
 from heatherhead.dispatch.placement import choose, prospects_of
@@ -165,7 +166,7 @@
         return group
 
     def _rank(self, state: UpstreamState) -> int:
-        return hash((self._salt, state.entry.id))
+        return crc32(f"{self._salt} {state.entry.id}".encode())
 
     def record_reading(self, state: UpstreamState, now: float) -> None:
         """Record the load that an upstream of another region has just reported."""
@@ -345,7 +346,8 @@
         for each in (*group.preferred, *group.overflow)
     )
     if usable_at > max(now, demand.give_up_at):
-        return "no upstream of the allowed regions takes calls from here"
+        of_these = "" if group.regions is None else " of the allowed regions"
+        return f"no upstream{of_these} takes calls from here"
     return None
 
 
