Name the reason when a waiting call can no longer be served anywhere

Cause: a waiting call whose last allowed upstream went away, or was evacuated, was logged as one that found no slot in time.

Change: it has the reason of a new call.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -897,7 +897,8 @@
             if not call.future.done():
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
                 evidence = service.rejection_evidence(call.demand, ahead, now)
-                call.future.set_exception(RejectedError("no slot in time", retry_s, evidence))
+                reason = self._hopeless_reason(service, call.demand, now) or "no slot in time"
+                call.future.set_exception(RejectedError(reason, retry_s, evidence))
 
     def _service(self, name: str) -> _Service:
         service = self._service_by_name.get(name)
--- a/heatherhead/tests/dispatch/allowed_regions_tests.py
+++ b/heatherhead/tests/dispatch/allowed_regions_tests.py
@@ -281,7 +281,9 @@
     await asyncio.sleep(0.01)
     dispatcher.on_entry(create_entry("c2", "c", 2), None)
     await asyncio.sleep(0.03)
-    assert isinstance(waiting.exception(), RejectedError)
+    error = waiting.exception()
+    assert isinstance(error, RejectedError)
+    assert error.reason == "no upstream is in the allowed regions"
 
 
 @run
