--- a/heatherhead/tests/dispatch/allowed_regions_tests.py
+++ b/heatherhead/tests/dispatch/allowed_regions_tests.py
@@ -281,7 +281,9 @@
     await asyncio.sleep(0.01)
     dispatcher.on_entry(create_entry("c2", "c", 2), None)
     await asyncio.sleep(0.03)
-    assert isinstance(waiting.exception(), RejectedError)
+    error = waiting.exception()
+    assert isinstance(error, RejectedError)
+    assert error.reason == "no upstream is in the allowed regions"
 
 
 @run
@@ -316,9 +318,12 @@
 async def test_calls_in_flight_elsewhere_are_no_capacity_of_the_local_region() -> None:
     """Guards against calls kept waiting because calls of other groups have slots elsewhere."""
     dispatcher = _dispatcher("a" + "c" * 30, slots=1)
-    _fill(dispatcher, FAR)
+    confined = _fill(dispatcher, FAR)
     service = dispatcher._service("stock")
     assert service.capacity(asyncio.get_running_loop().time(), 1).slots <= 1.0
+    for slot in confined:
+        dispatcher.release(slot)
+    assert not any(state.own_confined for state in dispatcher.states)
 
 
 @run
