Test warm-ups over real instances, and let the fake upstream's health answers be read

Cause: since the fake upstream's answers to health checks were skipped, as they bore the stamp of an answer to a call; no test over instances read any. Change: they bear none.

--- a/heatherhead/tests/entry/instances.py
+++ b/heatherhead/tests/entry/instances.py
@@ -53,7 +53,7 @@
 Bounds=DrainS=2.5,GraceS=6,RetryBudgetRatio=0.2,BudgetWindowS=10,BudgetSlack=56
 PlatformConfig.Address=127.0.0.1:1
 """
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "ConfigVersion": 1,
     "Routes": {
         "read": {
@@ -120,6 +120,13 @@
     limit_in_health_answers: bool = False
     arrivals: list[float] = field(default_factory=list)
     running: int = 0
+    cold_until: float = 0.0
+    cold_arrivals: list[float] = field(default_factory=list)  # while it was cold
+
+    @property
+    def warmup_left_s(self) -> float:
+        """Return for how long the upstream stays cold."""
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
 
     def entry(self, number: int) -> dict[str, object]:
         """Return the entry that the upstream writes about itself."""
@@ -141,13 +148,18 @@
                 load = f"{self.running},0,{self.slots},100"
                 extra = {"X_Heatherhead_Server_Load": load}
                 if head.startswith("GET /healthz"):
+                    if self.warmup_left_s:
+                        extra["X_Heatherhead_Warmup_Ms"] = str(int(self.warmup_left_s * 1000))
                     if self.limit is not None and self.limit_in_health_answers:
                         extra["Server_Limit"] = self.limit
                     extra["X_Heatherhead_Instance_Id"] = self.id
+                    # With any header of answers to calls, it would be skipped as one of these.
                     data = answer("", **extra).replace(b"X-Heatherhead-Request-Id: \r\n", b"")
-                    writer.write(data)
+                    writer.write(data.replace(b"X-Heatherhead-Server-Stamp: stamp\r\n", b""))
                     continue
                 self.arrivals.append(asyncio.get_running_loop().time())
+                if self.warmup_left_s:
+                    self.cold_arrivals.append(self.arrivals[-1])
                 self.running += 1
                 await asyncio.sleep(self.work_s)
                 self.running -= 1
@@ -186,11 +198,20 @@
             self._servers.append(server)
             await write(self.store, f"servers/{upstream.id}", upstream.entry(position))
 
-    async def start(self, instances: int) -> None:
-        """Write the configuration, start instances and wait until all are ready."""
-        await write(self.store, "op/config", CONFIGURATION)
+    async def start(self, instances: int, **rules: Any) -> None:
+        """Write the configuration, start instances and wait until all are ready.
+
+        `rules` are added to those of the service.
+        """
+        await self.configure(1, **rules)
         await asyncio.gather(*(self.add_instance(number) for number in range(instances)))
 
+    async def configure(self, version: int, **rules: Any) -> None:
+        """Write a version of the configuration."""
+        services = {"stock": CONFIGURATION["Services"]["stock"] | rules}
+        document = {**CONFIGURATION, "ConfigVersion": version, "Services": services}
+        await write(self.store, "op/config", document)
+
     async def add_instance(self, number: int) -> EntryService:
         """Start an instance and wait until it is ready."""
         settings = create_settings(number, f"{self.ip_prefix}.{10 + number}")
