--- a/heatherhead/tests/fleet/warmup_tests.py
+++ b/heatherhead/tests/fleet/warmup_tests.py
@@ -93,7 +93,7 @@
 
     async def main() -> None:
         replay = Replay(6)
-        late = replay.instances[-1]
+        _, late = issuer_and_other(replay)
         replay.add_upstreams(1)
         replay.become_cold(["u0"], 8.0, written=False)
         await replay.run(0.0, 1.0)
