--- a/heatherhead/dispatch/warmup.py
+++ b/heatherhead/dispatch/warmup.py
@@ -80,6 +80,7 @@
     revision: int = 0  # of the newest entry that named a time
     told_until: float = -math.inf  # the end that other instances know
     end_awaited: bool = False  # no answer to a health check has told of the end yet
+    ended_at: float = -math.inf  # when one told
 
     def cold(self, now: float) -> bool:
         """Return whether the upstream is cold."""
@@ -110,8 +111,11 @@
         self.from_answer = True
         if evidence.until is None:
             self.until = min(self.until, now)
-            changed, self.end_awaited = self.end_awaited, False
-            return changed
+            if not self.end_awaited:
+                return False
+            self.end_awaited = False
+            self.ended_at = now
+            return True
         changed = not self.cold(now) or abs(evidence.until - self.told_until) > SAME_END_S
         if changed:
             self.until = self.told_until = evidence.until
@@ -135,9 +139,13 @@
         return False
 
     def is_told(self, now: float) -> bool:
-        """Return whether followers are told: it is cold by an answer, or no longer cold by one."""
-        ended = not self.end_awaited and now - self.evidence_at < END_TOLD_S
-        return self.from_answer and (self.cold(now) or ended)
+        """Return whether followers are told: it is cold by an answer, or has just ended by one."""
+        return self.from_answer and (self.cold(now) or now - self.ended_at < END_TOLD_S)
+
+    def apply_suspension(self, suspended_s: float, now: float) -> None:
+        """Let evidence of a warm upstream be older, as the clock stood still for some time."""
+        if not self.cold(now):
+            self.evidence_at -= suspended_s
 
 
 class Warmups:
@@ -204,7 +212,8 @@
         for state in states:
             limited = state.rate_limit.warmup_per_s is not None
             self._update(state, "configuration")
-            if not limited and self.limits(state) and state.warmup.is_told(now):
+            cold_by_answer = state.warmup.cold(now) and state.warmup.from_answer
+            if not limited and cold_by_answer and self.limits(state):
                 self._count_change()
                 self.on_answer(state)
 
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -167,7 +167,6 @@
             self._loop.time,
         )
         self.dispatcher.warmups.calls_per_s = self._warmup_calls_per_s
-        self.dispatcher.warmups.on_change = self.relay.notify_followers
         self.warmups = create_warmup_exchange(
             self.dispatcher,
             self.permits,
@@ -175,6 +174,7 @@
             self.members,
             lambda addresses, message: self.exchange.send_to(addresses, message),
         )
+        self.warmups.notify_followers = self.relay.notify_followers
         self.detours = create_detours(answer_memory, dialect, self._detour_peers)
         self._find_homes_task: asyncio.Task[None] | None = None
         self.crashes = create_crash_table()
@@ -375,7 +375,7 @@
             log_event("suspended", level="WARNING", for_s=f"{suspended_s:.2f}")
             self.forwarder.apply_suspension(suspended_s)
             self.permits.drop()
-            self.warmups.drop()
+            self.warmups.apply_suspension(suspended_s)
             self.follower.record_store_failure("the process was suspended")
         self.homes.own_ready = self.ready
         self._measure_rate()
--- a/heatherhead/fleet/warmup_exchange.py
+++ b/heatherhead/fleet/warmup_exchange.py
@@ -67,10 +67,22 @@
 class _Requests:
     """The requests for permits to the issuers of one region."""
 
-    unanswered: int = 0  # in a row
-    issuer: int = 0  # position among the possible issuers
+    unanswered: int = 0  # reply timeouts in a row
+    awaited_since: float | None = None  # the first request since the last reply or timeout
+    issuer_id: str | None = None  # the instance that sent the last reply
+    position: int = 0  # among the possible issuers, while none replies
     open_by_number: dict[int, _Request] = field(default_factory=dict)  # whose replies still count
 
+    def count_timeout(self, now: float) -> None:
+        """Turn to the next possible issuer if no reply has come in time."""
+        if self.awaited_since is None:
+            self.awaited_since = now
+        elif now - self.awaited_since >= REPLY_TIMEOUT_S:
+            self.awaited_since = now
+            self.unanswered += 1
+            self.position = 0 if self.issuer_id else self.position + 1
+            self.issuer_id = None
+
 
 class WarmupExchange:
     """Reports warm-ups, and exchanges the permits for cold upstreams."""
@@ -102,11 +114,15 @@
         dispatcher.may_request_warmup = self.may_request
         dispatcher.request_warmup_permits = self.request
         self._warmups.on_answer = self._add_to_report
+        self._warmups.on_change = self._notify_soon
+        self._notice_timer: asyncio.TimerHandle | None = None
+        self.notify_followers: Callable[[], None] = lambda: None
 
     def stop(self) -> None:
-        """Cancel the report that is due."""
-        if self._report_timer is not None:
-            self._report_timer.cancel()
+        """Cancel the messages that are due."""
+        for timer in (self._report_timer, self._notice_timer):
+            if timer is not None:
+                timer.cancel()
 
     def tick(self) -> None:
         """Report the cold upstreams that this instance issues for, and forget what has ended."""
@@ -123,10 +139,12 @@
             self._reported_at = now
             self._report(issued)
 
-    def drop(self) -> None:
+    def apply_suspension(self, suspended_s: float) -> None:
         """Ignore the replies to requests so far: the loop's clock stood still meanwhile."""
         for requests in self._requests_by_region.values():
             requests.open_by_number.clear()
+        for state in self._dispatcher.states:
+            state.warmup.apply_suspension(suspended_s, self._now())
 
     def _limited_cold(self) -> list[UpstreamState]:
         states = self._dispatcher.limited_states()
@@ -146,6 +164,14 @@
         if self._report_timer is None:
             self._report_timer = self._loop.call_later(REPORT_BATCH_DELAY_S, self._report_changes)
 
+    def _notify_soon(self) -> None:
+        if self._notice_timer is None:
+            self._notice_timer = self._loop.call_later(REPORT_BATCH_DELAY_S, self._notify)
+
+    def _notify(self) -> None:
+        self._notice_timer = None
+        self.notify_followers()
+
     def _report_changes(self) -> None:
         self._report_timer = None
         states, self._unreported = list(self._unreported.values()), {}
@@ -225,19 +251,18 @@
     def _request_of(self, region: str, states: list[UpstreamState], wanted: int) -> None:
         now = self._now()
         requests = self._requests_by_region.setdefault(region, _Requests())
-        requests.unanswered += 1
+        requests.count_timeout(now)
         for state in states:
             self._next_at_by_state[state] = now + REPLY_TIMEOUT_S
-        if requests.unanswered <= AWAITED_REQUESTS:
+        if requests.unanswered < AWAITED_REQUESTS:
             for state in states[:wanted]:
                 state.rate_limit.await_permits(1, now + REPLY_TIMEOUT_S)
         own_id = self._members.own.id
         issuers = [each for each in self._permits.issuers(region) if each.id != own_id]
         if not issuers:
             return
-        if requests.unanswered > 1:
-            requests.issuer += 1
-        issuer = issuers[requests.issuer % len(issuers)]
+        issuer = issuers[requests.position % len(issuers)]
+        issuer = next((each for each in issuers if each.id == requests.issuer_id), issuer)
         number = next(self._numbers)
         requests.open_by_number[number] = _Request(now, states)
         if len(requests.open_by_number) > MAX_OPEN_REQUESTS:
@@ -304,7 +329,7 @@
 
     def apply_reply(self, reply: WarmupPermitReply) -> None:
         """Apply the reply to a request for permits, unless it has come before."""
-        request = self._take_request(reply.number)
+        request = self._take_request(reply)
         if request is None:
             permits = sum(each.permits for each in reply.grants)
             log_routine("warmup_permits_ignored", sender=reply.sender, permits=permits)
@@ -321,12 +346,13 @@
         # All are of one service; its waiting calls are placed once for all.
         self._dispatcher.add_permits(request.states[0], 0)
 
-    def _take_request(self, number: int) -> _Request | None:
+    def _take_request(self, reply: WarmupPermitReply) -> _Request | None:
         """Return the request that a reply answers, if it still counts, and discard it."""
         for requests in self._requests_by_region.values():
-            request = requests.open_by_number.pop(number, None)
+            request = requests.open_by_number.pop(reply.number, None)
             if request is not None:
-                requests.unanswered = 0
+                requests.unanswered, requests.awaited_since = 0, None
+                requests.issuer_id = reply.sender
                 return request
         return None
 
--- a/heatherhead/tests/dispatch/warmup_tests.py
+++ b/heatherhead/tests/dispatch/warmup_tests.py
@@ -245,3 +245,25 @@
     limit.apply(RateLimitEvidence(0.0, at=1.0))
     assert limit.issued_per_s(1.0) == 0.2
     assert limit.issued_per_s(0.01) == pytest.approx(0.01 * PER_S)
+
+
+def test_upstream_that_is_not_cold_is_told_to_followers_for_ever() -> None:
+    """Each health check's answer brings new evidence; only an end is news, and not for long."""
+    warmup = Warmup()
+    warmup.apply_answer(WarmupEvidence(None, 9.0), 9.0)
+    assert not warmup.is_told(9.0)
+    warmup.apply_answer(WarmupEvidence(13.0, 10.0), 10.0)
+    assert warmup.is_told(12.0)
+    for at in (11.0, 12.0, 14.0):
+        warmup.apply_answer(WarmupEvidence(None, at), at)
+    assert warmup.is_told(12.5)
+    assert not warmup.is_told(14.0)
+
+
+def test_evidence_from_before_a_suspension_is_newer_than_what_others_heard_meanwhile() -> None:
+    warmup = Warmup()
+    warmup.apply_answer(WarmupEvidence(None, 10.0), 10.0)
+    warmup.apply_suspension(5.0, 10.1)
+    row = WarmupRow("u", 1, 2.0, 1.0, 0, from_answer=True)
+    assert warmup.apply_row(row, 10.2)
+    assert warmup.cold(10.2)
