--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -183,7 +183,6 @@
             self._loop.time,
         )
         self.dispatcher.warmups.calls_per_s = self._warmup_calls_per_s
-        self.dispatcher.warmups.on_change = self.relay.notify_followers
         self.warmups = create_warmup_exchange(
             self.dispatcher,
             self.permits,
@@ -200,6 +199,7 @@
             lambda addresses, message: self.exchange.send_to(addresses, message),
             self.metrics.events,
         )
+        self.warmups.notify_followers = self.relay.notify_followers
         self.detours = create_detours(answer_memory, dialect, self._detour_peers)
         self._find_homes_task: asyncio.Task[None] | None = None
         self._seeds_after = self._loop.time() + SEEDS_AFTER_S
@@ -404,7 +404,7 @@
             log_event("suspended", level="WARNING", for_s=f"{suspended_s:.2f}")
             self.forwarder.apply_suspension(suspended_s)
             self.permits.drop()
-            self.warmups.drop()
+            self.warmups.apply_suspension(suspended_s)
             self.usage.drop()
             self.follower.record_store_failure("the process was suspended")
         self.homes.own_ready = self.ready
