Test answers that break off while their request is being written

Callers get 502 after a reset, also of an answer without a length, and load readings and probes count such an answer as none. After an orderly end, an answer without a length is complete by RFC 9112 and is passed on, though its upstream has not read the request.

Nothing was wrong.

--- a/heatherhead/tests/proxy/load_reader_tests.py
+++ b/heatherhead/tests/proxy/load_reader_tests.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+import pytest
+
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.reach import create_reach
 from heatherhead.platform.dialect import PlatformDialect
@@ -15,6 +17,7 @@
 from heatherhead.routes.table import create_route_table
 from heatherhead.tests.base import run_with_paused_clock
 from heatherhead.tests.dispatch.fakes import create_entry
+from heatherhead.tests.truncating_server import END_DELAY_S, End, TruncatingServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -122,3 +125,36 @@
         server.close()
 
     asyncio.run(main())
+
+
+def _readings_of(answer: bytes, end: End) -> list[LoadReading]:
+    """Return what is taken from an upstream that gives an answer and ends its connection."""
+    readings: list[LoadReading] = []
+
+    async def main() -> None:
+        async with TruncatingServer(answer, end) as server:
+            dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 1.0)
+            pool = create_upstream_pool()
+            reader = _create_reader(dispatcher, pool, readings.append)
+            dispatcher.on_entry(None, create_entry("u1", host="127.0.0.1", port=server.port))
+            reader.update_upstream("u1")
+            async with asyncio.timeout(TIMEOUT_S):
+                while not server.requests:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(3 * END_DELAY_S)
+            reader.stop()
+            pool.close()
+
+    asyncio.run(main())
+    return readings
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 9\r\n"])
+def test_load_is_taken_from_an_answer_that_broke_off(framing: bytes, version: bytes) -> None:
+    answer = READING.replace(b"Content-Length: 2\r\n", framing)
+    assert not _readings_of(answer.replace(b"HTTP/1.1", version), End.RESET)
+
+
+def test_no_load_is_taken_from_a_whole_answer_that_ends_with_its_connection() -> None:
+    assert _readings_of(READING.replace(b"Content-Length: 2\r\n", b""), End.ORDERLY)
--- a/heatherhead/tests/proxy/reach_prober_tests.py
+++ b/heatherhead/tests/proxy/reach_prober_tests.py
@@ -15,9 +15,11 @@
 from heatherhead.routes.model import CallerLimits, RouteConfiguration, ServiceRules
 from heatherhead.routes.table import create_route_table
 from heatherhead.tests.dispatch.fakes import create_entry
+from heatherhead.tests.truncating_server import END_DELAY_S, End, TruncatingServer
 
 HEALTHY = b"HTTP/1.1 200 OK\r\nX-Heatherhead-Instance-Id: u0\r\nContent-Length: 0\r\n\r\n"
 REGAINED_WITHIN_S = 1.0
+TIMEOUT_S = 5.0  # only reached by a test that hangs
 
 
 class _Upstreams:
@@ -113,3 +115,31 @@
         upstreams.stop()
 
     asyncio.run(main())
+
+
+def _is_regained(answer: bytes, end: End) -> bool:
+    """Return whether a service is in reach again after its only upstream gave an answer."""
+
+    async def main() -> bool:
+        async with TruncatingServer(answer, end) as server:
+            upstreams = _Upstreams()
+            upstreams.ports.append(server.port)
+            prober = await _create(upstreams, "/healthz", {})
+            prober._reach.record_failure("stock", "u0", "test", connected=False)
+            prober.start()
+            async with asyncio.timeout(TIMEOUT_S):
+                while not server.requests:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(3 * END_DELAY_S)
+            prober.stop()
+            prober._pool.close()
+            return not prober._reach.lost_services
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_answer_that_broke_off_proves_that_a_service_is_in_reach(version: bytes) -> None:
+    answer = HEALTHY.replace(b"Content-Length: 0\r\n", b"").replace(b"HTTP/1.1", version)
+    assert not _is_regained(answer, End.RESET)
+    assert _is_regained(answer, End.ORDERLY)
