Refuse answers whose status is none of HTTP

Statuses 600 and 999 were passed on to callers, by both interfaces and over a peer; load readings were taken from answers with them, and probes took them for a sign that a service is in reach. 000 and 099 were taken for interim answers: a call waited for another answer, and got the one behind.

--- a/heatherhead/proxy/answer_framing.py
+++ b/heatherhead/proxy/answer_framing.py
@@ -19,6 +19,7 @@
 
 __all__ = ["AnswerFraming", "FramingError", "create_answer_framing"]
 
+STATUSES = range(100, 600)  # RFC 9110, 15: all others are invalid
 STATUSES_WITHOUT_BODY = (204, 304)
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _HEAD_END_BYTES = 4
@@ -177,7 +178,12 @@
         return data[:size]
 
     def begin_body(self, message: RawResponseMessage) -> None:
-        """Follow the body that a head announces; an interim answer is followed by another head."""
+        """Follow the body that a head announces; an interim answer is followed by another head.
+
+        Raises `FramingError` if the head's status is none of HTTP.
+        """
+        if message.code not in STATUSES:
+            raise FramingError(f"status {message.code}")
         if message.code < 200:
             return
         if not self._with_body or message.code in STATUSES_WITHOUT_BODY:
--- a/heatherhead/tests/health/probe_tests.py
+++ b/heatherhead/tests/health/probe_tests.py
@@ -19,6 +19,7 @@
 )
 from heatherhead.settings.admission import AdmissionSettings
 from heatherhead.tests.callers.fakes import raw_upstream, run_with_shifted_clock
+from heatherhead.tests.truncating_server import INVALID_STATUSES
 from heatherhead.upstreams.client import create_upstream_client
 
 if TYPE_CHECKING:
@@ -143,3 +144,12 @@
         await client.close()
 
     run_with_shifted_clock(main())
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_invalid_status_is_a_finding(status: str) -> None:
+    async def scenario(probe: HealthProbe, upstream: Upstream, _heads: list[bytes]) -> None:
+        finding = (await probe.check(upstream, "/health")).finding
+        assert isinstance(finding, HealthUnanswered)
+
+    _run(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status.encode(), scenario)
--- a/heatherhead/tests/proxy/load_reader_tests.py
+++ b/heatherhead/tests/proxy/load_reader_tests.py
@@ -17,7 +17,7 @@
 from heatherhead.routes.table import create_route_table
 from heatherhead.tests.base import run_with_paused_clock
 from heatherhead.tests.dispatch.fakes import create_entry
-from heatherhead.tests.truncating_server import END_DELAY_S, End, TruncatingServer
+from heatherhead.tests.truncating_server import END_DELAY_S, INVALID_STATUSES, End, TruncatingServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -156,5 +156,10 @@
     assert not _readings_of(answer.replace(b"HTTP/1.1", version), End.RESET)
 
 
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_load_is_taken_from_an_answer_with_an_invalid_status(status: str) -> None:
+    assert not _readings_of(READING.replace(b"200", status.encode()), End.ORDERLY)
+
+
 def test_no_load_is_taken_from_a_whole_answer_that_ends_with_its_connection() -> None:
     assert _readings_of(READING.replace(b"Content-Length: 2\r\n", b""), End.ORDERLY)
--- a/heatherhead/tests/proxy/reach_prober_tests.py
+++ b/heatherhead/tests/proxy/reach_prober_tests.py
@@ -15,7 +15,7 @@
 from heatherhead.routes.model import CallerLimits, RouteConfiguration, ServiceRules
 from heatherhead.routes.table import create_route_table
 from heatherhead.tests.dispatch.fakes import create_entry
-from heatherhead.tests.truncating_server import END_DELAY_S, End, TruncatingServer
+from heatherhead.tests.truncating_server import END_DELAY_S, INVALID_STATUSES, End, TruncatingServer
 
 HEALTHY = b"HTTP/1.1 200 OK\r\nX-Heatherhead-Instance-Id: u0\r\nContent-Length: 0\r\n\r\n"
 REGAINED_WITHIN_S = 1.0
@@ -143,3 +143,8 @@
     answer = HEALTHY.replace(b"Content-Length: 0\r\n", b"").replace(b"HTTP/1.1", version)
     assert not _is_regained(answer, End.RESET)
     assert _is_regained(answer, End.ORDERLY)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_answer_with_an_invalid_status_proves_that_a_service_is_in_reach(status: str) -> None:
+    assert not _is_regained(HEALTHY.replace(b"200", status.encode()), End.ORDERLY)
--- a/heatherhead/tests/proxy/truncated_answers_tests.py
+++ b/heatherhead/tests/proxy/truncated_answers_tests.py
@@ -1,12 +1,16 @@
-"""Tests of answers that break off while their request is being written."""
+"""Tests of answers that break off while their request is being written, and of invalid statuses."""
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 
+from heatherhead.proxy.upstream_connection import BrokenAnswerError
+from heatherhead.proxy.upstream_pool import create_upstream_pool
+from heatherhead.registry.entries import UpstreamAddress
 from heatherhead.routes.model import CallerLimits
 from heatherhead.tests.proxy.detour_tests import listen_as_peer, run_detour
 from heatherhead.tests.proxy.fakes import (
@@ -14,11 +18,13 @@
     ScriptedUpstream,
     answer,
     request,
+    run_path,
     run_servers,
     status_of,
 )
 from heatherhead.tests.truncating_server import (
     BODY_PART,
+    INVALID_STATUSES,
     RESETS,
     UNREADABLE_BODY_BYTES,
     End,
@@ -42,6 +48,11 @@
     return head + b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
 
 
+def with_status(status: str, body: bytes = b"whole") -> bytes:
+    """Build an answer with a status that may be none."""
+    return answer(body=body).replace(b" 200 ", f" {status} ".encode())
+
+
 def allow_uploads(path: EntryPath) -> None:
     """Allow bodies of the size of the test's uploads."""
     limits = CallerLimits(max_body_bytes=2 * UNREADABLE_BODY_BYTES)
@@ -101,6 +112,44 @@
     run_upload(early, end, chunked=False, check=assert_refused)
 
 
+@VERSIONS
+@pytest.mark.parametrize("path", ["/read/x", "/order/x"])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_invalid_status_is_passed_on(status: str, path: str, version: bytes) -> None:
+    odd = with_status(status).replace(b"HTTP/1.1", version)
+
+    async def scenario(entry: EntryPath, _: list[ScriptedUpstream]) -> None:
+        entry.configure()
+        assert_refused(await entry.send(request(path)))
+
+    run_path(scenario, [odd], max_attempts=1)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_answer_behind_one_with_an_invalid_status_is_passed_on(status: str) -> None:
+    """A status below 100 is taken for that of an interim answer; which one is right is open."""
+
+    async def scenario(path: EntryPath, _: list[ScriptedUpstream]) -> None:
+        path.configure()
+        assert_refused(await path.send(request("/order/x")))
+
+    run_path(scenario, [with_status(status, b"") + answer()], max_attempts=1)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_call_waits_for_the_end_of_an_answer_with_an_invalid_status(status: str) -> None:
+    async def main() -> None:
+        pool = create_upstream_pool()
+        async with TruncatingServer(with_status(status, b""), End.ORDERLY) as server:
+            connection = await pool.open(UpstreamAddress("127.0.0.1", server.port, "u0", 0))
+            async with asyncio.timeout(1.0):
+                with pytest.raises(BrokenAnswerError, match="not HTTP"):
+                    await connection.exchange(request(), lambda _: True)
+        pool.close()
+
+    asyncio.run(main())
+
+
 def run_upload_over_peer(
     call: Callable[[EntryPath, EntryPath], Awaitable[None]],
 ) -> None:
@@ -145,3 +194,13 @@
             assert server.requests == 1
 
     run_upload_over_peer(call)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_invalid_status_of_a_peer_is_passed_on(status: str) -> None:
+    async def scenario(cut: EntryPath, _: EntryPath, _upstreams: list[ScriptedUpstream]) -> None:
+        server = await listen_as_peer(cut, ScriptedUpstream([with_status(status)]))
+        assert_refused(await cut.send(request("/order/x")))
+        server.close()
+
+    run_detour(scenario, [], max_attempts=1)
