Cut answers of upstreams without a length that end by a reset (own interface)

aiohttp's protocol ends a body that is delimited by its connection with any loss of that: a part of an answer whose upstream reset the connection, also while it was being sent the call, reached the caller as a whole one.

The connections to upstreams fail the body if the end was not orderly; the caller's connection is then reset, as for other cut answers.

--- a/heatherhead/tests/upstreams/truncated_answers_tests.py
+++ b/heatherhead/tests/upstreams/truncated_answers_tests.py
@@ -12,6 +12,7 @@
 from heatherhead.tests.truncating_server import (
     BODY_PART,
     INVALID_STATUSES,
+    UNREADABLE_BODY_BYTES,
     End,
     TruncatingServer,
 )
@@ -70,6 +71,31 @@
         return received
 
 
+@pytest.mark.parametrize(
+    ("size", "chunked", "end"),
+    [
+        (300, False, End.RESET),
+        (UNREADABLE_BODY_BYTES, False, End.RESET),
+        (UNREADABLE_BODY_BYTES, True, End.RESET),
+        (UNREADABLE_BODY_BYTES, False, End.UNREAD),
+        (UNREADABLE_BODY_BYTES, True, End.UNREAD),
+    ],
+)
+@VERSIONS
+def test_part_of_an_answer_without_a_length_is_passed_on_as_whole_after_a_reset(
+    version: bytes, size: int, chunked: bool, end: End
+) -> None:
+    """aiohttp ends such a body with its connection, whatever ended that."""
+
+    async def main() -> None:
+        early = WITHOUT_LENGTH.replace(b"HTTP/1.1", version)
+        received, reset = await exchange(early, end, call_of(size, chunked=chunked))
+        assert not received.endswith(LAST_CHUNK)
+        assert reset
+
+    run_with_shifted_clock(main())
+
+
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 @VERSIONS
 def test_invalid_status_is_passed_on(version: bytes, status: str) -> None:
--- a/heatherhead/upstreams/answer_protocol.py
+++ b/heatherhead/upstreams/answer_protocol.py
@@ -10,9 +10,9 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import ClientPayloadError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from heatherhead.client_connections import ClientConnection
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
 from heatherhead.proxy.answer_heads import begins_message
 from heatherhead.proxy.stray_bytes import log_stray_bytes
@@ -33,7 +33,7 @@
 _PROTOCOL = b"HTTP/1."  # all heads begin with it, and it is found faster than they are
 
 
-class AnswerProtocol(ResponseHandler):
+class AnswerProtocol(ClientConnection):
     """Gives the parser the bytes of one answer to each call, and refuses all others."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/heatherhead/upstreams/client.py
+++ b/heatherhead/upstreams/client.py
@@ -17,6 +17,7 @@
 from yarl import URL
 
 from heatherhead.calls import AttemptState, UpstreamSignal
+from heatherhead.client_connections import create_client_connector
 from heatherhead.proxy.kept_addresses import create_kept_addresses
 from heatherhead.upstreams.answer_protocol import AnswerProtocol, create_answer_protocol
 from heatherhead.upstreams.answers import says_not_run
@@ -146,14 +147,6 @@
         """Add no credentials."""
 
 
-class _Connector(aiohttp.TCPConnector):
-    """A connector whose connections keep answers apart."""
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        self._factory = partial(create_answer_protocol, self._loop)
-
-
 class UpstreamClient:
     """Owns the connections to all upstreams."""
 
@@ -272,7 +265,8 @@
 
 def create_upstream_client(settings: AdmissionSettings) -> UpstreamClient:
     """Create a client; must be called inside the running loop."""
-    connector = _Connector(
+    connector = create_client_connector(
+        create_answer_protocol,
         limit=settings.upstream_connections,
         limit_per_host=0,
         keepalive_timeout=settings.upstream_idle_s,
