End an answer without a length with the orderly end of its connection

aiohttp's protocol ends such a body when the connection is lost, which comes after the rest of the request has been written. An upstream that answered a long upload early, ended its side and read no more held its answer back until it was cut by a time limit or a reset (own interface).

The connection ends the body at the end of the upstream's side. With a server that stops reading, 4 of the new tests (12 MB, with a length and in chunks) fail without the change, none with it; 300 bytes passed before.

--- a/heatherhead/client_connections.py
+++ b/heatherhead/client_connections.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
 from heatherhead.proxy.payloads import fail_payload
 
@@ -21,7 +23,22 @@
 
 
 class ClientConnection(ResponseHandler):
-    """A connection whose answer fails if it is reset."""
+    """A connection whose answer fails if it is reset, and ends with an orderly end."""
+
+    def eof_received(self) -> None:
+        """End a body without a length.
+
+        aiohttp's own does so once the rest of the request has been written, which an upstream that
+        has answered may never read.
+        """
+        super().eof_received()
+        payload = self._payload
+        if self._parser is None or payload is None or payload.is_eof():
+            return
+        with suppress(HttpProcessingError):  # a body cut short fails when the connection is lost
+            self._parser.feed_eof()
+        if payload.is_eof():
+            self._parser = None  # which would take a second end for that of another message
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the call in progress, and the body that is being read unless the end was orderly."""
--- a/heatherhead/tests/truncating_server.py
+++ b/heatherhead/tests/truncating_server.py
@@ -19,6 +19,7 @@
 
 BODY_PART = b"part of the body"
 UNREADABLE_BODY_BYTES = 12 * 1024 * 1024  # more than the buffers of a loopback connection hold
+RECEIVE_BUFFER_BYTES = 4096  # so that an upload is stalled when the connection ends
 INVALID_STATUSES = ("000", "099", "1000", "abc", "600", "999")  # that no HTTP response has
 END_DELAY_S = 0.05  # so that what has come is read before the connection ends
 HOLD_S = 5.0  # for the client to close; only reached by a test that fails
@@ -49,8 +50,13 @@
 
     async def __aenter__(self) -> TruncatingServer:
         """Listen on the loopback interface."""
-        self._server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(
+            self.serve, sock=listener, limit=RECEIVE_BUFFER_BYTES
+        )
+        self.port = listener.getsockname()[1]
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/heatherhead/tests/upstreams/truncated_answers_tests.py
+++ b/heatherhead/tests/upstreams/truncated_answers_tests.py
@@ -96,6 +96,37 @@
     run_with_shifted_clock(main())
 
 
+@pytest.mark.parametrize(
+    ("size", "chunked"),
+    [(300, False), (UNREADABLE_BODY_BYTES, False), (UNREADABLE_BODY_BYTES, True)],
+)
+@VERSIONS
+def test_answer_without_a_length_is_held_back_until_its_upstream_has_read_the_call(
+    version: bytes, size: int, chunked: bool
+) -> None:
+    """It is complete after an orderly end, and an upstream that has answered may read no more."""
+
+    async def main() -> None:
+        early = WITHOUT_LENGTH.replace(b"HTTP/1.1", version)
+        received, reset = await exchange(early, End.ORDERLY, call_of(size, chunked=chunked))
+        assert received.endswith(BODY_PART + b"\r\n" + LAST_CHUNK)
+        assert not reset
+
+    run_with_shifted_clock(main())
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 99", b"Transfer-Encoding: chunked"])
+def test_part_of_an_answer_with_a_known_end_is_whole_after_an_orderly_end(framing: bytes) -> None:
+    async def main() -> None:
+        part = b"10\r\n" + BODY_PART if framing.endswith(b"chunked") else BODY_PART
+        early = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n" + part
+        received, reset = await exchange(early, End.ORDERLY, call_of(300, chunked=False))
+        assert reset or received.startswith(b"HTTP/1.1 502 ")
+        assert not received.endswith(LAST_CHUNK)
+
+    run_with_shifted_clock(main())
+
+
 @pytest.mark.parametrize("status", INVALID_STATUSES)
 @VERSIONS
 def test_invalid_status_is_passed_on(version: bytes, status: str) -> None:
