Take no answer of the store that ends by a reset

Both stores used aiohttp's protocol, which ends a body without a length with any loss of its connection. A write counted as done, a lease as ended and a listing as read whose answer broke off behind the bytes of its JSON, also while the value was being written.

The platform's store took no invalid status for an answer before either.

--- a/heatherhead/platform/store.py
+++ b/heatherhead/platform/store.py
@@ -11,6 +11,7 @@
 import aiohttp
 from result import Err, Ok
 
+from heatherhead.client_connections import create_client_connector
 from heatherhead.platform.json_values import read_json
 from heatherhead.platform.names import STORE_HISTORY
 from heatherhead.platform.store_answers import find_misfit
@@ -321,7 +322,7 @@
 
 def create_platform_store(address: str) -> PlatformStore:
     """Create a store client; must be called inside the running loop."""
-    connector = aiohttp.TCPConnector(
+    connector = create_client_connector(
         limit=MAX_CONNECTIONS,
         force_close=True,  # a kept one may bring the answer to another call
         use_dns_cache=False,
--- a/heatherhead/store/gateway.py
+++ b/heatherhead/store/gateway.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from heatherhead.backoff import create_backoff
+from heatherhead.client_connections import create_client_connector
 from heatherhead.store.circuit import create_circuit
 from heatherhead.store.errors import ambiguous_error, unavailable_error
 from heatherhead.store.wire import ErrorReply
@@ -146,7 +147,7 @@
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
+            connector = create_client_connector(
                 limit=16,
                 force_close=True,  # a kept one may bring the reply to another call
                 socket_factory=_keepalive_socket,
