Take no reply of the gateway with another status than 200 or a refusal

A reply with status 000 or 099 counted as one with 200, so that a write was taken for done if the body said so.

--- a/heatherhead/store/gateway.py
+++ b/heatherhead/store/gateway.py
@@ -37,6 +37,7 @@
 KEEPALIVE_PROBES = 3
 NO_EFFECT_STATUSES = frozenset({429})
 CANCELLED_STATUSES = frozenset({408, 499})  # of older and newer gateways
+REFUSAL_STATUSES = frozenset(range(400, 500)) - NO_EFFECT_STATUSES - CANCELLED_STATUSES
 
 
 class GatewayRefusedError(Exception):
@@ -126,14 +127,14 @@
             total=self._call_timeout_s, sock_connect=self._connect_timeout_s
         )
         async with self._client().post(self._url(path), json=body, timeout=timeout) as reply:
-            if reply.status >= 500 or reply.status in NO_EFFECT_STATUSES | CANCELLED_STATUSES:
+            if reply.status != 200 and reply.status not in REFUSAL_STATUSES:
                 raise _ServerError(reply.status)
             data = await reply.content.read(MAX_REPLY_BYTES)
             while chunk := await reply.content.read(MAX_REPLY_BYTES - len(data)):
                 data += chunk
             if not reply.content.at_eof():
                 raise aiohttp.ClientPayloadError(f"reply above {MAX_REPLY_BYTES} bytes")
-            if reply.status >= 400:
+            if reply.status in REFUSAL_STATUSES:
                 self.circuit.record_success()
                 raise _refused_error(data)
             return data
--- a/heatherhead/tests/store/truncated_gateway_tests.py
+++ b/heatherhead/tests/store/truncated_gateway_tests.py
@@ -1,4 +1,4 @@
-"""Tests of `heatherhead.store.etcd` against replies that break off."""
+"""Tests of `heatherhead.store.etcd` against replies that break off, and invalid statuses."""
 
 from __future__ import annotations
 
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING, Any
 
 import pytest
+from result import Err
 
 from heatherhead.exceptions import StoreAmbiguousError, StoreUnavailableError
 from heatherhead.settings.store import StoreSettings
 from heatherhead.store.factory import create_store
 from heatherhead.tests.truncating_server import (
+    INVALID_STATUSES,
     UNREADABLE_BODY_BYTES,
     End,
     TruncatingServer,
@@ -79,3 +81,17 @@
             await next_change(store)
 
     run_calls(reply("200", WRITTEN, version=version, with_length=False), End.RESET, calls)
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_invalid_status_counts_as_a_reply(status: str) -> None:
+    """No body makes it one, and a write may have been done."""
+
+    async def calls(store: Store) -> None:
+        written = await store.compare_and_swap("/a", 0, b"new")
+        assert isinstance(written.err_value, StoreAmbiguousError)
+        assert isinstance(await store.read_prefix("/a"), Err)
+        with pytest.raises(StoreUnavailableError):
+            await next_change(store)
+
+    run_calls(reply(status, WRITTEN), End.ORDERLY, calls)
