Let no health check pass whose answer broke off (own interface)

A check read the body of a short answer but passed by the head also if the body was cut, by a reset or an orderly end before its length. Its upstream may be crashing: such a check now counts as unanswered.

--- a/heatherhead/health/probe.py
+++ b/heatherhead/health/probe.py
@@ -70,18 +70,23 @@
         destination = Destination(upstream.host, upstream.port, upstream.id)
         attempt = Attempt(sent_at + self._timeout_s)
         answer_bytes = 0
+        broke_off = False
         try:
             async with asyncio.timeout_at(attempt.deadline):
                 await self._client.send(destination, request, attempt)
                 if attempt.answer is not None:
                     answer_bytes = await _read_answer(attempt.answer)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            broke_off = True
             _close_answer(attempt)
         except BaseException:
             _close_answer(attempt)
             raise
         request_bytes = _request_bytes(request) if attempt.sent else 0
-        return ProbeResult(_finding(attempt, sent_at), request_bytes + answer_bytes)
+        finding = _finding(attempt, sent_at)
+        if broke_off and isinstance(finding, HealthPassing):
+            finding = HealthUnanswered(sent_at)
+        return ProbeResult(finding, request_bytes + answer_bytes)
 
 
 def _request(upstream: Upstream, path: str) -> OutboundRequest:
--- a/heatherhead/tests/health/probe_tests.py
+++ b/heatherhead/tests/health/probe_tests.py
@@ -19,13 +19,14 @@
 )
 from heatherhead.settings.admission import AdmissionSettings
 from heatherhead.tests.callers.fakes import raw_upstream, run_with_shifted_clock
-from heatherhead.tests.truncating_server import INVALID_STATUSES
+from heatherhead.tests.truncating_server import INVALID_STATUSES, End, TruncatingServer
 from heatherhead.upstreams.client import create_upstream_client
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from heatherhead.health.probe import HealthProbe
+    from heatherhead.routing.health import HealthFinding
 
 TIMEOUT_S = 5.0
 
@@ -153,3 +154,35 @@
         assert isinstance(finding, HealthUnanswered)
 
     _run(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status.encode(), scenario)
+
+
+def _find_truncated(answer: bytes, end: End) -> HealthFinding:
+    """Return the finding of a check whose answer ends early."""
+    findings: list[HealthFinding] = []
+
+    async def main() -> None:
+        client = create_upstream_client(AdmissionSettings())
+        async with TruncatingServer(answer, end) as server:
+            probe = create_health_probe(client, TIMEOUT_S)
+            findings.append((await probe.check(_upstream(server.port), "/health")).finding)
+        await client.close()
+
+    run_with_shifted_clock(main())
+    return findings[0]
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+@pytest.mark.parametrize("end", [End.RESET, End.ORDERLY])
+def test_check_passes_whose_answer_broke_off(end: End, version: bytes) -> None:
+    """Its upstream may be crashing; a head that says that it drains is believed."""
+    body = b"Content-Length: 3\r\n\r\nok"
+    finding = _find_truncated(version + b" 200 OK\r\n" + body, end)
+    assert isinstance(finding, HealthUnanswered)
+    draining = version + b" 200 OK\r\nHeatherhead-Draining: true\r\n" + body
+    assert isinstance(_find_truncated(draining, end), HealthDraining)
+
+
+@pytest.mark.parametrize("end", [End.RESET, End.ORDERLY])
+def test_body_without_a_length_is_read(end: End) -> None:
+    """The head alone tells the finding, as for a long body."""
+    assert isinstance(_find_truncated(b"HTTP/1.1 200 OK\r\n\r\nok", end), HealthPassing)
