Run some seeds of the soak with customers

The soak knew no customers. In one of four seeds, callers now send keys of four customers: current ones, some of which are added and removed meanwhile, ones before their addition and after their removal, unknown ones, none, and one under another scheme; some name a customer themselves. One route is public. Upstreams log the name that a request ran under, and whether a key came with it. Checked are the name, that no key is passed on, that no call ran with a key never configured, that no key that stays is refused, and with planned events only that changes of keys hold 3 s after their write.

The configuration is built in a module of its own, with a function for each kind of entry, so that further fields are a line there.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,8 @@
 Every fifth seed has planned work only: instances that stop, back ends that drain, configurations.
 In all but every third, back ends write answers twice meanwhile. In every second and every third,
 they refuse requests, write refusals twice and start again. In two of four, callers send an order
-that was refused again under its id.
+that was refused again under its id. In one of four, there are customers: callers send keys that are added
+and removed meanwhile, wrong ones and none, and one route needs none.
 The exit code is 1 if a promise was broken.
 """
 
@@ -38,9 +39,11 @@
 import docopt
 
 from soak.callers import Callers
+from soak.customers import create_customers
 from soak.faults import (
     ALL_FAULTS,
     PLANNED_EVENTS,
+    change_keys,
     inject_faults,
     refuse,
     start_again,
@@ -56,6 +59,7 @@
 STEADY_SEED_INTERVAL = 3  # in seeds divisible by this no upstream stutters
 REFUSING_SEED_INTERVALS = (2, 3)  # in seeds divisible by one of them upstreams refuse
 RESENDING_SEED_REMAINDERS = (2, 3)  # of a division by 4: callers send refused orders again
+CUSTOMER_SEED_REMAINDER = 1  # of a division by 4; an earlier build may know no customers
 SEEDS_FILE = Path(__file__).parent / "seeds.txt"
 VIOLATIONS_FILE = "violations.txt"  # beside the logs of a failed seed
 EXIT_VIOLATIONS = 1
@@ -91,8 +95,10 @@
     rng = Random(seed)
     report = Report(seed)
     planned_only = seed % PLANNED_SEED_INTERVAL == 0
+    has_customers = seed % 4 == CUSTOMER_SEED_REMAINDER and plan.earlier_build is None
+    customers = create_customers(Random(seed + 2)) if has_customers else None
     world = await create_world(
-        directory, rng, ip_prefix, plan.daemons, plan.upstreams, plan.earlier_build
+        directory, rng, ip_prefix, plan.daemons, plan.upstreams, plan.earlier_build, customers
     )
     callers = Callers(world, Random(seed + 1), resends=seed % 4 in RESENDING_SEED_REMAINDERS)
     loop = asyncio.get_running_loop()
@@ -109,6 +115,8 @@
             sequences.append((stutter,))
         if any(seed % interval == 0 for interval in REFUSING_SEED_INTERVALS):
             sequences += [(refuse,), (start_again,)]
+        if customers is not None:
+            sequences.append((change_keys,))
         await asyncio.gather(
             *(inject_faults(world, each, faults_end_at, report.faults) for each in sequences)
         )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,8 +9,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from soak.configuration import HOST_NAME, ROUTES, prefixes_of
+from soak.customers import Credential
 from soak.server import request_digest
-from soak.world import HOST_NAME, PORTS, ROUTES
+from soak.world import PORTS
 
 if TYPE_CHECKING:
     from random import Random
@@ -46,6 +48,7 @@
     body: bytes = b""
     echoed_ids: list[str] = field(default_factory=list)
     ended_at: float = 0.0
+    key: str = ""  # of a customer; empty if none was sent, or not as a key is
     # Sends of the same request before this one; each was refused as not run.
     earlier: tuple[Attempt, ...] = ()
 
@@ -98,7 +101,7 @@
         self, addresses: list[str], connection: _Connection | None
     ) -> _Connection | None:
         """Send a request until it is served or must not be sent again; return its connection."""
-        prefix = self.rng.choice(list(ROUTES))
+        prefix = self.rng.choice(prefixes_of(ROUTES, self.world.customers))
         request: _Request | None = None
         for _ in range(1 + RETRIES):
             connection = await self._reuse_or_connect(addresses, connection)
@@ -168,17 +171,20 @@
     def _create_request(self, prefix: str, daemon: str) -> _Request:
         self._request_count += 1
         request_id = f"{self._request_count:08x}{self.rng.getrandbits(32):08x}"
-        method = "GET" if prefix == "/read/" else "POST"
+        method = "GET" if ROUTES[prefix][0] == "idempotent" else "POST"
         target = f"{prefix}x{self._request_count % 97}"
-        size = {"/read/": 0, "/order/": 300, "/upload/": UPLOAD_BYTES}[prefix]
+        size = {"/order/": 300, "/upload/": UPLOAD_BYTES}.get(prefix, 0)
         body = self.rng.randbytes(size)
         digest = request_digest(method, target, body)
-        attempt = Attempt(request_id, prefix, digest, daemon, time.time())
+        customers = self.world.customers
+        credential = customers.create_credential() if customers else Credential()
+        attempt = Attempt(request_id, prefix, digest, daemon, time.time(), key=credential.key)
         self.attempt_by_id[request_id] = attempt
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
             f"X-Heatherhead-Request-Id: {request_id}\r\n"
             f"X-Heatherhead-Deadline-Ms: {int(CLIENT_TIMEOUT_S * 1000)}\r\n"
+            f"{credential.headers}"
         )
         if size:
             head += f"Content-Length: {size}\r\n"
@@ -193,6 +199,7 @@
             refused.digest,
             daemon,
             time.time(),
+            key=refused.key,
             earlier=(*refused.earlier, refused),
         )
         self.attempt_by_id[attempt.id] = attempt
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,7 +20,15 @@
 
     from soak.world import Daemon, Upstream, World
 
-__all__ = ["ALL_FAULTS", "PLANNED_EVENTS", "inject_faults", "refuse", "start_again", "stutter"]
+__all__ = [
+    "ALL_FAULTS",
+    "PLANNED_EVENTS",
+    "change_keys",
+    "inject_faults",
+    "refuse",
+    "start_again",
+    "stutter",
+]
 
 FAULT_INTERVAL_RANGE_S = (0.2, 1.2)  # between two faults of one sequence
 FAULT_DURATION_RANGE_S = (0.4, 3.0)
@@ -234,6 +242,16 @@
         await asyncio.sleep(world.rng.uniform(0.05, 0.4))
 
 
+async def change_keys(world: World) -> None:
+    """Add a key to a customer and remove another one, each by a configuration of its own."""
+    customers = world.customers
+    assert customers is not None
+    customers.add_key()
+    world.write_configuration()
+    await asyncio.sleep(world.rng.uniform(0.05, 0.4))
+    customers.remove_key(world.write_configuration)
+
+
 async def stutter(world: World) -> None:
     """Make up to half of the upstreams write answers twice, in one, some or all forms."""
     chosen = world.rng.sample(world.upstreams, world.rng.randint(1, _half(world)))
--- a/soak/server.py
+++ b/soak/server.py
@@ -25,6 +25,7 @@
 
 from heatherhead.backoff import create_backoff
 from soak.controls import read_spell, read_start, spell_path, start_path
+from soak.customers import KEY_PREFIX
 from soak.stutter import DUE_FORMS, AnswerBytes, StutteringWriter
 
 __all__ = [
@@ -97,14 +98,19 @@
     id: str
     upstream: str
     idempotent: bool = True
+    customer: str = ""
+    key_passed_on: bool = False
 
 
 def _parse_head(data: bytes) -> tuple[str, str, dict[str, str]]:
     """Return the method, the target and the headers of a request."""
     lines = data.decode().split("\r\n")
     method, target, _ = lines[0].split(" ", 2)
-    parts = (line.partition(":") for line in lines[1:])
-    return method, target, {name.lower(): value.strip() for name, _, value in parts}
+    headers: dict[str, str] = {}
+    for name, _, value in (line.partition(":") for line in lines[1:]):
+        earlier = headers.get(name.lower())
+        headers[name.lower()] = value.strip() if earlier is None else f"{earlier},{value.strip()}"
+    return method, target, headers
 
 
 @dataclass
@@ -138,14 +144,19 @@
 
     async def _serve_request(self, reader: asyncio.StreamReader, answers: StutteringWriter) -> bool:
         """Serve the next request of a connection; return whether the connection is kept."""
-        method, target, headers = _parse_head(await reader.readuntil(b"\r\n\r\n"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        method, target, headers = _parse_head(head)
         length = int(headers.get("content-length", "0"))
         if target == "/healthz":
             status = 200 if self.state == "ready" else 503
             await self._write(answers, status, _Request("", self.id))
             return True
         request = _Request(
-            headers.get("x-heatherhead-request-id", ""), self.id, idempotent=method == "GET"
+            headers.get("x-heatherhead-request-id", ""),
+            self.id,
+            idempotent=method == "GET",
+            customer=headers.get("x-heatherhead-tenant", ""),
+            key_passed_on=KEY_PREFIX.encode() in head or "authorization" in headers,
         )
         refusal = self._refusal_status(headers.get("x-heatherhead-expect-instance", self.id))
         if refusal is None:
@@ -169,7 +180,8 @@
         self.in_progress += 1
         try:
             async with self.slots:
-                row = [request.id, request.upstream, self.service, digest, time.time()]
+                row: list[object] = [request.id, request.upstream, self.service, digest]
+                row += [time.time(), request.customer, request.key_passed_on]
                 os.write(self.run_log, (json.dumps(row) + "\n").encode())
                 await asyncio.sleep(self.rng.uniform(*SERVICE_TIME_RANGE_S))
         finally:
