--- a/heatherhead/proxy/answer_framing.py
+++ b/heatherhead/proxy/answer_framing.py
@@ -19,6 +19,7 @@
 
 __all__ = ["AnswerFraming", "FramingError", "create_answer_framing"]
 
+STATUSES = range(100, 600)  # RFC 9110, 15: all others are invalid
 STATUSES_WITHOUT_BODY = (204, 304)
 MAX_INTERIM_ANSWERS = 64  # before one answer; a few are usual, and each costs a parsed head
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
@@ -182,8 +183,11 @@
     def begin_body(self, message: RawResponseMessage) -> None:
         """Follow the body that a head announces; an interim answer is followed by another head.
 
-        Raises `FramingError` if it is one interim answer too many.
+        Raises `FramingError` if the head's status is none of HTTP, or if it is one interim answer
+        too many.
         """
+        if message.code not in STATUSES:
+            raise FramingError(f"status {message.code}")
         if message.code < 200:
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
--- a/heatherhead/store/gateway.py
+++ b/heatherhead/store/gateway.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from heatherhead.backoff import create_backoff
+from heatherhead.client_connections import create_client_connector
 from heatherhead.store.circuit import create_circuit
 from heatherhead.store.errors import ambiguous_error, unavailable_error
 from heatherhead.store.wire import ErrorReply
@@ -36,6 +37,7 @@
 KEEPALIVE_PROBES = 3
 NO_EFFECT_STATUSES = frozenset({429})
 CANCELLED_STATUSES = frozenset({408, 499})  # of older and newer gateways
+REFUSAL_STATUSES = frozenset(range(400, 500)) - NO_EFFECT_STATUSES - CANCELLED_STATUSES
 
 
 class GatewayRefusedError(Exception):
@@ -125,14 +127,14 @@
             total=self._call_timeout_s, sock_connect=self._connect_timeout_s
         )
         async with self._client().post(self._url(path), json=body, timeout=timeout) as reply:
-            if reply.status >= 500 or reply.status in NO_EFFECT_STATUSES | CANCELLED_STATUSES:
+            if reply.status != 200 and reply.status not in REFUSAL_STATUSES:
                 raise _ServerError(reply.status)
             data = await reply.content.read(MAX_REPLY_BYTES)
             while chunk := await reply.content.read(MAX_REPLY_BYTES - len(data)):
                 data += chunk
             if not reply.content.at_eof():
                 raise aiohttp.ClientPayloadError(f"reply above {MAX_REPLY_BYTES} bytes")
-            if reply.status >= 400:
+            if reply.status in REFUSAL_STATUSES:
                 self.circuit.record_success()
                 raise _refused_error(data)
             return data
@@ -146,7 +148,7 @@
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
+            connector = create_client_connector(
                 limit=16,
                 force_close=True,  # a kept one may bring the reply to another call
                 socket_factory=_keepalive_socket,
