Hand shares over when a coordinator leaves, and rank coordinators by the store's table alone

In a trial of six instances in one process, homes that were cut from slow upstreams changed the coordinator five times in ten seconds; each change cost the tokens of 1.1 s, and a customer below its cap got 429. Coordinators now follow the static ranking and answers alone, a loan is given back in a round trip, and a stalled instance does not blame its peers.

--- a/heatherhead/customers/usage_caps.py
+++ b/heatherhead/customers/usage_caps.py
@@ -147,6 +147,12 @@
         self._loan_by_owner[owner] = _Loan(share, until)
         self._set_lent()
 
+    def release(self, owner: str, now: float) -> None:
+        """End the loan of an owner."""
+        self.update(now)
+        if self._loan_by_owner.pop(owner, None) is not None:
+            self._set_lent()
+
     def update(self, now: float) -> None:
         """End the loans whose time is over, each as of its end."""
         while self._loan_by_owner:
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -168,7 +168,6 @@
         self.usage = create_usage_exchange(
             CapBounds(settings.cap_window_s, settings.cap_overage, settings.cap_slack),
             settings.region_by_zone,
-            self.homes,
             self.members,
             self._customer_by_name,
             lambda addresses, message: self.exchange.send_to(addresses, message),
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -186,7 +186,8 @@
 class UsageReport:
     """Lends a share of the caps of a group of customers, and asks for tokens.
 
-    `epoch` and `stamp_ms` are those of the last balance: the loan counts from that on.
+    `epoch` and `stamp_ms` are those of the last balance: the loan counts from that on. Later reports
+    have a greater `number`. One without a share gives back the loan.
     """
 
     sender: str
@@ -195,6 +196,7 @@
     epoch: int
     stamp_ms: int
     share: float
+    number: int
     rows: tuple[UsageReportRow, ...] = ()
 
 
@@ -212,7 +214,7 @@
 class UsageBalance:
     """The answer to a `UsageReport`; `stamp_ms` is the time of this start (`epoch`) of the sender.
 
-    `lent` is the sum of the shares that the sender was lent for the group.
+    `lent` is the sum of the shares that the sender was lent for the group, `number` that of the report.
     """
 
     sender: str
@@ -220,6 +222,7 @@
     epoch: int
     stamp_ms: int
     lent: float
+    number: int
     rows: tuple[UsageBalanceRow, ...] = ()
 
 
@@ -320,7 +323,7 @@
         [row.customer, row.account, row.received, row.returned, row.waiting, row.deficit]
         for row in message.rows
     ]
-    terms = [message.group, message.epoch, message.stamp_ms, message.share]
+    terms = [message.group, message.epoch, message.stamp_ms, message.share, message.number]
     return [_USAGE_REPORT, message.sender, message.incarnation, *terms, rows]
 
 
@@ -336,6 +339,7 @@
         message.epoch,
         message.stamp_ms,
         message.lent,
+        message.number,
         rows,
     ]
 
@@ -389,13 +393,14 @@
         if kind == _USAGE_REPORT:
             return _usage_report(str(sender), rest)
         if kind == _USAGE_BALANCE:
-            group, epoch, stamp_ms, lent, rows = rest
+            group, epoch, stamp_ms, lent, number, rows = rest
             return UsageBalance(
                 str(sender),
                 str(group),
                 int(epoch),
                 int(stamp_ms),
                 _share(lent),
+                _count(number),
                 tuple(_usage_balance_row(row) for row in rows),
             )
     except _MALFORMED:
@@ -434,7 +439,7 @@
 
 
 def _usage_report(sender: str, fields: list[Any]) -> UsageReport:
-    incarnation, group, epoch, stamp_ms, share, rows = fields
+    incarnation, group, epoch, stamp_ms, share, number, rows = fields
     return UsageReport(
         sender,
         str(incarnation),
@@ -442,6 +447,7 @@
         int(epoch),
         int(stamp_ms),
         _share(share),
+        _count(number),
         tuple(_usage_report_row(row) for row in rows),
     )
 
--- a/heatherhead/fleet/usage_exchange.py
+++ b/heatherhead/fleet/usage_exchange.py
@@ -1,14 +1,19 @@
 """Exchanges the usage of customers, so that their caps hold for all instances together.
 
-Customers form a group for each region. The first home of that region coordinates the group: the
-owners of shares (`customers/usage_caps.py`) lend them to it, and instances get tokens for calls from
-it, by datagram. Where it can't be reached, owners turn to the next home, then to those of other
-regions, at last to themselves. An owner lends a share elsewhere only when the loan before has ended.
+Customers form a group for each region. The first member of that region's ranking coordinates the
+group: the owners of shares (`customers/usage_caps.py`) lend them to it, and instances get tokens for
+calls from it, by datagram. Where it doesn't answer, they turn to the next in the ranking, then to
+those of other regions, at last to themselves. An owner lends a share elsewhere only when the loan
+before has ended or was given back.
+
+The ranking is that of homes, but not of those that are heard: an instance that is cut from upstreams
+or leaves coordinates as long as it answers, since a change of the coordinator costs its tokens.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import random
 from collections import Counter, deque
@@ -25,6 +30,7 @@
     is_owner,
     owners_per_zone,
 )
+from heatherhead.fleet.home_view import STATUS_INTERVAL_S
 from heatherhead.fleet.homes import hash_of, rank_members
 from heatherhead.fleet.peer_messages import (
     UsageBalance,
@@ -40,7 +46,6 @@
 
     from heatherhead.customers.usage_caps import CapBounds
     from heatherhead.entry.settings import HostPort
-    from heatherhead.fleet.home_view import HomeView
     from heatherhead.fleet.members import Member, MemberTable
     from heatherhead.fleet.peer_messages import PeerMessage
     from heatherhead.routes.model import Customer, UsageCap
@@ -54,7 +59,7 @@
 CREDIT_DELAY_S = 0.05  # while less than half of the credit is left; else with the next report
 RESEND_S = 0.07  # a round trip between regions, and half as much again
 WAIT_S = 0.2  # of a call, for tokens; two datagrams may be lost
-IDLE_S = 1.0  # an instance without loans is not asked for that long
+IDLE_S = 0.3  # an instance without loans is not asked for that long
 FORGOTTEN_AFTER_S = 10.0  # without calls; of peers, by an instance that owns no share
 ACCOUNT_TTL_S = 60.0
 # Members of a zone may be gone from the store's table because they are cut from the store, and still
@@ -66,7 +71,8 @@
 ALONE_AFTER_S = 12.0
 ALONE_SHARE = 0.25
 PEER_SILENT_S = 1.0
-HOMES_PER_REGION = 2  # that may coordinate; the next ones would hardly be reached either
+CANDIDATES_PER_REGION = 2  # that may coordinate; the next ones would hardly be reached either
+STALLED_S = 0.25  # that a tick is late; answers of peers may then wait to be read
 MAX_ROWS = 24  # in a datagram, which then fits one packet
 ID_BITS = 32  # of epochs and accounts, which differ from those before a restart
 EXCEEDED_LOG_S = 5.0  # without a refusal, before the next one is logged as a change
@@ -96,8 +102,11 @@
     ledger: LoanLedger
     candidates: list[Member] = field(default_factory=list)
     target_id: str = ""
-    lent_to: str = ""
+    lent_to: Member | None = None
     promised_until: float = -math.inf
+    release_number: int | None = None  # of the first report that gives back the loan
+    # The newest report of each start of an owner, and when it came.
+    number_by_owner: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
     asked_at: float = -math.inf
     idle_until_by_id: dict[str, float] = field(default_factory=dict)  # coordinators without loans
     changed: set[str] = field(default_factory=set)  # customers to report
@@ -121,7 +130,6 @@
         bounds: CapBounds,
         regions: Iterable[str],
         zones: Iterable[str],
-        homes: HomeView,
         members: MemberTable,
         customers: Callable[[], Mapping[str, Customer]],
         send: Callable[[Iterable[HostPort], PeerMessage], None],
@@ -130,7 +138,6 @@
         self._loop = asyncio.get_running_loop()
         self._now = self._loop.time
         self._bounds = bounds
-        self._homes = homes
         self._members = members
         self._customers = customers
         self._send = send
@@ -145,15 +152,15 @@
         # The zones of the settings count at first, until the table is known.
         first_until = self._started_at + START_S
         self._zone_until = {each: first_until for each in {*zones, members.own.availability_zone}}
-        self._ranked_ids: frozenset[str] = frozenset()
-        self._zone_owners = 0
-        self._zone_owners_of = 0
+        self._ranked_members: frozenset[Member] = frozenset()
+        self._ranked_by_region: dict[str, list[Member]] = {}
+        self._numbers = itertools.count(1)
+        self._ticked_at = self._started_at
         self.own_share = 0.0
         self._owners = len(self._zone_until) * owners_per_zone(len(self._zone_until))
         self._peer_heard_at = self._started_at
         self._alone = False
         self._peer_by_id: dict[str, _Peer] = {}
-        self._homes_by_region: dict[str, list[Member]] = {}
         self._group_by_customer: dict[str, _Group] = {}
         self._bucket_by_customer: dict[str, UsageBucket] = {}
         self._local_by_customer: dict[str, _Local] = {}
@@ -290,8 +297,7 @@
         now = self._now()
         self._peer_heard_at = now
         if report.epoch == self._epoch:
-            until = self._started_at + report.stamp_ms / 1000 + LOAN_S
-            group.ledger.lend(report.sender, report.share, min(until, now + LOAN_S), now)
+            self._take_over(group, report, now)
         rows = [self._grant(report, row, group) for row in report.rows]
         balance = UsageBalance(
             self._members.own.id,
@@ -299,10 +305,24 @@
             self._epoch,
             math.floor((now - self._started_at) * 1000),
             group.ledger.lent,
+            report.number,
             tuple(row for row in rows if row is not None),
         )
         self._send([sender], balance)
 
+    def _take_over(self, group: _Group, report: UsageReport, now: float) -> None:
+        """Apply the loan of a report, unless it was overtaken by a later one."""
+        owner = (report.sender, report.incarnation)
+        newest, _ = group.number_by_owner.get(owner, (0, now))
+        if report.number <= newest:
+            return
+        group.number_by_owner[owner] = (report.number, now)
+        if report.share:
+            until = self._started_at + report.stamp_ms / 1000 + LOAN_S
+            group.ledger.lend(report.sender, report.share, min(until, now + LOAN_S), now)
+        else:
+            group.ledger.release(report.sender, now)
+
     def _grant(
         self, report: UsageReport, row: UsageReportRow, group: _Group
     ) -> UsageBalanceRow | None:
@@ -352,29 +372,37 @@
     def _report_changes(self, group: _Group) -> None:
         group.timer = None
         changed, group.changed = sorted(group.changed), set()
-        target = self._choose_target(group)
+        target = self._coordinator_of(group)
         if target.id == self._members.own.id:
             self._grant_to_own(group)
             return
         for first in range(0, len(changed), MAX_ROWS):
             self._report(group, target, changed[first : first + MAX_ROWS])
 
-    def _report(self, group: _Group, target: Member, names: Iterable[str] = ()) -> None:
+    def _report(self, group: _Group, target: Member, names: Iterable[str] = ()) -> int:
+        """Send a report and return its number."""
         now = self._now()
         peer = self._peer_by_id.setdefault(target.id, _Peer())
-        share = self._share_for(group, target.id, now)
+        share = self._share_for(group, target, now)
         if share and peer.epoch:
             # The coordinator counts from its stamp, which it set before the balance was received.
             group.promised_until = max(group.promised_until, peer.heard_at + LOAN_S)
         own = self._members.own
-        rows = tuple(self._row(name) for name in names)
         report = UsageReport(
-            own.id, own.incarnation, group.region, peer.epoch, peer.stamp_ms, share, rows
+            own.id,
+            own.incarnation,
+            group.region,
+            peer.epoch,
+            peer.stamp_ms,
+            share,
+            next(self._numbers),
+            tuple(self._row(name) for name in names),
         )
         peer.sent_at = now
         if peer.unanswered_since is None:
             peer.unanswered_since = now
         self._send([target.peer_address], report)
+        return report.number
 
     def _row(self, name: str) -> UsageReportRow:
         local = self._local_by_customer.setdefault(name, _Local())
@@ -398,13 +426,13 @@
         if balance.epoch != peer.epoch or balance.stamp_ms >= peer.stamp_ms:
             peer.epoch, peer.stamp_ms, peer.heard_at = balance.epoch, balance.stamp_ms, now
             peer.unanswered_since = None
-            self._record_lent(balance, now)
+        self._apply_loan(balance, now)
         for row in balance.rows:
             local = self._local_by_customer.get(row.customer)
             if local is not None:
                 self._apply_balance_row(local, row, now)
 
-    def _record_lent(self, balance: UsageBalance, now: float) -> None:
+    def _apply_loan(self, balance: UsageBalance, now: float) -> None:
         group = self._group_by_region.get(balance.group)
         if group is None:
             return
@@ -412,6 +440,11 @@
             group.idle_until_by_id.pop(balance.sender, None)
         else:
             group.idle_until_by_id[balance.sender] = now + IDLE_S
+        released = group.release_number
+        is_lender = group.lent_to is not None and group.lent_to.id == balance.sender
+        if is_lender and released is not None and balance.number >= released:
+            group.promised_until, group.release_number = now, None
+            self._lend(group, now)
 
     def _apply_balance_row(self, local: _Local, row: UsageBalanceRow, now: float) -> None:
         tokens = local.usage.receive(row.account, row.granted)
@@ -440,8 +473,8 @@
         if not customers:
             return
         now = self._now()
+        self._forgive_silence(now)
         self._update_share(now)
-        self._homes_by_region.clear()
         for group in self._group_by_region.values():
             group.candidates = self._find_candidates(group.region)
             group.ledger.update(now)
@@ -466,44 +499,72 @@
         """Return the largest part of a group's caps that this instance was lent."""
         return max(each.ledger.lent for each in self._group_by_region.values())
 
+    def _forgive_silence(self, now: float) -> None:
+        """Count the silence of peers anew if this instance itself has not run."""
+        late_s = now - self._ticked_at - STATUS_INTERVAL_S
+        self._ticked_at = now
+        if late_s > STALLED_S:
+            for peer in self._peer_by_id.values():
+                if peer.unanswered_since is not None:
+                    peer.unanswered_since = now
+
+    def _rank(self) -> None:
+        """Rank the members of each region anew if they have changed."""
+        members = frozenset(self._members.by_id.values())
+        if members != self._ranked_members:
+            self._ranked_members = members
+            regions = {each.region for each in members}
+            self._ranked_by_region = {each: rank_members(members, each) for each in regions}
+
     def _update_share(self, now: float) -> None:
-        by_id = self._members.by_id
-        for each in by_id.values():
+        self._rank()
+        for each in self._ranked_members:
             self._zone_until[each.availability_zone] = now + ZONE_TTL_S
         self._zone_until = {zone: at for zone, at in self._zone_until.items() if at > now}
         zones = len(self._zone_until)
-        ids = frozenset(by_id)
         count = owners_per_zone(zones)
-        if ids != self._ranked_ids or count != self._zone_owners_of:
-            self._ranked_ids, self._zone_owners_of = ids, count
-            own = self._members.own
-            ranked = rank_members(by_id.values(), own.region)
-            self._zone_owners = is_owner(own, ranked, count)
+        own = self._members.own
+        zone_owners = is_owner(own, self._ranked_by_region.get(own.region, ()), count)
         self._owners = zones * count
-        share = 1.0 / (zones * self._zone_owners) if self._zone_owners else 0.0
-        alone = bool(share) and len(ids) > 1 and now - self._peer_heard_at > PEER_SILENT_S
+        share = 1.0 / (zones * zone_owners) if zone_owners else 0.0
+        silent_s = now - self._peer_heard_at
+        alone = bool(share) and len(self._ranked_members) > 1 and silent_s > PEER_SILENT_S
         if alone != self._alone:
             self._alone = alone
             event = "usage_alone" if alone else "usage_peers_heard"
-            log_event(event, level="WARNING", share=f"{share:.3f}", members=len(ids))
-        if alone and now - self._peer_heard_at > ALONE_AFTER_S:
+            log_event(event, level="WARNING", share=f"{share:.3f}", silent_s=f"{silent_s:.2f}")
+        if alone and silent_s > ALONE_AFTER_S:
             share *= ALONE_SHARE
         self.own_share = share
 
     def _lend(self, group: _Group, now: float) -> None:
         target = self._choose_target(group)
+        self._give_back_loan(group, target, now)
         if target.id != self._members.own.id:
             names = [name for name, each in self._capped_of(group) if each.usage.deficit]
             if len(names) > MAX_ROWS:
                 names = random.sample(names, MAX_ROWS)
             self._report(group, target, names)
             return
-        share = self._share_for(group, target.id, now)
+        share = self._share_for(group, target, now)
         if share:
             group.ledger.lend(target.id, share, now + LOAN_S, now)
             group.promised_until = now + LOAN_S
         self._grant_to_own(group)
 
+    def _give_back_loan(self, group: _Group, target: Member, now: float) -> None:
+        """Have the former coordinator end the loan, so that another one gets it sooner."""
+        former = group.lent_to
+        if former is None or former.id == target.id or now >= group.promised_until:
+            return
+        if former.id == self._members.own.id:
+            group.ledger.release(former.id, now)
+            group.promised_until = now
+            return
+        number = self._report(group, former)
+        if group.release_number is None:
+            group.release_number = number
+
     def _capped_of(self, group: _Group) -> list[tuple[str, _Local]]:
         """List the capped customers of a group, so that their credits are full by the first call."""
         rows = []
@@ -529,13 +590,16 @@
             deficit = local.usage.deficit
             local.usage.restore(bucket.take_spare(deficit, self._terms(cap), group.ledger.lent))
 
-    def _share_for(self, group: _Group, target_id: str, now: float) -> float:
+    def _share_for(self, group: _Group, target: Member, now: float) -> float:
         """Return the share to lend to a coordinator, 0 until another one's loan has ended."""
-        if target_id != group.lent_to and target_id == group.target_id:
+        if target.id != group.target_id:
+            return 0.0
+        if group.lent_to is None or group.lent_to.id != target.id:
             if now < group.promised_until:
                 return 0.0
-            group.lent_to = target_id
-        return self.own_share if target_id == group.lent_to == group.target_id else 0.0
+            group.lent_to = target
+        group.release_number = None
+        return self.own_share
 
     def _probe(self, group: _Group, now: float) -> None:
         """Ask the coordinators before the chosen one whether they answer again."""
@@ -557,18 +621,15 @@
 
     def _find_candidates(self, region: str) -> list[Member]:
         """List the possible coordinators of a group, the same order on all instances."""
-        regions = {each.region for each in self._members.by_id.values()}
-        order = sorted(regions, key=lambda each: (each != region, hash_of(f"{region}/{each}")))
-        return [member for each in order for member in self._homes_of(each)]
-
-    def _homes_of(self, region: str) -> list[Member]:
-        """List the first homes of a region, as of the last tick."""
-        homes = self._homes_by_region.get(region)
-        if homes is None:
-            is_own = region == self._members.own.region
-            found = self._homes.current if is_own else self._homes.probable_homes_of(region)
-            homes = self._homes_by_region[region] = found[:HOMES_PER_REGION]
-        return homes
+        order = sorted(
+            self._ranked_by_region,
+            key=lambda each: (each != region, hash_of(f"{region}/{each}")),
+        )
+        return [
+            member
+            for each in order
+            for member in self._ranked_by_region[each][:CANDIDATES_PER_REGION]
+        ]
 
     def _choose_target(self, group: _Group) -> Member:
         """Return the first possible coordinator that answers, at last this instance."""
@@ -584,7 +645,7 @@
             if not peer.failed(now) and (self.own_share or not idle):
                 chosen = member
                 break
-        if chosen.id != group.target_id:
+        if chosen.id != group.target_id and group.candidates:
             log_event(
                 "usage_coordinator",
                 group=group.region,
@@ -595,8 +656,18 @@
             group.target_id = chosen.id
         return chosen
 
+    def _coordinator_of(self, group: _Group) -> Member:
+        """Return whom to ask for tokens: the former coordinator, until the new one has the loan."""
+        target = self._choose_target(group)
+        former = group.lent_to
+        now = self._now()
+        if former is None or former.id == target.id or now >= group.promised_until:
+            return target
+        peer = self._peer_by_id.get(former.id)
+        return target if peer is None or peer.failed(now) else former
+
     def _is_target(self, group: _Group) -> bool:
-        return self._choose_target(group).id == self._members.own.id
+        return self._coordinator_of(group).id == self._members.own.id
 
     # What is forgotten.
 
@@ -610,6 +681,10 @@
                 del self._local_by_customer[name]
 
     def _forget_accounts(self, now: float) -> None:
+        for group in self._group_by_region.values():
+            numbers = group.number_by_owner.items()
+            # Loans of earlier reports have ended by then.
+            group.number_by_owner = {k: v for k, v in numbers if now - v[1] <= 2 * LOAN_S}
         for bucket in self._bucket_by_customer.values():
             accounts = bucket.account_by_instance
             old = [key for key, each in accounts.items() if now - each.seen_at > ACCOUNT_TTL_S]
@@ -620,7 +695,6 @@
 def create_usage_exchange(
     bounds: CapBounds,
     region_by_zone: Mapping[str, str],
-    homes: HomeView,
     members: MemberTable,
     customers: Callable[[], Mapping[str, Customer]],
     send: Callable[[Iterable[HostPort], PeerMessage], None],
@@ -635,7 +709,6 @@
         bounds,
         region_by_zone.values(),
         region_by_zone,
-        homes,
         members,
         customers,
         send,
--- a/heatherhead/tests/entry/instances.py
+++ b/heatherhead/tests/entry/instances.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import os
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING, Any
@@ -25,6 +25,7 @@
     from heatherhead.store.interface import Store
 
 __all__ = [
+    "CONFIGURATION",
     "Instances",
     "LimitedUpstream",
     "create_settings",
@@ -102,10 +103,10 @@
     )
 
 
-def most_arrivals(arrivals: Sequence[float], since: float) -> int:
-    """Return the most arrivals within `WINDOW_S` of those since a time."""
+def most_arrivals(arrivals: Sequence[float], since: float, window_s: float = WINDOW_S) -> int:
+    """Return the most arrivals within a window of those since a time."""
     times = sorted(each for each in arrivals if each >= since)
-    return max((sum(at <= each < at + WINDOW_S for each in times) for at in times), default=0)
+    return max((sum(at <= each < at + window_s for each in times) for at in times), default=0)
 
 
 @dataclass(eq=False)
@@ -119,6 +120,7 @@
     limit: str | None = None
     limit_in_health_answers: bool = False
     arrivals: list[float] = field(default_factory=list)
+    arrivals_by_customer: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     running: int = 0
 
     def entry(self, number: int) -> dict[str, object]:
@@ -148,6 +150,8 @@
                     writer.write(data)
                     continue
                 self.arrivals.append(asyncio.get_running_loop().time())
+                named = head.partition("X-Heatherhead-Tenant: ")[2]
+                self.arrivals_by_customer[named.partition("\r\n")[0]].append(self.arrivals[-1])
                 self.running += 1
                 await asyncio.sleep(self.work_s)
                 self.running -= 1
@@ -171,6 +175,7 @@
     services: list[EntryService] = field(default_factory=list)
     upstreams: list[LimitedUpstream] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
+    statuses_by_key: dict[str, Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
     rejected_after_s: list[float] = field(default_factory=list)
     _servers: list[asyncio.Server] = field(default_factory=list)
     _numbers: count[int] = field(default_factory=count)
@@ -186,9 +191,9 @@
             self._servers.append(server)
             await write(self.store, f"servers/{upstream.id}", upstream.entry(position))
 
-    async def start(self, instances: int) -> None:
+    async def start(self, instances: int, configuration: dict[str, object] = CONFIGURATION) -> None:
         """Write the configuration, start instances and wait until all are ready."""
-        await write(self.store, "op/config", CONFIGURATION)
+        await write(self.store, "op/config", configuration)
         await asyncio.gather(*(self.add_instance(number) for number in range(instances)))
 
     async def add_instance(self, number: int) -> EntryService:
@@ -204,13 +209,18 @@
                 await asyncio.sleep(0.02)
         return service
 
-    async def call(self, service: EntryService) -> int:
-        """Send one call to an instance and return the status of the answer, 0 for none."""
+    async def call(self, service: EntryService, key: str | None = None) -> int:
+        """Send one call to an instance and return the status of the answer, 0 for none.
+
+        With a customer's `key`, the status is also counted for the key.
+        """
         request_id = f"r{next(self._numbers)}"
         host = service.settings.host
         reader, writer = await asyncio.open_connection(host, PORTS["Front"])
         sent_at = asyncio.get_running_loop().time()
         headers = {"X_Heatherhead_Request_Id": request_id, "X_Heatherhead_Deadline_Ms": "1000"}
+        if key is not None:
+            headers["Authorization"] = f"Token {key}"
         writer.write(request("/read/1", **headers))
         try:
             received = await asyncio.wait_for(read_answer(reader), CALL_TIMEOUT_S)
@@ -219,6 +229,8 @@
         writer.close()
         status = int(received.split(b" ", 2)[1]) if received else 0
         self.statuses[status] += 1
+        if key is not None:
+            self.statuses_by_key[key][status] += 1
         if status == 503:
             self.rejected_after_s.append(asyncio.get_running_loop().time() - sent_at)
         return status
@@ -230,7 +242,11 @@
         channel.send_to = lambda _addresses, _message: None
 
     async def send_calls(
-        self, calls_per_s: float, for_s: float, choose: Callable[[int], EntryService] | None = None
+        self,
+        calls_per_s: float,
+        for_s: float,
+        choose: Callable[[int], EntryService] | None = None,
+        key: str | None = None,
     ) -> None:
         """Send calls at a constant rate, to each instance in turn unless `choose` names one."""
         loop = asyncio.get_running_loop()
@@ -239,7 +255,7 @@
             for number in range(int(calls_per_s * for_s)):
                 await asyncio.sleep(began + number / calls_per_s - loop.time())
                 service = choose(number) if choose else self.services[number % len(self.services)]
-                tasks.create_task(self.call(service))
+                tasks.create_task(self.call(service, key))
 
     async def stop(self) -> None:
         """Stop all instances and upstreams."""
--- a/heatherhead/tests/fleet/simulated_usage.py
+++ b/heatherhead/tests/fleet/simulated_usage.py
@@ -40,10 +40,8 @@
 
 BOUNDS = CapBounds(5.0, 0.1, 20.0)  # of the platform's settings
 TICK_S = 0.25
-HEARD_S = 1.0  # homes are heard for that long after they can't be reached any more
 WITHIN_REGION_S = 0.001
 BETWEEN_REGIONS_S = 0.025
-CALLERS_RETURN_S = 2.0  # to a restarted instance
 
 
 def create_customer(name: str, calls_per_s: float, burst: float) -> Customer:
@@ -95,31 +93,6 @@
     on: bool = True
 
 
-@dataclass(eq=False)
-class _Homes:
-    """The homes as an instance takes them: the best ranked ones that it heard lately."""
-
-    network: SimulatedUsage
-    own: Member
-    table: MemberTable
-
-    def _ranked(self, region: str) -> list[Member]:
-        return rank_members(self.table.by_id.values(), region)
-
-    @property
-    def current(self) -> list[Member]:
-        """List the homes of the own region."""
-        heard = [each for each in self._ranked(self.own.region) if self._heard(each)]
-        return heard[: self.network.homes_per_region]
-
-    def probable_homes_of(self, region: str) -> list[Member]:
-        """List the homes of another region, then its other members."""
-        return sorted(self._ranked(region), key=lambda each: not self._heard(each))
-
-    def _heard(self, member: Member) -> bool:
-        return self.network.heard(self.own.id, member.id)
-
-
 @dataclass(eq=False)
 class SimulatedUsage:
     """A fleet in zones and regions, whose datagrams may be late, lost or cut off."""
@@ -140,7 +113,6 @@
     datagrams: Counter[str] = field(default_factory=Counter)
     bytes: Counter[str] = field(default_factory=Counter)
     _id_by_address: dict[HostPort, str] = field(default_factory=dict)
-    _reached_at: dict[tuple[str, str], float] = field(default_factory=dict)
     _homes_of: dict[frozenset[Member], list[str]] = field(default_factory=dict)
     _restarts: int = 0
 
@@ -180,7 +152,6 @@
             create_usage_exchange(
                 BOUNDS,
                 region_by_zone,
-                _Homes(self, member, table),  # type: ignore[arg-type]
                 table,
                 lambda: instance.customers,
                 lambda addresses, message: self.send(instance, addresses, message),
@@ -227,13 +198,6 @@
             and (sender, receiver) not in self.cut_pairs
         )
 
-    def heard(self, by: str, member: str) -> bool:
-        """Return whether an instance was heard by another within `HEARD_S`."""
-        if by == member or self.reaches(member, by):
-            self._reached_at[member, by] = self.now
-            return True
-        return self.now - self._reached_at.get((member, by), -HEARD_S) < HEARD_S
-
     def send(
         self, sender: SimulatedInstance, addresses: Iterable[HostPort], message: PeerMessage
     ) -> None:
--- a/heatherhead/tests/fleet/usage_exchange_tests.py
+++ b/heatherhead/tests/fleet/usage_exchange_tests.py
@@ -15,7 +15,7 @@
 from heatherhead.entry.settings import HostPort
 from heatherhead.fleet.peer_messages import UsageBalance, UsageReport, UsageReportRow
 from heatherhead.routes.model import Customer
-from heatherhead.tests.base import run_with_paused_clock
+from heatherhead.tests.base import PausedClockLoop, run_with_paused_clock
 from heatherhead.tests.fleet.simulated_usage import (
     SimulatedUsage,
     Traffic,
@@ -224,6 +224,81 @@
     run_with_paused_clock(main())
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_coordinator_that_leaves_hands_over_without_a_gap(seed: int) -> None:
+    """Waiting for the end of the loans would refuse the calls of a second."""
+
+    async def main() -> None:
+        fleet = _fleet(seed)
+        await fleet.run({}, SETTLE_S)
+        traffic = _traffic(OVER)
+        await fleet.run(traffic, 6.0)
+        coordinator = _coordinator_of(fleet, "large")
+        for each in fleet.instance_by_id.values():
+            each.table.remove(coordinator, 2)
+        since = asyncio.get_running_loop().time()
+        await fleet.run(traffic, 2.0)
+        admitted = sum(each >= since for each in fleet.admitted_by_customer["large"])
+        assert admitted >= 0.8 * 2.0 * 86.0
+        fleet.turn_off(coordinator)
+        await fleet.run(traffic, 4.0)
+        assert not fleet.excess()
+
+    run_with_paused_clock(main())
+
+
+def test_late_loan_does_not_undo_its_return() -> None:
+    """The share would be in use at two coordinators."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        await fleet.run({}, SETTLE_S)
+        exchange = fleet.instance_by_id[_coordinator_of(fleet, "large")].exchange
+        group = exchange._group_of("large")
+        owner = next(
+            each for each in group.ledger._loan_by_owner if each != exchange._members.own.id
+        )
+        incarnation = fleet.instance_by_id[owner].member.incarnation
+        stamp_ms = int((exchange._now() - exchange._started_at) * 1000)
+        address = fleet.instance_by_id[owner].member.peer_address
+
+        def report(share: float, number: int) -> UsageReport:
+            epoch = exchange._epoch
+            return UsageReport(owner, incarnation, group.region, epoch, stamp_ms, share, number)
+
+        exchange.apply_report(report(0.0, 10**6 + 1), address)
+        assert group.ledger.lent == pytest.approx(5 / 6, abs=1e-5)
+        exchange.apply_report(report(1 / 6, 10**6), address)
+        assert group.ledger.lent == pytest.approx(5 / 6, abs=1e-5)
+        exchange.apply_report(report(1 / 6, 10**6 + 2), address)
+        assert group.ledger.lent == 1.0
+
+    run_with_paused_clock(main())
+
+
+def test_instance_that_stalled_does_not_take_its_peers_for_lost() -> None:
+    """Each change of the coordinator costs its tokens."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        await fleet.run({}, SETTLE_S)
+        instance = fleet.homes()[0]
+        before = {
+            each.region: each.target_id for each in instance.exchange._group_by_region.values()
+        }
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, PausedClockLoop)
+        instance.exchange.tick()  # its questions are out
+        loop.advance(3.0)
+        instance.exchange.tick()
+        after = {
+            each.region: each.target_id for each in instance.exchange._group_by_region.values()
+        }
+        assert after == before
+
+    run_with_paused_clock(main())
+
+
 def _side_of_region(fleet: SimulatedUsage, instance: SimulatedInstance) -> int:
     return int(instance.member.region == "r0")
 
@@ -492,14 +567,14 @@
         coordinator.exchange._send = lambda _addresses, message: sent.append(message)
         sender = HostPort("10.9.9.9", 1)
         row = UsageReportRow(name, 0, 0, 0, 5, 0)
-        report = UsageReport("other", "1", group, 0, 0, 0.0, (row,))
+        report = UsageReport("other", "1", group, 0, 0, 0.0, 1, (row,))
         for _ in range(3):
             coordinator.exchange.apply_report(report, sender)
         assert [each.rows[0].granted for each in sent] == [5, 5, 5]
         # An instance that has got them asks for more; the earlier question comes once more.
         account = sent[0].rows[0].account
         more = UsageReportRow(name, account, 5, 0, 2, 0)
-        asked = UsageReport("other", "1", group, 0, 0, 0.0, (more,))
+        asked = UsageReport("other", "1", group, 0, 0, 0.0, 2, (more,))
         coordinator.exchange.apply_report(asked, sender)
         coordinator.exchange.apply_report(report, sender)
         coordinator.exchange.apply_report(asked, sender)
@@ -519,7 +594,7 @@
         region = exchange._group_of("large").region
         group = exchange._group_by_region[region]
         lent = group.ledger.lent
-        report = UsageReport("other", "1", region, exchange._epoch + 1, 10**9, 0.5)
+        report = UsageReport("other", "1", region, exchange._epoch + 1, 10**9, 0.5, 1)
         exchange.apply_report(report, HostPort("10.0.0.0", 7))
         assert group.ledger.lent == lent
         assert "other" not in group.ledger._loan_by_owner
--- a/heatherhead/tests/platform/documents_tests.py
+++ b/heatherhead/tests/platform/documents_tests.py
@@ -28,7 +28,7 @@
 SeedNodes=10.1.0.18:8382,10.2.0.34:8382
 Limits.CpuShare=0.5
 Limits.CpuCores=2
-Bounds=DrainS=3,GraceS=6,BudgetSlack=56,SomethingNew=true
+Bounds=DrainS=3,GraceS=6,BudgetSlack=56,QuotaOverage=0.2,SomethingNew=true
 PlatformConfig.Address=10.200.1.7:8384
 Unheard.Of=1
 """
@@ -53,6 +53,7 @@
     assert settings.cpu_cores == 1.0
     assert (settings.drain_s, settings.retry_slack) == (3.0, 56.0)
     assert settings.retry_ratio == 0.2
+    assert (settings.cap_window_s, settings.cap_overage, settings.cap_slack) == (5.0, 0.2, 20.0)
     assert len(settings.seeds) == 2
 
 
