--- a/heatherhead/tests/customers/usage_caps_tests.py
+++ b/heatherhead/tests/customers/usage_caps_tests.py
@@ -111,6 +111,14 @@
     assert BOUNDS.credit(UsageCap(1.0, 1.0), OWNERS) / OWNERS >= 1.0
 
 
+def test_bucket_holds_the_lent_part_of_the_burst_only() -> None:
+    """Each side of a partition would grant the whole burst."""
+    terms = BucketTerms(UsageCap(10.0, 60.0), 4.0)
+    assert terms.depth(1.0) == 64.0
+    assert terms.depth(0.25) == 16.0
+    assert terms.depth(0.0) == 0.0
+
+
 def test_bounds_of_zero_leave_the_cap() -> None:
     bounds = CapBounds(5.0, 0.0, 0.0)
     cap = UsageCap(10.0, 20.0)
--- a/heatherhead/tests/fleet/simulated_usage.py
+++ b/heatherhead/tests/fleet/simulated_usage.py
@@ -264,8 +264,23 @@
                     if instance.on and held is not None:
                         tasks.create_task(self.call(instance, held))
 
+    def assert_shares_are_at_one_place(self) -> None:
+        """Check that no owner's share is lent to two running coordinators at once."""
+        now = asyncio.get_running_loop().time()
+        place_by_loan: dict[tuple[str, str], str] = {}
+        for each in self.instance_by_id.values():
+            if not each.on:
+                continue
+            for region, group in each.exchange._group_by_region.items():
+                group.ledger.update(now)
+                for owner, loan in group.ledger._loan_by_owner.items():
+                    if loan.share:
+                        held = place_by_loan.setdefault((region, owner), each.member.id)
+                        assert held == each.member.id, (region, owner, held, each.member.id)
+
     async def _tick(self, until: float) -> None:
         while self.now < until:
+            self.assert_shares_are_at_one_place()
             for each in list(self.instance_by_id.values()):
                 if each.on:
                     each.exchange.tick()
--- a/heatherhead/tests/fleet/usage_exchange_tests.py
+++ b/heatherhead/tests/fleet/usage_exchange_tests.py
@@ -226,12 +226,15 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_coordinator_that_leaves_hands_over_without_a_gap(seed: int) -> None:
-    """Waiting for the end of the loans would refuse the calls of a second."""
+    """Standby instances ask the new one at once; without a return of the loans it has none yet."""
 
     async def main() -> None:
-        fleet = _fleet(seed)
+        fleet = _fleet(seed, standby=6)
         await fleet.run({}, SETTLE_S)
         traffic = _traffic(OVER)
+        standby = [fleet.instance_by_id[f"s{number}"] for number in range(6)]
+        for each in traffic.values():
+            each.choose = lambda rng, _homes: rng.choice(standby)
         await fleet.run(traffic, 6.0)
         coordinator = _coordinator_of(fleet, "large")
         for each in fleet.instance_by_id.values():
@@ -621,6 +624,25 @@
     run_with_paused_clock(main())
 
 
+def test_instance_without_peers_reduces_its_share_before_its_entry_may_be_gone() -> None:
+    """Another instance then owns its share, while it still runs cut off."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        await fleet.run({}, SETTLE_S)
+        owner = next(each for each in fleet.instance_by_id.values() if each.exchange.own_share)
+        fleet.side_by_id = {owner.member.id: 1}
+        await fleet.run({}, 11.0)
+        assert owner.exchange.own_share == pytest.approx(1 / 6)
+        await fleet.run({}, 3.0)
+        assert owner.exchange.own_share == pytest.approx(1 / 24)
+        fleet.side_by_id = {}
+        await fleet.run({}, 3.0)
+        assert owner.exchange.own_share == pytest.approx(1 / 6)
+
+    run_with_paused_clock(main())
+
+
 def test_customers_spread_over_the_regions() -> None:
     async def main() -> None:
         fleet = _fleet()
