--- a/heatherhead/tests/entry/allowed_regions_tests.py
+++ b/heatherhead/tests/entry/allowed_regions_tests.py
@@ -72,7 +72,7 @@
     async with asyncio.TaskGroup() as tasks:
         for number in range(CALLS):
             service = services[number % len(services)]
-            tasks.create_task(fleet.call(service, path, **headers))
+            tasks.create_task(fleet.call(service, path=path, **headers))
             await asyncio.sleep(CALL_INTERVAL_S)
     return {
         _region(number)
