Hedge calls that outlast nearly all others of their route, within a limit

Cause: operators accept extra work for a shorter tail, within a limit that they set; hedges so far are bounded as retries only, and follow load readings. Change: HEATHERHEAD_HEDGE_RATIO sets hedges per call over the retry budget's window. dispatch/tail_hedging.py decides; with 0 the forwarder decides as before.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -12,6 +12,7 @@
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.reach import create_reach
+from heatherhead.dispatch.tail_hedging import create_tail_hedging
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.entry.addresses import create_address_book
 from heatherhead.entry.settings import HostPort
@@ -174,6 +175,13 @@
             self.reach,
             self.detours,
             UncappedUsage(),
+            create_tail_hedging(
+                self.dispatcher,
+                settings.hedge_ratio,
+                settings.retry_window_s,
+                self.metrics.events,
+                self._loop.time,
+            ),
         )
         self.prober = create_reach_prober(
             self.table,
--- a/heatherhead/entry/settings.py
+++ b/heatherhead/entry/settings.py
@@ -53,4 +53,11 @@
     retry_ratio: float = Field(ge=0, description="Retries per call, over all instances.")
     retry_window_s: float = Field(gt=0, description="Window in which retries are counted.")
     retry_slack: float = Field(ge=0, description="Retries per window beyond the ratio.")
+    hedge_ratio: float = Field(
+        default=0.0,
+        ge=0,
+        le=1,
+        description="Most hedges per call of a service over all instances within "
+        "`retry_window_s`; with 0 they are bounded as retries only.",
+    )
     probes_per_s: float = Field(gt=0, description="Health checks per upstream, all instances.")
--- a/heatherhead/platform/settings_file.py
+++ b/heatherhead/platform/settings_file.py
@@ -19,6 +19,8 @@
 __all__ = ["read_settings", "settings_path", "settings_from_text"]
 
 PATH_VARIABLE = "HEATHERHEAD_BOOT"
+# The settings file belongs to the platform and has no field for it.
+HEDGE_RATIO_VARIABLE = "HEATHERHEAD_HEDGE_RATIO"
 DEFAULT_PATH = "/etc/heatherhead/boot.conf"
 
 
@@ -109,6 +111,7 @@
         retry_ratio=bounds.get("RetryBudgetRatio", float, 0.2),
         retry_window_s=bounds.get("BudgetWindowS", float, 10.0),
         retry_slack=bounds.get("BudgetSlack", float, 50.0),
+        hedge_ratio=_Fields(dict(os.environ)).get(HEDGE_RATIO_VARIABLE, _ratio, 0.0),
         probes_per_s=bounds.get("ProbesPerS", float, 60.0),
     )
 
@@ -131,6 +134,13 @@
     return {name.strip(): value.strip() for name, _, value in pairs}
 
 
+def _ratio(text: str) -> float:
+    ratio = float(text)
+    if not 0 <= ratio <= 1:
+        raise ValueError("it is not between 0 and 1")
+    return ratio
+
+
 def _host_port(text: str) -> HostPort:
     host, _, port = text.rpartition(":")
     if not host:
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -15,6 +15,7 @@
 from heatherhead.dispatch.estimates import INITIAL_SERVICE_TIME_SHARE, RouteEstimate
 from heatherhead.dispatch.hedging import CHECK_INTERVAL_S, first_check_s, worth_hedging
 from heatherhead.dispatch.rejection import RejectedError
+from heatherhead.dispatch.tail_hedging import CallHedging
 from heatherhead.proxy.answer_matching import answers_call
 from heatherhead.proxy.caller_connection import BodyMemoryError, BodyTooLargeError
 from heatherhead.proxy.detour import (
@@ -43,6 +44,7 @@
     from heatherhead.dispatch.crashes import CrashTable
     from heatherhead.dispatch.dispatcher import Dispatcher, Slot
     from heatherhead.dispatch.reach import Reach
+    from heatherhead.dispatch.tail_hedging import TailHedging
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.proxy.caller_connection import Exchange
     from heatherhead.proxy.detour import Detours, DetourTerms
@@ -114,6 +116,7 @@
     slot_by_task: dict[asyncio.Future[_AttemptOutcome], Slot] = field(default_factory=dict)
     recheck: asyncio.Future[None] | None = None  # completed to check hedge and timeout at once
     last: _AttemptOutcome | None = None
+    hedging: CallHedging = field(default_factory=CallHedging)
 
     @property
     def may_have_run(self) -> bool:
@@ -141,8 +144,10 @@
         reach: Reach,
         detours: Detours,
         caps: UsageCaps,
+        tail_hedging: TailHedging,
     ) -> None:
         self.metrics = metrics
+        self._tail_hedging = tail_hedging
         self._caps = caps
         self._reach = reach
         self._detours = detours
@@ -590,6 +595,7 @@
             attempt=call.sent + 1,
         )
         call.tried_ids.add(slot.state.entry.id)
+        self._tail_hedging.record_attempt(call.hedging, call.demand.service)
         self._estimate(call.route).attempted_at = now
         self._active_calls_by_upstream.setdefault(state.entry.id, set()).add(call)
         task = self._loop.create_task(self._send_to_upstream(call, slot))
@@ -602,7 +608,8 @@
             return float("inf")
         slot = next(iter(call.slot_by_task.values()))
         check_at = slot.acquired_at + first_check_s(slot.expected_s)
-        return max(check_at - now, CHECK_INTERVAL_S)
+        check_s = max(check_at - now, CHECK_INTERVAL_S)
+        return self._tail_hedging.next_check_s(call.route.name, slot, check_s)
 
     def apply_suspension(self, suspended_s: float) -> None:
         """Make all deadlines earlier by a suspension, during which the callers' timers ran on."""
@@ -631,6 +638,9 @@
             return
         now = self._loop.time()
         slot = next(iter(call.slot_by_task.values()))
+        if self._tail_hedging.enabled:
+            self._hedge_within_limit(call, slot)
+            return
         second_s = self._dispatcher.expected_elsewhere_s(demand, call.tried_ids)
         if second_s is None:
             return
@@ -662,6 +672,18 @@
         )
         self._launch_attempt(call, second)
 
+    def _hedge_within_limit(self, call: _Call, first: Slot) -> None:
+        second = self._tail_hedging.try_hedge(
+            call.hedging,
+            call.route.name,
+            call.demand,
+            call.tried_ids,
+            first,
+            lambda slot: not self._outlasts_instance(call, slot),
+        )
+        if second is not None:
+            self._launch_attempt(call, second)
+
     def _handle_outcome(self, call: _Call, outcome: _AttemptOutcome) -> Answer | None:
         """Return the final answer, or `None` if the call continues."""
         call.last = outcome
@@ -722,6 +744,7 @@
         active.discard(call)
         if not active:
             del self._active_calls_by_upstream[slot.state.entry.id]
+        self._tail_hedging.record_end(call.hedging, call.route.name, call.demand, slot)
         self._dispatcher.release(slot)
 
     async def _send_to_upstream(self, call: _Call, slot: Slot) -> _AttemptOutcome:
@@ -844,6 +867,7 @@
         estimate.duration.record(duration_s)
         work_s = self._dispatcher.record_answer(slot, estimate.work_s, duration_s)
         estimate.record(work_s, len(answer.body), now)
+        call.hedging.record_answer(slot)
         return _AttemptOutcome(_AttemptEnd.ANSWERED, "answered", answer, leaving_start)
 
     def _record_pause(
@@ -1050,8 +1074,19 @@
     reach: Reach,
     detours: Detours,
     caps: UsageCaps,
+    tail_hedging: TailHedging,
 ) -> Forwarder:
     """Create a forwarder; must be called inside the running loop."""
     return Forwarder(
-        table, dispatcher, pool, dialect, crashes, announce_crash, metrics, reach, detours, caps
+        table,
+        dispatcher,
+        pool,
+        dialect,
+        crashes,
+        announce_crash,
+        metrics,
+        reach,
+        detours,
+        caps,
+        tail_hedging,
     )
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -16,6 +16,7 @@
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.reach import create_reach
+from heatherhead.dispatch.tail_hedging import create_tail_hedging
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.platform.dialect import PlatformDialect
 from heatherhead.proxy.answer_memory import create_answer_memory
@@ -168,6 +169,7 @@
         port_by_upstream: dict[str, int],
         max_attempts: int = 2,
         caps: UsageCaps | None = None,
+        hedge_ratio: float = 0.0,
     ) -> None:
         self.table = create_route_table()
         self.dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 100.0)
@@ -182,6 +184,7 @@
         self.detours = create_detours(
             create_answer_memory(), PlatformDialect(), lambda _service: self.peers
         )
+        metrics = create_entry_metrics()
         self.forwarder = create_forwarder(
             self.table,
             self.dispatcher,
@@ -189,10 +192,11 @@
             PlatformDialect(),
             self.crashes,
             lambda *notice: self.crash_notices.append(notice),
-            create_entry_metrics(),
+            metrics,
             self.reach,
             self.detours,
             caps or UncappedUsage(),
+            create_tail_hedging(self.dispatcher, hedge_ratio, 10.0, metrics.events, loop.time),
         )
         self.callers = create_caller_connections(
             self.forwarder.handle,
