Limit hedges of the own interface to routing.hedge_ratio of the calls in a window

Cause: hedge_share fills a bucket, which a burst may empty at once; operators set a limit that holds in each window.

--- a/heatherhead/assembly.py
+++ b/heatherhead/assembly.py
@@ -80,7 +80,11 @@
         self.router = create_router(settings.routing, view, self.membership.network, self.telemetry)
         self.client = create_upstream_client(settings.admission)
         self.runner = create_attempt_runner(
-            self.router, self.client, settings.admission, self.telemetry
+            self.router,
+            self.client,
+            settings.admission,
+            self.telemetry,
+            settings.routing.hedge_ratio,
         )
         self.health = create_health_checker(
             settings.routing,
--- a/heatherhead/settings/routing.py
+++ b/heatherhead/settings/routing.py
@@ -67,6 +67,13 @@
         description="Lower bound of the hedge delay, as a multiple of the 90th percentile of the "
         "service time.",
     )
+    hedge_ratio: float = Field(
+        default=0.0,
+        ge=0,
+        le=1,
+        description="Most hedges per call of a service in any 10 seconds, over all instances; 0 for "
+        "no limit beyond the service's `hedge_share`.",
+    )
     trial_delay_ms: int = Field(
         default=20,
         ge=1,
--- a/heatherhead/tests/upstreams/attempts_tests.py
+++ b/heatherhead/tests/upstreams/attempts_tests.py
@@ -299,6 +299,30 @@
     run_with_shifted_clock(main())
 
 
+def test_no_hedge_beyond_the_ratio_that_operators_set() -> None:
+    """One call allows less than one hedge, whatever `hedge_share` has left."""
+
+    async def main() -> None:
+        async with running_instance(
+            respond_when_allowed,
+            respond_when_allowed,
+            service={**NO_KEYS, "hedge_share": 0.5},
+            routing={"hedge_ratio": 0.5},
+        ) as here:
+            PlainRouter(here, 0.0)
+            call = asyncio.create_task(here.session.get(here.url))
+            await _first_arrival(here)
+            for _ in range(100):
+                await asyncio.sleep(0)
+            assert sum(len(each.seen) for each in here.upstreams) == 1
+            for upstream in here.upstreams:
+                upstream.answer_allowed.set()
+            async with await call as answer:
+                assert answer.status == 200
+
+    run_with_shifted_clock(main())
+
+
 async def _first_arrival(here: InstanceHarness) -> None:
     waits = [asyncio.create_task(each.arrived.wait()) for each in here.upstreams]
     _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
--- a/heatherhead/upstreams/attempts.py
+++ b/heatherhead/upstreams/attempts.py
@@ -24,6 +24,7 @@
     signal_of_answer,
 )
 from heatherhead.upstreams.client import Attempt, Destination
+from heatherhead.upstreams.hedge_limit import create_hedge_limit
 from heatherhead.upstreams.hedging import Hedge
 
 if TYPE_CHECKING:
@@ -121,6 +122,7 @@
         client: UpstreamClient,
         settings: AdmissionSettings,
         telemetry: Telemetry,
+        hedge_ratio: float,
     ) -> None:
         self.router = router
         self._client = client
@@ -128,11 +130,13 @@
         self._telemetry = telemetry
         self._retries_by_service: dict[str, RetryBudget] = {}
         self._hedges_by_service: dict[str, RetryBudget] = {}
+        self._hedge_limit = create_hedge_limit(hedge_ratio)
 
     def discard_budgets(self, service: str) -> None:
         """Discard the budgets of a service that was removed."""
         self._retries_by_service.pop(service, None)
         self._hedges_by_service.pop(service, None)
+        self._hedge_limit.discard(service)
 
     async def run(self, run: CallRun) -> Result[OpenAnswer, HeatherheadError]:
         """Run a call; return its answer once the head has arrived, or the error.
@@ -142,6 +146,7 @@
         """
         self._budget(self._retries_by_service, run, run.service.retry_share).deposit()
         self._budget(self._hedges_by_service, run, run.service.hedge_share).deposit()
+        self._hedge_limit.record_call(run.service.name, asyncio.get_running_loop().time())
         while True:
             slot = await self._acquire(run)
             if isinstance(slot, Err):
@@ -180,10 +185,15 @@
         budget = self._budget(self._hedges_by_service, run, run.service.hedge_share)
         if budget.tokens < 1.0:
             return None
+        now = asyncio.get_running_loop().time()
+        if not self._hedge_limit.allows(run.service.name, now):
+            self._telemetry.count("hedges_over_limit")
+            return None
         slot = self.router.try_acquire(run.call, frozenset({*run.avoid, first.upstream.id}))
         if slot is None:
             return None
         budget.try_withdraw()
+        self._hedge_limit.record_hedge(run.service.name, now)
         self._telemetry.count("hedges")
         return await self.send(run, slot)
 
@@ -303,7 +313,11 @@
 
 
 def create_attempt_runner(
-    router: Router, client: UpstreamClient, settings: AdmissionSettings, telemetry: Telemetry
+    router: Router,
+    client: UpstreamClient,
+    settings: AdmissionSettings,
+    telemetry: Telemetry,
+    hedge_ratio: float,
 ) -> AttemptRunner:
     """Create the runner of all calls' attempts."""
-    return AttemptRunner(router, client, settings, telemetry)
+    return AttemptRunner(router, client, settings, telemetry, hedge_ratio)
