--- a/heatherhead/dispatch/budget.py
+++ b/heatherhead/dispatch/budget.py
@@ -27,6 +27,7 @@
 # replaced loses the count of what it has spent. Instances that are not homes see few calls.
 HOMES_SLACK_SHARE = 0.5
 OTHERS_SLACK_SHARE = 0.25
+MOST_URGENT: Priority = (0, 0)
 RETRY_RATE_WINDOW_S = 1.0  # over which the retries that a priority needs are counted
 
 
@@ -52,22 +53,22 @@
         self._expire(now)
         return self._ratio * len(self._call_times) + self.slack - len(self._extra_attempts)
 
-    def allows(self, demand: Demand, now: float) -> bool:
-        """Return whether a call may get an extra attempt now."""
+    def allows(self, now: float, demand: Demand | None = None) -> bool:
+        """Return whether a call may get an extra attempt now, one of any priority without it."""
         priority = _priority_of(demand)
         return self.remaining(now) - self._reserved(priority, now) >= 1.0
 
-    def try_retry(self, demand: Demand, now: float) -> bool:
+    def try_retry(self, now: float, demand: Demand) -> bool:
         """Spend one extra attempt on a call that failed, if allowed; return whether it was."""
         times = self._retry_times_by_priority.setdefault(_priority_of(demand), deque())
         times.append(now)
         while times[0] < now - RETRY_RATE_WINDOW_S:
             times.popleft()
-        return self.try_spend(demand, now)
+        return self.try_spend(now, demand)
 
-    def try_spend(self, demand: Demand, now: float) -> bool:
+    def try_spend(self, now: float, demand: Demand | None = None) -> bool:
         """Spend one extra attempt if allowed; return whether it was."""
-        if not self.allows(demand, now):
+        if not self.allows(now, demand):
             return False
         priority = _priority_of(demand)
         self._extra_attempts.append((now, priority))
@@ -94,7 +95,9 @@
             self._spent_by_priority[priority] -= 1
 
 
-def _priority_of(demand: Demand) -> Priority:
+def _priority_of(demand: Demand | None) -> Priority:
+    if demand is None:
+        return MOST_URGENT
     return demand.customer_priority, demand.priority
 
 
--- a/heatherhead/dispatch/tail_hedging.py
+++ b/heatherhead/dispatch/tail_hedging.py
@@ -251,7 +251,7 @@
             self._dispatcher.release(second)
             return None
         service.limit.try_spend(now)
-        self._dispatcher.budget(demand.service).try_spend(now)
+        self._dispatcher.budget(demand.service).try_spend(now, demand)
         wins.record_sent(now)
         call.second, call.wins = second, wins
         self._events["hedge"] += 1
@@ -317,7 +317,7 @@
                 self._events["hedges_over_limit"] += 1
                 log_routine("hedge_over_limit", id=demand.request_id, service=demand.service)
             return False
-        return self._dispatcher.budget(demand.service).remaining(now) >= 1.0
+        return self._dispatcher.budget(demand.service).allows(now, demand)
 
     def _avoided(
         self,
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -475,7 +475,7 @@
             now = self._loop.time()
             if not call.demand.idempotent:
                 return
-            if not self._dispatcher.budget(call.demand.service).try_spend(call.demand, now):
+            if not self._dispatcher.budget(call.demand.service).try_spend(now, call.demand):
                 return
         for task in call.slot_by_task:
             task.cancel()
@@ -661,7 +661,7 @@
         if not worth_hedging(demand, now, elapsed_s, slowdown, second_s):
             return
         budget = self._dispatcher.budget(demand.service)
-        if not budget.allows(demand, now):
+        if not budget.allows(now, demand):
             return
         second = self._dispatcher.try_acquire(demand, call.tried_ids)
         if second is None:
@@ -669,7 +669,7 @@
         if self._outlasts_instance(call, second):
             self._dispatcher.release(second)
             return
-        budget.try_spend(demand, now)
+        budget.try_spend(now, demand)
         self.metrics.events["hedge"] += 1
         log_event(
             "hedged",
@@ -745,7 +745,7 @@
             return False
         if call.sent >= call.max_attempts:
             return False
-        within_budget = self._dispatcher.budget(call.demand.service).try_retry(call.demand, now)
+        within_budget = self._dispatcher.budget(call.demand.service).try_retry(now, call.demand)
         self.metrics.events["retry" if within_budget else "retry_over_budget"] += 1
         return within_budget
 
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -207,7 +207,7 @@
         budget = budgets[step % 4]
         budget.record_call(now)
         calls += 1
-        extra_attempts += budget.try_spend(demand, now) + budget.try_retry(demand, now)
+        extra_attempts += budget.try_spend(now, demand) + budget.try_retry(now, demand)
     assert extra_attempts <= 0.2 * calls + 56.0
 
 
@@ -221,8 +221,8 @@
 
 def test_budget_expires_what_left_the_window() -> None:
     budget, demand = create_retry_budget(0.0, 10.0, 2.0), create_demand()
-    assert [budget.try_spend(demand, NOW) for _ in range(3)] == [True, True, False]
-    assert budget.try_spend(demand, NOW + 10.1)
+    assert [budget.try_spend(NOW, demand) for _ in range(3)] == [True, True, False]
+    assert budget.try_spend(NOW + 10.1, demand)
 
 
 def _retries_of_a_shedding_service(priorities: tuple[int, int]) -> list[float]:
@@ -241,7 +241,7 @@
         route = int(n % 7 > 0)
         if n // 7 % 2:
             refused[route] += 1
-            retried[route] += budget.try_retry(demands[route], now)
+            retried[route] += budget.try_retry(now, demands[route])
     return [done / wanted for done, wanted in zip(retried, refused, strict=True)]
 
 
@@ -257,18 +257,18 @@
 def test_budget_is_not_kept_for_retries_that_have_ended() -> None:
     budget = create_retry_budget(0.0, 10.0, 10.0)
     urgent, other = create_demand(priority=0), create_demand(priority=1)
-    assert all(budget.try_retry(urgent, NOW) for _ in range(3))
-    assert not budget.try_spend(other, NOW + 0.5)
-    assert budget.try_spend(other, NOW + 1.1)
+    assert all(budget.try_retry(NOW, urgent) for _ in range(3))
+    assert not budget.try_spend(NOW + 0.5, other)
+    assert budget.try_spend(NOW + 1.1, other)
 
 
 def test_customer_s_priority_goes_before_that_of_the_route() -> None:
     budget = create_retry_budget(0.0, 10.0, 4.0)
     first = create_demand(priority=2, customer_priority=0)
     second = create_demand(priority=0, customer_priority=1)
-    assert budget.try_retry(first, NOW)
-    assert not budget.try_retry(second, NOW)
-    assert budget.try_retry(first, NOW)
+    assert budget.try_retry(NOW, first)
+    assert not budget.try_retry(NOW, second)
+    assert budget.try_retry(NOW, first)
 
 
 def test_last_slot_stays_free_if_full_upstreams_slow_down() -> None:
