--- a/heatherhead/fleet/usage_exchange.py
+++ b/heatherhead/fleet/usage_exchange.py
@@ -595,7 +595,7 @@
         if target.id != group.target_id:
             return 0.0
         if group.lent_to is None or group.lent_to.id != target.id:
-            if now < group.promised_until:
+            if now < group.promised_until and not _renews_loan(group, target):
                 return 0.0
             group.lent_to = target
         group.release_number = None
@@ -692,6 +692,15 @@
                 del accounts[key]
 
 
+def _renews_loan(group: _Group, target: Member) -> bool:
+    """Return whether a start's first loan replaces one of the start before it.
+
+    That lent to the first candidate, unless it did not answer. So a restart of all instances, which ends
+    all loans, does not leave the customers without tokens until these would have run out.
+    """
+    return group.lent_to is None and target.id == group.candidates[0].id
+
+
 def create_usage_exchange(
     bounds: CapBounds,
     region_by_zone: Mapping[str, str],
