Explain the placement of a call without making it

Cause: operators see in the log where a call went, but not why other upstreams were passed over, nor what a call would meet now.

Change: `Dispatcher.explain` takes the decisions of `acquire` on a copy of the service and describes them (`dispatch/explanation.py`). The route table, the identification, the estimates of the forwarder and the list of detour peers can be read without a turn taken, a record made or a random order drawn.

--- a/heatherhead/customers/identification.py
+++ b/heatherhead/customers/identification.py
@@ -9,7 +9,7 @@
     from heatherhead.routes.model import Customer, Route
     from heatherhead.routes.table import RouteTable
 
-__all__ = ["Identity", "identify"]
+__all__ = ["Identity", "identify", "identify_by_name"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +38,18 @@
 
 def identify(table: RouteTable, route: Route, key: str | None) -> Identity | None:
     """Return whose call it is, None if the route needs a key that no customer holds."""
+    return _identity_of(table, route, table.customer_of(key))
+
+
+def identify_by_name(table: RouteTable, route: Route, name: str | None) -> Identity | None:
+    """Return the same of a call with a key of a customer, by its name."""
+    customers = table.configuration.customer_by_name or {}
+    return _identity_of(table, route, None if name is None else customers.get(name))
+
+
+def _identity_of(table: RouteTable, route: Route, customer: Customer | None) -> Identity | None:
     if not table.has_customers:
         return Identity(None, keys_required=False)
-    customer = table.customer_of(key)
     if customer is None and not route.public:
         return None
     return Identity(customer, keys_required=True)
--- a/heatherhead/dispatch/admission_queue.py
+++ b/heatherhead/dispatch/admission_queue.py
@@ -56,6 +56,12 @@
     def __init__(self) -> None:
         self._times: deque[float] = deque(maxlen=MAX_ARRIVALS)
 
+    def copy(self) -> ArrivalRate:
+        """Return a copy that shares no state."""
+        copied = ArrivalRate()
+        copied._times.extend(self._times)
+        return copied
+
     def record(self, now: float) -> None:
         """Record the arrival of a call."""
         self._times.append(now)
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from random import sample
 from typing import TYPE_CHECKING
@@ -21,6 +21,12 @@
 from heatherhead.dispatch.budget import RetryBudget, create_retry_budget
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.estimates import BaselineSlowdown
+from heatherhead.dispatch.explanation import (
+    Forecast,
+    Outcome,
+    PlacementExplanation,
+    explain_candidates,
+)
 from heatherhead.dispatch.pauses import create_pause_table
 from heatherhead.dispatch.regions import (
     Offers,
@@ -42,7 +48,7 @@
 
     from heatherhead.dispatch.contention import ContentionEvidence
     from heatherhead.dispatch.demand import Demand
-    from heatherhead.dispatch.placement import Prospect
+    from heatherhead.dispatch.placement import Placement, Prospect
     from heatherhead.dispatch.rate_limits import RateLimitEvidence
     from heatherhead.dispatch.regions import RegionGroup, Regions
     from heatherhead.dispatch.rejection import RejectionEvidence
@@ -114,6 +120,40 @@
         """Return the group of calls, also of those that may run in all regions."""
         return self.groups.of(regions, self.preferred, self.overflow)
 
+    def copy(self) -> _Service:
+        """Return a copy on which a decision can be tried; it shares upstreams and waiting calls."""
+        return replace(
+            self,
+            arrival_rate=self.arrival_rate.copy(),
+            retry_after=replace(self.retry_after),
+            groups=self.groups.copy(),
+        )
+
+    def record_arrival(self, demand: Demand, now: float) -> None:
+        """Record the arrival of a call, unless its caller has waited in an earlier request."""
+        if not demand.waited_before_s:
+            group = self.group_of(demand.regions)
+            (self if group is None else group).arrival_rate.record(now)
+
+    def place(
+        self,
+        states: Collection[UpstreamState],
+        demand: Demand,
+        avoid: Collection[str],
+        now: float,
+    ) -> Placement:
+        """Choose one of some upstreams for a single call."""
+        place = placement.place if self.group_of(demand.regions) is None else self.groups.place
+        return place(states, demand, avoid, now, self.baseline.value)
+
+    def all_unreachable(self, regions: Regions, now: float) -> bool:
+        """Return whether no upstream in some regions is reachable from here."""
+        if regions is None:
+            return all_unreachable(self.state_by_id.values(), now)
+        group = self.group(regions)
+        allowed = (*group.preferred, *group.overflow)
+        return bool(allowed) and all_unreachable(allowed, now)
+
     @property
     def has_groups_waiting(self) -> bool:
         """Return whether waiting calls differ in the upstreams that may serve them."""
@@ -305,13 +345,7 @@
 
     def all_unreachable(self, service: str, regions: Regions = None) -> bool:
         """Return whether no upstream of a service in some regions is reachable from here."""
-        now = self._loop.time()
-        state = self._service(service)
-        if regions is None:
-            return all_unreachable(state.state_by_id.values(), now)
-        group = state.group(regions)
-        allowed = (*group.preferred, *group.overflow)
-        return bool(allowed) and all_unreachable(allowed, now)
+        return self._service(service).all_unreachable(regions, self._loop.time())
 
     def set_evacuated_zones(self, zones: frozenset[str]) -> None:
         """Send no further calls to upstreams of some zones, and place waiting calls anew."""
@@ -601,11 +635,7 @@
     ) -> None:
         """Request permits for those of some upstreams that would serve the call best."""
         now = self._loop.time()
-        requestable = [
-            state
-            for state in states
-            if state.lacks_permit(now) and not state.excluded(now) and self._may_request(state)
-        ]
+        requestable = self._requestable(states, now)
         baseline = service.baseline.value
         cold = [each for each in requestable if each.rate_limit.warmup_per_s is not None]
         if cold:
@@ -615,6 +645,14 @@
             for state in placement.worth_permits(states, requestable, demand, avoid, now, baseline):
                 self.request_permits(state)
 
+    def _requestable(self, states: Iterable[UpstreamState], now: float) -> list[UpstreamState]:
+        """List those of some upstreams of which permits may be requested now."""
+        return [
+            state
+            for state in states
+            if state.lacks_permit(now) and not state.excluded(now) and self._may_request(state)
+        ]
+
     def _may_request(self, state: UpstreamState) -> bool:
         if state.rate_limit.warmup_per_s is not None:
             return self.may_request_warmup(state)
@@ -630,30 +668,21 @@
     ) -> None:
         """Request permits for the waiting calls, or this one, if they would take cold upstreams."""
         now = self._loop.time()
-        waiting = max(1, len(service.queue))
-        in_sight = sum(
-            each.rate_limit.permits_in_sight(now)
-            for each in service.limited_by_id.values()
-            if each.rate_limit.warmup_per_s is not None
-        )
-        wanted = min(MAX_WARMUP_PERMITS, waiting - in_sight)
+        wanted = _missing_warmup_permits(service, now)
         if wanted <= 0:
             return
-        baseline, ahead = service.baseline.value, waiting - 1
+        baseline, ahead = service.baseline.value, max(1, len(service.queue)) - 1
         best = placement.cold_choices(states, cold, demand, avoid, now, baseline, ahead)
         if best:
             self.request_warmup_permits(best, wanted)
 
     async def acquire(self, demand: Demand, avoid: Collection[str]) -> Slot:
         """Wait for a slot; raise `RejectedError` as soon as the call is infeasible."""
-        if not demand.waited_before_s:
-            service = self._service(demand.service)
-            group = service.group_of(demand.regions)
-            (service if group is None else group).arrival_rate.record(self._loop.time())
+        service = self._service(demand.service)
+        service.record_arrival(demand, self._loop.time())
         slot = self.try_acquire(demand, avoid)
         if slot is not None:
             return slot
-        service = self._service(demand.service)
         now = self._loop.time()
         self._check_feasible(service, demand, now)
         call = WaitingCall(demand, avoid, self._loop.create_future(), now)
@@ -688,8 +717,7 @@
         now = self._loop.time()
         group = service.group_of(demand.regions)
         states = service.preferred if group is None else group.preferred
-        place = placement.place if group is None else service.groups.place
-        found = place(states, demand, avoid, now, service.baseline.value)
+        found = service.place(states, demand, avoid, now)
         return found.expected_s if found.upstream is not None else None
 
     def _acquire_free(
@@ -699,13 +727,12 @@
         baseline = service.baseline.value
         group = service.group_of(demand.regions)
         states = service.preferred if group is None else group.preferred
-        place = placement.place if group is None else service.groups.place
         if service.limited_by_id:
             self._request_permits(service, states, demand, avoid)
-        upstream = place(states, demand, avoid, now, baseline).upstream
+        upstream = service.place(states, demand, avoid, now).upstream
         if upstream is None and (sampled := service.sample_overflow(group)):
             self._request_permits(service, sampled, demand, avoid)
-            upstream = place(sampled, demand, avoid, now, baseline).upstream
+            upstream = service.place(sampled, demand, avoid, now).upstream
         return None if upstream is None else self._occupy(upstream, demand, now, baseline)
 
     def _occupy(self, state: UpstreamState, demand: Demand, now: float, baseline: float) -> Slot:
@@ -791,9 +818,123 @@
                 state.update_time_full(now)
                 del state.reported_by_peer[peer]
 
-    def _check_feasible(self, service: _Service, demand: Demand, now: float) -> None:
+    def explain(self, demand: Demand) -> PlacementExplanation:
+        """Tell what would become of a call that came now, and why; changes nothing.
+
+        The decisions are taken on a copy of the service. Windows may drop entries that have expired,
+        as at each reading. No permit is requested and no sample drawn, so the upstreams that other
+        instances fill first are all compared where a call compares a random sample.
+        """
+        now = self._loop.time()
+        held = self._service_by_name.get(demand.service)
+        if held is None:
+            budget = self._create_budget(self._own_slack)
+            service = _Service(demand.service, budget, groups=RegionGroups(salt=0))
+        else:
+            service = held.copy()
+        unreachable = service.all_unreachable(demand.regions, now)
+        service.record_arrival(demand, now)
+        group = service.group_of(demand.regions)
+        first = service.preferred if group is None else group.preferred
+        overflow = service.overflow if group is None else group.overflow
+        forecast = self._forecast(service, demand, first, overflow, now)
+        candidates = explain_candidates(
+            service.state_by_id.values(),
+            first,
+            overflow,
+            lambda states: service.prospects_for(demand.regions, now, states),
+            demand,
+            now,
+            service.baseline.value,
+            forecast,
+        )
+        return PlacementExplanation(
+            forecast,
+            candidates,
+            service.baseline.value,
+            service.budget.remaining(now),
+            service.budget.allows(demand, now),
+            unreachable,
+        )
+
+    def _forecast(
+        self,
+        service: _Service,
+        demand: Demand,
+        first: list[UpstreamState],
+        overflow: list[UpstreamState],
+        now: float,
+    ) -> Forecast:
+        """Take the decisions of `acquire` on the copy of a service."""
+        if service.queue.calls and service.is_preceded(demand, now):
+            return self._forecast_wait(service, demand, "other calls precede it", (), False, now)
+        wanted = self._wanted_permits(service, first, demand, now)
+        found = service.place(first, demand, (), now)
+        compares_overflow = found.upstream is None and bool(overflow)
+        if compares_overflow:
+            wanted += self._wanted_permits(service, overflow, demand, now)
+            beyond = service.place(overflow, demand, (), now)
+            found = found if beyond.upstream is None else beyond
+        if found.upstream is None:
+            names = tuple(each.entry.id for each in wanted)
+            reason = "it requests permits" if wanted else found.reason
+            return self._forecast_wait(service, demand, reason, names, compares_overflow, now)
+        sampled_of = len(overflow) if compares_overflow else 0
+        return Forecast(
+            Outcome.ADMITTED,
+            found.reason,
+            chosen=found.upstream,
+            expected_s=found.expected_s,
+            compares_overflow=compares_overflow,
+            sampled_of=sampled_of if sampled_of > OVERFLOW_SAMPLE_SIZE else 0,
+        )
+
+    def _forecast_wait(
+        self,
+        service: _Service,
+        demand: Demand,
+        reason: str,
+        wanted: tuple[str, ...],
+        compares_overflow: bool,
+        now: float,
+    ) -> Forecast:
+        ahead = service.ahead_of(demand, now)
         capacity = self._capacity(service, demand.regions, now)
         arrivals_per_s = service.arrivals_per_s(demand.regions, now)
+        waiting_s = wait_s(ahead, demand, capacity, arrivals_per_s, now)
+        common = {"ahead": ahead, "compares_overflow": compares_overflow}
+        try:
+            self._check_feasible(service, demand, now, len(wanted))
+        except RejectedError as error:
+            retry_after_s = error.retry_after_s
+            return Forecast(Outcome.REJECTED, error.reason, retry_after_s=retry_after_s, **common)
+        return Forecast(Outcome.WAITS, reason, wait_s=waiting_s, permits_of=wanted, **common)
+
+    def _wanted_permits(
+        self, service: _Service, states: Collection[UpstreamState], demand: Demand, now: float
+    ) -> list[UpstreamState]:
+        """List the upstreams of which a call would request permits."""
+        if not service.limited_by_id:
+            return []
+        baseline = service.baseline.value
+        requestable = self._requestable(states, now)
+        cold = [each for each in requestable if each.rate_limit.warmup_per_s is not None]
+        limited = [each for each in requestable if each.rate_limit.warmup_per_s is None]
+        wanted = placement.worth_permits(states, limited, demand, (), now, baseline)
+        if cold and _missing_warmup_permits(service, now) > 0:
+            ahead = max(1, len(service.queue)) - 1
+            best = placement.best_cold(states, cold, demand, (), now, baseline, ahead)
+            wanted += [] if best is None else [best]
+        return wanted
+
+    def _check_feasible(
+        self, service: _Service, demand: Demand, now: float, more_permits: int = 0
+    ) -> None:
+        """Raise `RejectedError` if a call is infeasible with so many permits more than requested."""
+        capacity = self._capacity(service, demand.regions, now)
+        if more_permits:
+            capacity = replace(capacity, permits=capacity.permits + more_permits)
+        arrivals_per_s = service.arrivals_per_s(demand.regions, now)
         ahead = service.ahead_of(demand, now)
         reason = None
         if not service.state_by_id:
@@ -958,6 +1099,16 @@
         return service
 
 
+def _missing_warmup_permits(service: _Service, now: float) -> int:
+    """Return how many permits for cold upstreams to request for the waiting calls, or a new one."""
+    in_sight = sum(
+        each.rate_limit.permits_in_sight(now)
+        for each in service.limited_by_id.values()
+        if each.rate_limit.warmup_per_s is not None
+    )
+    return min(MAX_WARMUP_PERMITS, max(1, len(service.queue)) - in_sight)
+
+
 def create_dispatcher(
     zone: str,
     region_by_zone: dict[str, str],
--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -29,6 +29,7 @@
 __all__ = [
     "Placement",
     "Prospect",
+    "best_cold",
     "choose",
     "cold_choices",
     "expected_s",
@@ -57,6 +58,7 @@
     upstream: UpstreamState | None
     expected_s: float
     reason: str
+    cost_s: float  # of the upstream, or of the wait
 
 
 @dataclass(slots=True, eq=False)
@@ -73,6 +75,10 @@
     occupancy: int
     free: int  # slots, with permits if needed; zero or less if the upstream is full
 
+    def service_time_s(self, work_s: float) -> float:
+        """Return the expected service time of a call that takes `work_s` at normal speed."""
+        return work_s * self.slowdown + self.overdue_s
+
     def proven_answer_s(self, work_s: float) -> float:
         """Return the time to the answer of a call that takes `work_s` at normal speed.
 
@@ -146,6 +152,23 @@
     return wanted
 
 
+def best_cold(
+    states: Collection[UpstreamState],
+    cold: list[UpstreamState],
+    demand: Demand,
+    avoid: Collection[str],
+    now: float,
+    baseline: float,
+    ahead: int,
+) -> UpstreamState | None:
+    """Return the cold upstream that a call would take with a permit, `None` if it takes none."""
+    prospects = prospects_of(states, now, baseline)
+    prospects += [prospect_of(each, now, baseline) for each in cold]
+    to_target_s, to_give_up_s = demand.time_to_target(now), demand.give_up_at - now
+    best = choose(prospects, demand, avoid, ahead, to_target_s, to_give_up_s).upstream
+    return best if best in cold else None
+
+
 def cold_choices(
     states: Collection[UpstreamState],
     cold: list[UpstreamState],
@@ -161,11 +184,8 @@
     before it, a call takes a cold upstream rather than wait for a slot of a warm one.
     """
     shuffled = [each for each in sample(cold, len(cold)) if each.entry.id not in avoid]
-    prospects = prospects_of(states, now, baseline)
-    prospects += [prospect_of(each, now, baseline) for each in shuffled]
-    to_target_s, to_give_up_s = demand.time_to_target(now), demand.give_up_at - now
-    best = choose(prospects, demand, avoid, ahead, to_target_s, to_give_up_s).upstream
-    if best is None or best not in shuffled:
+    best = best_cold(states, shuffled, demand, avoid, now, baseline, ahead)
+    if best is None:
         return []
     return [best] + [
         each
@@ -203,7 +223,7 @@
     for each in prospects:
         if each.state.entry.id in avoid:
             continue
-        service_time_s = work_s * each.slowdown + each.overdue_s
+        service_time_s = each.service_time_s(work_s)
         answer_s = each.transit_s + service_time_s
         if each.proven_answer_s(demand.proven_work_s) > to_give_up_s:
             continue
@@ -228,10 +248,11 @@
         )
     if best is None:
         reason = "all upstreams are full" if soonest_cost_s < float("inf") else "no upstream"
-        return Placement(None, soonest_cost_s, reason)
+        return Placement(None, soonest_cost_s, reason, soonest_cost_s)
     if soonest_cost_s < best_cost_s:
-        return Placement(None, soonest_cost_s, "a slot of a faster upstream is soon free")
-    return Placement(best.state, best_answer_s, "cheapest")
+        reason = "a slot of a faster upstream is soon free"
+        return Placement(None, soonest_cost_s, reason, soonest_cost_s)
+    return Placement(best.state, best_answer_s, "cheapest", best_cost_s)
 
 
 def place(
--- a/heatherhead/dispatch/regions.py
+++ b/heatherhead/dispatch/regions.py
@@ -14,7 +14,8 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 from random import getrandbits
 from typing import TYPE_CHECKING
 from zlib import crc32
@@ -92,6 +93,12 @@
     arrival_rate: ArrivalRate = field(default_factory=ArrivalRate)
     retry_after: RetryAfterSchedule = field(default_factory=RetryAfterSchedule)
 
+    def copy(self) -> RegionGroup:
+        """Return a copy whose changes leave this group as it is."""
+        return replace(
+            self, arrival_rate=self.arrival_rate.copy(), retry_after=replace(self.retry_after)
+        )
+
     def allows(self, state: UpstreamState) -> bool:
         """Return whether an upstream may serve the group's calls."""
         return not state.evacuated and (self.regions is None or state.region in self.regions)
@@ -136,14 +143,23 @@
 class RegionGroups:
     """The groups of one service, by their regions, and the load of other regions."""
 
-    def __init__(self) -> None:
-        self._salt = getrandbits(32)  # so that instances begin with different upstreams
+    def __init__(self, salt: int | None = None) -> None:
+        # Random, so that instances begin with different upstreams.
+        self._salt = getrandbits(32) if salt is None else salt
         self._group_by_regions: dict[Regions, RegionGroup] = {}
         self._load_by_region: dict[str | None, RegionLoad] = {}
 
     def __bool__(self) -> bool:
         return bool(self._group_by_regions)
 
+    def copy(self) -> RegionGroups:
+        """Return a copy whose changes leave these groups as they are; the loads are shared."""
+        copied = copy(self)
+        copied._group_by_regions = {
+            regions: group.copy() for regions, group in self._group_by_regions.items()
+        }
+        return copied
+
     def invalidate(self) -> None:
         """Divide the upstreams of each group again when it is next used."""
         for group in self._group_by_regions.values():
--- a/heatherhead/fleet/home_view.py
+++ b/heatherhead/fleet/home_view.py
@@ -114,23 +114,36 @@
         Homes of the own region come first, then others. The latter may be unheard, since only homes
         hear of other regions.
         """
+        near, far = self._peers_reaching(service, allowed)
+        shuffle(near)
+        shuffle(far)
+        now = self._now()
+        far.sort(key=lambda each: not self._is_heard(each, now))
+        return near + far
+
+    def has_peer_reaching(self, service: str, allowed: Regions = None) -> bool:
+        """Return whether `peers_reaching` lists any peer; draws no random order."""
+        return any(self._peers_reaching(service, allowed))
+
+    def _peers_reaching(self, service: str, allowed: Regions) -> tuple[list[Member], list[Member]]:
+        """List the peers of the own region, and those of others."""
         own = self._members.own
         regions = {each.region for each in self._known_by_id().values()} - {own.region}
         if allowed is not None:
             regions &= allowed
         near = list(self.current) if allowed is None or own.region in allowed else []
-        shuffle(near)
         far = [
             each for region in regions for each in self.probable_homes_of(region)[:MAX_REMOTE_HOMES]
         ]
-        shuffle(far)
-        now = self._now()
-        far.sort(key=lambda each: not self._is_heard(each, now))
-        return [
-            each
-            for each in (*near, *far)
-            if each.id != own.id and self.peer_reach.reaches(each.id, service)
-        ]
+
+        def reaching(members: list[Member]) -> list[Member]:
+            return [
+                each
+                for each in members
+                if each.id != own.id and self.peer_reach.reaches(each.id, service)
+            ]
+
+        return reaching(near), reaching(far)
 
     def apply_reported_homes(self, region: str, home_ids: tuple[str, ...]) -> None:
         """Apply the homes reported by the home that is followed."""
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -6,7 +6,7 @@
 import hashlib
 import math
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
@@ -266,11 +266,55 @@
     ) -> _Call:
         received_at = exchange.received_at
         remaining_s = DEFAULT_CLIENT_TIMEOUT_S if client_timeout_s is None else client_timeout_s
-        client_timeout_at = received_at + remaining_s
+        demand = self._create_demand(
+            route,
+            identity,
+            self._table.service_of(route) if terms is None else terms.service,
+            received_at,
+            client_timeout_s,
+            len(request.body),
+            self._estimate(route),
+        )
+        demand.request_id = request_id or ""
+        return _Call(
+            request if terms is None else without_terms(request),
+            route,
+            identity,
+            demand,
+            received_at + remaining_s,
+            fingerprint_of(request),
+            exchange,
+            route.max_attempts if terms is None else min(route.max_attempts, terms.attempts_left),
+            may_detour=terms is None,
+            from_peer=terms is not None,
+        )
+
+    def explained_demand(
+        self, route: Route, identity: Identity, client_timeout_s: float | None, body_bytes: int
+    ) -> Demand:
+        """Return the demand of a call that came now; no turn of a split is taken, no estimate moved."""
+        estimate = self._estimate_by_route.get(route.name) or _initial_estimate(route)
+        estimate = replace(estimate, client_timeout=replace(estimate.client_timeout))
+        service = self._table.next_service_of(route)
+        now = self._loop.time()
+        return self._create_demand(
+            route, identity, service, now, client_timeout_s, body_bytes, estimate
+        )
+
+    def _create_demand(
+        self,
+        route: Route,
+        identity: Identity,
+        service: str,
+        received_at: float,
+        client_timeout_s: float | None,
+        body_bytes: int,
+        estimate: RouteEstimate,
+    ) -> Demand:
+        remaining_s = DEFAULT_CLIENT_TIMEOUT_S if client_timeout_s is None else client_timeout_s
         give_up_at = _give_up_at(route, received_at, client_timeout_s)
-        estimate = self._estimate(route)
-        demand = Demand(
-            service=self._table.service_of(route) if terms is None else terms.service,
+        return Demand(
+            service=service,
             priority=route.priority,
             received_at=received_at,
             target_at=received_at + (route.target_latency_s or remaining_s),
@@ -278,9 +322,8 @@
             work_s=estimate.work_s,
             proven_work_s=estimate.proven_work_s(self._loop.time()),
             work_measured_at=estimate.answered_at,
-            size_bytes=len(request.body) + int(estimate.answer_bytes) + 600,
+            size_bytes=body_bytes + int(estimate.answer_bytes) + 600,
             idempotent=route.idempotent,
-            request_id=request_id or "",
             waited_before_s=(
                 0.0
                 if client_timeout_s is None
@@ -290,18 +333,6 @@
             customer_priority=identity.priority,
             regions=identity.allowed_regions(route),
         )
-        return _Call(
-            request if terms is None else without_terms(request),
-            route,
-            identity,
-            demand,
-            client_timeout_at,
-            fingerprint_of(request),
-            exchange,
-            route.max_attempts if terms is None else min(route.max_attempts, terms.attempts_left),
-            may_detour=terms is None,
-            from_peer=terms is not None,
-        )
 
     def end_at(self, ends_at: float) -> None:
         """Send no call from now on that is likely to be at work when this instance ends."""
@@ -312,7 +343,8 @@
 
     def _start_by(self, route: Route, give_up_at: float) -> float:
         """Return until when an attempt may begin, so that it ends before this instance does."""
-        duration_s = self._estimate(route).duration.value_s
+        estimate = self._estimate_by_route.get(route.name) or _initial_estimate(route)
+        duration_s = estimate.duration.value_s
         return self.instance_end.start_by(give_up_at + ROUTE_TIMEOUT_GRACE_S, duration_s)
 
     def _refuse_at_end(
@@ -1028,12 +1060,18 @@
     def _estimate(self, route: Route) -> RouteEstimate:
         estimate = self._estimate_by_route.get(route.name)
         if estimate is None:
-            estimate = self._estimate_by_route[route.name] = RouteEstimate()
-            if route.target_latency_s is not None:
-                estimate.work_s = INITIAL_SERVICE_TIME_SHARE * route.target_latency_s
+            estimate = self._estimate_by_route[route.name] = _initial_estimate(route)
         return estimate
 
 
+def _initial_estimate(route: Route) -> RouteEstimate:
+    """Return the estimate of a route without answers."""
+    estimate = RouteEstimate()
+    if route.target_latency_s is not None:
+        estimate.work_s = INITIAL_SERVICE_TIME_SHARE * route.target_latency_s
+    return estimate
+
+
 def _give_up_at(route: Route, received_at: float, client_timeout_s: float | None) -> float:
     """Return when a call's caller, or its route, takes an answer no more."""
     remaining_s = DEFAULT_CLIENT_TIMEOUT_S if client_timeout_s is None else client_timeout_s
--- a/heatherhead/routes/table.py
+++ b/heatherhead/routes/table.py
@@ -75,16 +75,24 @@
         """Choose the service of the next call by smooth weighted round robin."""
         if len(route.parts) == 1:
             return route.parts[0].service
-        credit_by_service = self._credits_by_route.setdefault(
-            route.name, {part.service: 0.0 for part in route.parts}
-        )
+        chosen, self._credits_by_route[route.name] = self._next_turn(route)
+        return chosen
+
+    def next_service_of(self, route: Route) -> str:
+        """Return the service that the next call will get, without a turn being taken."""
+        return self._next_turn(route)[0]
+
+    def _next_turn(self, route: Route) -> tuple[str, dict[str, float]]:
+        """Return the service of the next call, and the credits after it."""
+        held = self._credits_by_route.get(route.name)
+        credit_by_service = dict(held or dict.fromkeys((part.service for part in route.parts), 0.0))
         total = 0.0
         for part in route.parts:
             credit_by_service[part.service] += part.weight
             total += part.weight
         chosen = max(route.parts, key=lambda part: credit_by_service[part.service]).service
         credit_by_service[chosen] -= total
-        return chosen
+        return chosen, credit_by_service
 
 
 def _host_name(host: str) -> str:
