Answer `explain-route` on the readiness and control addresses

Cause: operators need to ask a running instance what it would do with a call of some host, path and customer, and why each upstream stands where it does.

Change: `GET /explain` of an entry instance gives the route, the customer without its keys, the allowed regions, the retry budget, the outcome and at most 20 upstreams as JSON. It is not served on the address that callers ask. `heatherhead explain-route` asks it and prints text or JSON.

--- a/heatherhead/commands/__init__.py
+++ b/heatherhead/commands/__init__.py
@@ -7,6 +7,7 @@
 from heatherhead.commands import (
     config_status,
     events,
+    explain_route,
     histograms,
     instances,
     quarantine_list,
@@ -56,5 +57,6 @@
     ("config", "status"): config_status,
     ("events",): events,
     ("trace",): trace,
+    ("explain-route",): explain_route,
     ("version",): version,
 }
--- a/heatherhead/entry/pages.py
+++ b/heatherhead/entry/pages.py
@@ -15,5 +15,9 @@
     """Answers requests that are not forwarded to upstreams."""
 
     async def handle(self, exchange: Exchange) -> Answer:
-        """Answer one request."""
+        """Answer one request of a caller or an operator."""
+        ...
+
+    async def handle_operator(self, exchange: Exchange) -> Answer:
+        """Answer one request on an address that callers don't use."""
         ...
--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import secrets
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from heatherhead.customers.usage_caps import CapBounds
 from heatherhead.dispatch.budget import slack_of
@@ -14,6 +14,7 @@
 from heatherhead.dispatch.reach import create_reach
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.entry.addresses import create_address_book
+from heatherhead.entry.route_explanation import explain_route
 from heatherhead.entry.settings import HostPort
 from heatherhead.entry.store_view import create_store_view
 from heatherhead.entry.suspensions import create_suspension_watch
@@ -73,6 +74,7 @@
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.entry.addresses import AddressAnswer
     from heatherhead.entry.pages import PageHandlers
+    from heatherhead.entry.route_explanation import ExplainedCall
     from heatherhead.entry.settings import EntrySettings
     from heatherhead.entry.store_view import Decoder
     from heatherhead.fleet.members import Member
@@ -283,9 +285,13 @@
         if settings.detour_port is not None:
             address = HostPort(settings.host, settings.detour_port)
             await self._listen(address, self.peer_calls.create_connection)
-        for address in {settings.readiness, settings.addresses, settings.control}:
-            if address is not None:
-                await self._listen(address, self.pages.create_connection)
+        self.operator_pages = create_caller_connections(
+            pages.handle_operator, lambda: self.table.configuration.limits
+        )
+        operator_addresses = {settings.readiness, settings.control} - {settings.addresses, None}
+        for address in operator_addresses:
+            await self._listen(address, self.operator_pages.create_connection)
+        await self._listen(settings.addresses, self.pages.create_connection)
         channel = await create_peer_channel(settings.host, settings.peer_port, self._on_message)
         self.exchange = create_fleet_exchange(
             self.members, self.homes, self.replica, channel, self.follower
@@ -502,6 +508,16 @@
         peers = self.homes.peers_reaching(service, regions)
         return [HostPort(each.callers.host, port) for each in peers]
 
+    def has_detour(self, service: str, regions: Regions) -> bool:
+        """Return whether a call could be sent over a peer."""
+        if self.settings.detour_port is None:
+            return False
+        return self.homes.has_peer_reaching(service, regions)
+
+    def explain(self, call: ExplainedCall) -> dict[str, Any]:
+        """Tell what would become of a call; changes nothing."""
+        return explain_route(self, call, self._loop.time())
+
     def _reach_report(self) -> ReachReport | None:
         """Return what is out of reach; `None` if nothing is, and that was reported."""
         lost = tuple(sorted(self.reach.lost_services))
@@ -688,6 +704,7 @@
         self.peer_calls.stop()
         self.detours.close()
         self.pages.stop()
+        self.operator_pages.stop()
         self.pool.close()
         self.warmups.stop()
         self.exchange.stop()
