Cover the arrival and the overflow in the explanation's tests

Cause: two deliberate faults passed the tests: an explanation that leaves out the arrival of its own call, and one that calls the compared upstreams of other instances not compared. `waits: no upstream` read like a service without any.

Change: a test for each; the reason is now "no upstream can take it now".

--- a/heatherhead/dispatch/placement.py
+++ b/heatherhead/dispatch/placement.py
@@ -247,7 +247,11 @@
             MISSED_TARGET_PENALTY_S if soonest_answer_s + queue_wait_s > to_target_s else 0.0
         )
     if best is None:
-        reason = "all upstreams are full" if soonest_cost_s < float("inf") else "no upstream"
+        reason = (
+            "all upstreams are full"
+            if soonest_cost_s < float("inf")
+            else "no upstream can take it now"
+        )
         return Placement(None, soonest_cost_s, reason, soonest_cost_s)
     if soonest_cost_s < best_cost_s:
         reason = "a slot of a faster upstream is soon free"
--- a/heatherhead/tests/dispatch/explanation_tests.py
+++ b/heatherhead/tests/dispatch/explanation_tests.py
@@ -296,6 +296,18 @@
     assert 0 < urgent.wait_s < equal.wait_s
 
 
+@run
+async def test_late_call_counts_its_own_arrival() -> None:
+    """Guards against a shorter wait than that by which a call itself is judged."""
+    dispatcher = _dispatcher("a")
+    dispatcher.try_acquire(_demand(), ())
+    dispatcher.try_acquire(_demand(), ())
+    for _ in range(3):
+        forecast = dispatcher.explain(_demand(target_at=_now())).forecast
+        # Two slots of 60 ms, less the part that calls on time leave of one arrival a second.
+        assert forecast.wait_s == pytest.approx(1 / (2 / 0.06 - 0.85))
+
+
 @run
 async def test_upstreams_of_others_are_told_from_those_filled_first() -> None:
     """Guards against a free upstream above the chosen one that a call doesn't look at."""
@@ -309,6 +321,8 @@
     beyond = dispatcher.explain(_demand()).forecast
     assert beyond.outcome is Outcome.ADMITTED
     assert beyond.sampled_of == 69
+    standing = {each.standing for each in dispatcher.explain(_demand()).candidates}
+    assert standing == {Standing.CHOSEN, Standing.FREE, Standing.FULL}
 
 
 @run
