--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -853,7 +853,7 @@
             candidates,
             service.baseline.value,
             service.budget.remaining(now),
-            service.budget.allows(demand, now),
+            service.budget.allows(now, demand),
             unreachable,
         )
 
