--- a/heatherhead/tests/dispatch/explanation_tests.py
+++ b/heatherhead/tests/dispatch/explanation_tests.py
@@ -209,7 +209,7 @@
     changes: list[Callable[[], object]] = [
         lambda: dispatcher.try_acquire(_demand(), ()),
         lambda: dispatcher.try_acquire(_demand(frozenset({"far"})), ()),
-        lambda: dispatcher.budget("stock").try_spend(_demand(), _now()),
+        lambda: dispatcher.budget("stock").try_spend(_now(), _demand()),
         lambda: dispatcher.budget("other"),
         lambda: random.random(),
         lambda: dispatcher._service("stock").retry_after.next_retry_after_s(_now(), 1.0, 1.0),
