--- a/heatherhead/dispatch/tail_hedging.py
+++ b/heatherhead/dispatch/tail_hedging.py
@@ -46,7 +46,9 @@
 DURATIONS_TTL_S = 30.0
 LATE_WEIGHT = 1 / 12  # of the latest call; an upstream's slots alone must not make a service late
 LATE_SERVICE_SHARE = 0.5  # slow upstreams make up to a third of the calls late
+MAX_SECOND_SLOWDOWN = 2.0  # by load readings; if all are slower, the whole service is slow
 SLOW_FRACTION = 0.8  # a second attempt must be expected to take less of the first one's time
+TIMER_TOLERANCE_S = 1e-6  # a timer may fire earlier than its time by a rounding error
 WIN_WEIGHT = 0.1  # of the latest hedge
 INITIAL_WIN_SHARE = 0.5
 MIN_WIN_SHARE = 0.2  # nine losses at the start lead below it
@@ -206,7 +208,7 @@
             return check_s
         now = self._clock()
         late_s = first.acquired_at + self._route(route).durations.threshold_s(now) - now
-        return min(check_s, late_s) if late_s > 0 else check_s
+        return min(check_s, late_s) if late_s > TIMER_TOLERANCE_S else check_s
 
     def try_hedge(
         self,
@@ -224,7 +226,7 @@
         service = self._service(demand.service)
         known = self._route(route)
         zone = first.state.entry.availability_zone
-        elapsed_s = now - first.acquired_at
+        elapsed_s = now - first.acquired_at + TIMER_TOLERANCE_S
         threshold_s = known.durations.threshold_s(now)
         if elapsed_s >= threshold_s and not call.late:
             call.late = True
@@ -278,12 +280,13 @@
         duration_s = now - slot.acquired_at
         answered = slot is call.winner
         in_time = duration_s <= durations.threshold_s(now)
+        service = self._service(demand.service)
         if answered and in_time and not call.late:
-            zone = slot.state.entry.availability_zone
-            self._service(demand.service).record(zone, late=False)
+            service.record(slot.state.entry.availability_zone, late=False)
         # A cancelled attempt lasted at least that long. Without these, each hedge that wins would
-        # lower the threshold of the next.
-        if answered or not in_time:
+        # lower the threshold of the next. While the whole service is slow, its durations are no
+        # measure of late calls; if it stays so, the threshold expires and is learnt anew.
+        if (answered or not in_time) and not service.late.high:
             durations.record(duration_s, now)
         if call.wins is not None and (answered or not call.attempts_out):
             self._record_outcome(call, route, demand, call.winner is call.second)
@@ -327,7 +330,7 @@
         """Return the upstreams that get no hedge of a call.
 
         These are also those that name a rate limit or are cold, as calls need what they can take,
-        and those in the zone of the first attempt if more than its upstream is slow there.
+        those that are slow, and those in the zone of the first attempt if calls are late there.
         """
         late = service.late_by_zone.get(first_zone)
         late_zone = first_zone if late is not None and late.high else None
@@ -338,6 +341,7 @@
                 for state in self._dispatcher.states_of(demand.service)
                 if state.limited
                 or state.cold_factor(now) > 1.0
+                or self._slowdown(state, demand, now) > MAX_SECOND_SLOWDOWN
                 or state.entry.availability_zone == late_zone
                 or not self._allowed(state, demand)
             ),
--- a/heatherhead/tests/platform/documents_tests.py
+++ b/heatherhead/tests/platform/documents_tests.py
@@ -72,6 +72,20 @@
     assert caught.value.remedy
 
 
+def test_hedge_ratio_is_read_from_the_environment(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("HEATHERHEAD_HEDGE_RATIO", raising=False)
+    assert settings_from_text(SETTINGS).hedge_ratio == 0.0
+    monkeypatch.setenv("HEATHERHEAD_HEDGE_RATIO", "0.05")
+    assert settings_from_text(SETTINGS).hedge_ratio == 0.05
+
+
+@pytest.mark.parametrize("text", ["5%", "-0.1", "1.5", "nan"])
+def test_invalid_hedge_ratio_is_named(text: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("HEATHERHEAD_HEDGE_RATIO", text)
+    with pytest.raises(SettingsError, match="HEATHERHEAD_HEDGE_RATIO"):
+        settings_from_text(SETTINGS)
+
+
 def test_missing_setting_is_named() -> None:
     with pytest.raises(SettingsError, match="PlatformConfig.Address"):
         settings_from_text(SETTINGS.replace("PlatformConfig.Address", "Other"))
