Let tests fail if cold or late upstreams get hedges

Cause: two changed conditions of tail_hedging.py passed all tests, as other rules refused the same hedges. Change: the call is so late that a cold upstream would be worth it, and a new test has other upstreams expected to be later than the threshold.

--- a/heatherhead/tests/dispatch/tail_hedging_tests.py
+++ b/heatherhead/tests/dispatch/tail_hedging_tests.py
@@ -223,8 +223,12 @@
     async def scenario() -> None:
         fixture = _Fixture()
         await fixture.serve_usual_calls()
+        call, first, second = await fixture.hedge_late_call()
+        assert second is not None
+        fixture.cancel(call, second, fixture.create_demand())
+        await asyncio.sleep(10 * LATE_S)  # so late that a cold upstream would be worth it
+        fixture.read_load()
         now = asyncio.get_running_loop().time()
-        call, first, _ = await fixture.hedge_late_call()
         others = [state for state in fixture.dispatcher.states if state is not first.state]
         for state in others:
             state.cold_until = now + 60.0
@@ -401,6 +405,23 @@
     _run(scenario)
 
 
+def test_no_hedge_that_is_expected_to_be_late_itself() -> None:
+    async def scenario() -> None:
+        fixture = _Fixture()
+        await fixture.serve_usual_calls()
+        demand = fixture.create_demand()
+        call, first = await fixture.begin(demand)
+        await asyncio.sleep(LATE_S)
+        now = asyncio.get_running_loop().time()
+        for state in fixture.dispatcher.states:
+            slowdown = 1.0 if state is first.state else 1.5
+            reading = LoadReading(0, 0, fixture.slots, slowdown, now)
+            fixture.dispatcher.apply_reading(state, reading)
+        assert fixture.try_hedge(call, first, demand) is None
+
+    _run(scenario)
+
+
 def test_upstreams_read_as_slow_get_no_hedge() -> None:
     """Also a call whose own upstream is slower yet: all are slow then, or the others are full."""
 
