Pass on only those warm-ups that no entry told

Cause: a health check's answer that confirmed the entry, and each end, counted as news. So each warm-up was reported to the homes, and relayed to all followers three times; the issuer repeated it each second. The issuer repeats news, and entries that may be old.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -388,6 +388,7 @@
             held = None
         if current is None or current.draining:
             return
+        first = held is None
         repeated = held is not None and 0 < current.sequence == held.entry.sequence
         if held is not None:
             held.entry = current
@@ -397,7 +398,7 @@
             held = self._add(current)
         if current.warmup_left_s > 0:
             held.cold_until = self._loop.time() + current.warmup_left_s
-        self.warmups.apply_entry(held, repeated=repeated)
+        self.warmups.apply_entry(held, repeated=repeated, first=first)
         self._place_waiting(self._service(current.service))
 
     def _add(self, entry: UpstreamEntry) -> UpstreamState:
--- a/heatherhead/dispatch/warmup.py
+++ b/heatherhead/dispatch/warmup.py
@@ -3,7 +3,9 @@
 Designed for 31 upstreams of a zone that become cold at once for 3 s and take 3.7 calls a second
 each from all of over a hundred instances, while the other upstreams are nearly full. An upstream
 that gets well above that crashes, so whoever doubts takes it for cold; as the calls of 31 upstreams
-can't be missed for long, no doubt outlasts the time that the upstream itself gave.
+can't be missed for long, no doubt outlasts the time that the upstream itself gave. All
+instances get entries, and each message goes to over a hundred of them, so only what no entry told
+is passed on.
 
 An upstream gives the time for which it stays cold in its entry and in answers to health checks. An
 entry of unknown age counts from when it arrives. Instances tell each other what such answers said,
@@ -30,6 +32,8 @@
 
 # Ends that differ by less are the same: answers take different times to arrive.
 SAME_END_S = 0.1
+# An end that is sooner than others believe by less is not told: they keep to the limit so much longer.
+EARLY_END_S = 0.5
 # Of what another instance says of an end: a datagram that took as long may have been overtaken by
 # the start of the next warm-up.
 MIN_END_AGE_S = 0.1
@@ -79,6 +83,8 @@
     from_answer: bool = False  # to a health check; else an entry
     revision: int = 0  # of the newest entry that named a time
     told_until: float = -math.inf  # the end that other instances know
+    news: bool = False  # health checks told what no entry did
+    may_be_old: bool = False  # the entry was there when this instance first saw the upstream
     end_awaited: bool = False  # no answer to a health check has told of the end yet
     ended_at: float = -math.inf  # when one told
 
@@ -87,17 +93,26 @@
         return now < self.until
 
     def apply_entry(
-        self, left_s: float, revision: int, now: float, *, repeated: bool = False
+        self,
+        left_s: float,
+        revision: int,
+        now: float,
+        *,
+        repeated: bool = False,
+        first: bool = False,
     ) -> None:
         """Apply what an entry says, once; it ends no warm-up.
 
-        A `repeated` entry was written when an earlier one was.
+        A `repeated` entry was written when an earlier one was, the `first` one of an upstream
+        perhaps long ago.
         """
         if left_s <= 0 or revision <= self.revision:
             return
         self.revision = revision
         if repeated:
             return
+        self.news = self.news and self.until > now + left_s + SAME_END_S
+        self.may_be_old = first
         self.until = self.told_until = max(self.until, now + left_s)
         self.evidence_at = now
         self.from_answer = False
@@ -109,16 +124,21 @@
             return False
         self.evidence_at = evidence.at
         self.from_answer = True
+        self.may_be_old = False
         if evidence.until is None:
             self.until = min(self.until, now)
             if not self.end_awaited:
                 return False
             self.end_awaited = False
-            self.ended_at = now
-            return True
-        changed = not self.cold(now) or abs(evidence.until - self.told_until) > SAME_END_S
+            self.news = self.told_until > now + EARLY_END_S
+            if self.news:
+                self.ended_at = self.told_until = now
+            return self.news
+        early = evidence.until < self.told_until - EARLY_END_S
+        changed = early or evidence.until > max(self.told_until, now) + SAME_END_S
         if changed:
             self.until = self.told_until = evidence.until
+            self.news = True
         else:
             self.until = max(self.until, evidence.until)
         self.end_awaited = True
@@ -139,8 +159,12 @@
         return False
 
     def is_told(self, now: float) -> bool:
-        """Return whether followers are told: it is cold by an answer, or has just ended by one."""
-        return self.from_answer and (self.cold(now) or now - self.ended_at < END_TOLD_S)
+        """Return whether followers are told: of a warm-up or a recent end that no entry told."""
+        return self.news and (self.cold(now) or now - self.ended_at < END_TOLD_S)
+
+    def is_reported(self, now: float) -> bool:
+        """Return whether the issuer reports it: others may not know of it, or know that it ended."""
+        return self.cold(now) and (self.news or self.may_be_old)
 
     def apply_suspension(self, suspended_s: float, now: float) -> None:
         """Let evidence of a warm upstream be older, as the clock stood still for some time."""
@@ -160,7 +184,7 @@
         self._state_of = state_of
         self._on_limit = on_limit
         self._timer_by_state: dict[UpstreamState, asyncio.TimerHandle] = {}
-        self.changes = 0
+        self.changes = 0  # of what followers are told
         # Returns the calls a second to a cold upstream of a service, 0 if they are not limited.
         self.calls_per_s: Callable[[str], float] = lambda _: 0.0
         # Called when other instances have to learn of an answer that this one got.
@@ -173,10 +197,12 @@
         now = self._loop.time()
         return [state for state in self._timer_by_state if state.warmup.cold(now)]
 
-    def apply_entry(self, state: UpstreamState, *, repeated: bool) -> None:
-        """Apply an upstream's entry; a `repeated` one was written when an earlier one was."""
+    def apply_entry(self, state: UpstreamState, *, repeated: bool, first: bool) -> None:
+        """Apply an upstream's entry; see `Warmup.apply_entry`."""
         entry, now = state.entry, self._loop.time()
-        state.warmup.apply_entry(entry.warmup_left_s, entry.revision, now, repeated=repeated)
+        state.warmup.apply_entry(
+            entry.warmup_left_s, entry.revision, now, repeated=repeated, first=first
+        )
         self._update(state, "entry")
 
     def remove(self, state: UpstreamState) -> None:
@@ -192,7 +218,7 @@
         changed = state.warmup.apply_answer(evidence, self._loop.time())
         self._update(state, "health answer")
         if changed and self.limits(state):
-            self._count_change()
+            self.on_change()
             self.on_answer(state)
 
     def apply_row(self, state: UpstreamState, row: WarmupRow, source: str) -> None:
@@ -200,11 +226,7 @@
         changed = state.warmup.apply_row(row, self._loop.time())
         self._update(state, source)
         if changed and self.limits(state):
-            self._count_change()
-
-    def _count_change(self) -> None:
-        self.changes += 1
-        self.on_change()
+            self.on_change()
 
     def apply_rules(self, states: list[UpstreamState]) -> None:
         """Apply the limits of the services after a change of the configuration."""
@@ -212,9 +234,9 @@
         for state in states:
             limited = state.rate_limit.warmup_per_s is not None
             self._update(state, "configuration")
-            cold_by_answer = state.warmup.cold(now) and state.warmup.from_answer
-            if not limited and cold_by_answer and self.limits(state):
-                self._count_change()
+            untold = state.warmup.cold(now) and state.warmup.news
+            if not limited and untold and self.limits(state):
+                self.on_change()
                 self.on_answer(state)
 
     def limits(self, state: UpstreamState) -> bool:
--- a/heatherhead/fleet/warmup_exchange.py
+++ b/heatherhead/fleet/warmup_exchange.py
@@ -125,7 +125,10 @@
                 timer.cancel()
 
     def tick(self) -> None:
-        """Report the cold upstreams that this instance issues for, and forget what has ended."""
+        """Report cold upstreams that this instance issues for, and forget what has ended.
+
+        Not those that are cold by a new entry: the other homes have got it too.
+        """
         now = self._now()
         cold = self._limited_cold()
         held = set(cold)
@@ -134,7 +137,8 @@
         for row, at, source in unplaced:
             if now - at < UNPLACED_TTL_S:
                 self._apply_row(row, source, at)
-        issued = [state for state in cold if self._permits.issues_for(state)]
+        reported = [state for state in cold if state.warmup.is_reported(now)]
+        issued = [state for state in reported if self._permits.issues_for(state)]
         if issued and now - self._reported_at >= REPORT_INTERVAL_S:
             self._reported_at = now
             self._report(issued)
@@ -151,7 +155,7 @@
         return [each for each in states if each.rate_limit.warmup_per_s is not None]
 
     def rows(self) -> tuple[WarmupRow, ...]:
-        """List what answers to health checks told lately, for the followers of this instance."""
+        """List what only answers to health checks told lately, for the followers of this instance."""
         now = self._now()
         return tuple(
             self._warmups.row_of(state)
@@ -170,12 +174,15 @@
 
     def _notify(self) -> None:
         self._notice_timer = None
-        self.notify_followers()
+        if self.rows():
+            self._warmups.changes += 1
+            self.notify_followers()
 
     def _report_changes(self) -> None:
         self._report_timer = None
         states, self._unreported = list(self._unreported.values()), {}
-        self._report(states)
+        # Not those whose entries came a little later than the answers to health checks.
+        self._report([state for state in states if state.warmup.news])
 
     def _report(self, states: Sequence[UpstreamState]) -> None:
         own = self._members.own
--- a/heatherhead/tests/fleet/warmup_tests.py
+++ b/heatherhead/tests/fleet/warmup_tests.py
@@ -409,6 +409,35 @@
     run_with_paused_clock(main())
 
 
+@pytest.mark.parametrize(("delay_s", "datagrams"), [(0.01, 0), (0.4, 5)])
+def test_warmups_that_entries_tell_are_reported_and_relayed(delay_s: float, datagrams: int) -> None:
+    """Each warm-up was reported, and woke all followers, when health checks confirmed its end.
+
+    Entries tell all instances, and the time ends it. Only an answer before the entry is news.
+    """
+
+    async def main() -> None:
+        replay = Replay(18, 3)
+        names = replay.add_upstreams(31)
+        await replay.run(0.0, 1.0)
+
+        async def become_cold() -> None:
+            for name in names:
+                replay.become_cold([name], 3.0, delay_s=delay_s)
+                await asyncio.sleep(0.13)
+
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(become_cold())
+            await replay.run(0.0, 8.0)
+        homes = [each for each in replay.instances if each.member in each.homes.current]
+        changes = sum(each.dispatcher.warmups.changes for each in homes)
+        assert replay.messages.total() <= datagrams * len(names), replay.messages
+        assert changes <= datagrams * len(names)
+        assert not any(each.believes_cold(name) for each in replay.instances for name in names)
+
+    run_with_paused_clock(main())
+
+
 def test_named_limit_below_that_of_the_warmup_is_exceeded() -> None:
     async def main() -> None:
         replay = Replay(6)
