Keep no connection of a HEAD request whose time was over before it was sent

Cause: such a connection reads answers without a body; it went back to the pool, and the next call on it got 502 in place of its answer. Change: it is closed, as after an answer to HEAD.

--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -761,7 +761,7 @@
         if connection.calls == 0:
             self._dispatcher.record_round_trip(entry.availability_zone, now - started_at)
         if now >= min(call.demand.give_up_at, call.demand.start_by):
-            self._pool.release(entry.address, connection)
+            self._keep(call, entry, connection)
             return _AttemptOutcome(_AttemptEnd.NOT_SENT, "the time is over")
         call.sent += 1
         data = self._request_bytes(call, entry.id, call.demand.give_up_at - now)
@@ -783,11 +783,15 @@
         finally:
             call.exchange.detached = False
         self._reach.record_answer(entry.service)
+        self._keep(call, entry, connection)
+        return self._evaluate_answer(call, slot, connection, answer, now)
+
+    def _keep(self, call: _Call, entry: UpstreamEntry, connection: UpstreamConnection) -> None:
+        """Keep a connection for later calls, unless answers on it are read without a body."""
         if call.request.method == "HEAD":
             connection.close()
         else:
             self._pool.release(entry.address, connection)
-        return self._evaluate_answer(call, slot, connection, answer, now)
 
     def _request_bytes(self, call: _Call, upstream_id: str, remaining_s: float) -> bytes:
         request = call.request
