--- a/heatherhead/customers/usage.py
+++ b/heatherhead/customers/usage.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from heatherhead.routes.model import Customer
 
-__all__ = ["CapDecision", "UncappedUsage", "UsageCaps"]
+__all__ = ["CapDecision", "UsageCaps"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,14 +30,3 @@
     def give_back(self, customer: Customer) -> None:
         """Count a call no more that was admitted and has not run."""
         ...
-
-
-class UncappedUsage:
-    """Admits all calls."""
-
-    async def admit(self, customer: Customer) -> CapDecision:
-        """Admit a call."""
-        return CapDecision(admitted=True)
-
-    def give_back(self, customer: Customer) -> None:
-        """Do nothing, as nothing was counted."""
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
-from heatherhead.customers.usage import UncappedUsage
+from heatherhead.customers.usage import CapDecision
 from heatherhead.dispatch.crashes import create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.reach import create_reach
@@ -41,6 +41,7 @@
 
     from heatherhead.customers.usage import UsageCaps
     from heatherhead.entry.settings import HostPort
+    from heatherhead.routes.model import Customer
 
 __all__ = [
     "EntryPath",
@@ -158,6 +159,17 @@
         ...
 
 
+class UncappedUsage:
+    """Implements `UsageCaps` and admits all calls."""
+
+    async def admit(self, _customer: Customer) -> CapDecision:
+        """Admit a call."""
+        return CapDecision(admitted=True)
+
+    def give_back(self, _customer: Customer) -> None:
+        """Do nothing, as nothing was counted."""
+
+
 _Server = TypeVar("_Server", bound=UpstreamServer)
 
 
