Withhold calls whose zone or upstream changed while their connection was opened

Cause: a connection may take a second to open. A call that had its slot before a zone was evacuated was sent there afterwards, and calls with permits of several seconds could reach a cold upstream at once. Result: three new tests fail before and pass; tests of the path, evacuation and warm-ups pass.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
 from heatherhead.dispatch.contention import Contention
 from heatherhead.dispatch.estimates import BaselineSlowdown
 from heatherhead.dispatch.pauses import create_pause_table
+from heatherhead.dispatch.rate_limits import WARMUP_PERMIT_TTL_S
 from heatherhead.dispatch.regions import (
     Offers,
     PrecedingCalls,
@@ -730,6 +731,17 @@
         state.dispatched_at_by_call[slot.number] = (now, slot.expected_s * SERVICE_TIME_P90_FACTOR)
         return slot
 
+    def may_send(self, slot: Slot) -> bool:
+        """Return whether a request may still be sent now that its connection is open.
+
+        Not if its zone was evacuated meanwhile, and not to a cold upstream if that took long: the
+        permit was one of the second in which it was issued.
+        """
+        if self._evacuated_zones and slot.state.entry.availability_zone in self._evacuated_zones:
+            return False
+        cold = slot.state.rate_limit.warmup_per_s is not None
+        return not cold or self._loop.time() - slot.acquired_at <= WARMUP_PERMIT_TTL_S
+
     def release(self, slot: Slot) -> None:
         """Release a slot; has no effect if it was released before."""
         state = slot.state
--- a/heatherhead/dispatch/rate_limits.py
+++ b/heatherhead/dispatch/rate_limits.py
@@ -13,7 +13,13 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["MAX_PERMIT_WAIT_S", "PermitBucket", "RateLimit", "RateLimitEvidence"]
+__all__ = [
+    "MAX_PERMIT_WAIT_S",
+    "WARMUP_PERMIT_TTL_S",
+    "PermitBucket",
+    "RateLimit",
+    "RateLimitEvidence",
+]
 
 PERMIT_TTL_S = 0.5  # so four seconds have the permits of four and a half at the most
 MAX_SAVED_S = 0.25  # of the limit; an issuer saves at most that many permits, but at least one
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -763,6 +763,10 @@
         if now >= min(call.demand.give_up_at, call.demand.start_by):
             self._keep(call, entry, connection)
             return _AttemptOutcome(_AttemptEnd.NOT_SENT, "the time is over")
+        if not self._dispatcher.may_send(slot):
+            self._keep(call, entry, connection)
+            log_event("attempt_withheld", id=call.demand.request_id, upstream=entry.id)
+            return _AttemptOutcome(_AttemptEnd.NOT_SENT, "an upstream takes no calls any more")
         call.sent += 1
         data = self._request_bytes(call, entry.id, call.demand.give_up_at - now)
         call.exchange.detached = not call.demand.idempotent
--- a/heatherhead/tests/proxy/withheld_attempts_tests.py
+++ b/heatherhead/tests/proxy/withheld_attempts_tests.py
@@ -6,12 +6,15 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import pytest
+
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
     ScriptedUpstream,
     answer,
     request,
     run_path,
+    status_of,
 )
 
 if TYPE_CHECKING:
@@ -32,6 +35,29 @@
     path.pool._open = open_late  # type: ignore[method-assign]
 
 
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_call_reaches_a_zone_that_was_evacuated_while_its_connection_was_opened(
+    method: str,
+) -> None:
+    """The slot was taken before, and nothing asked again; a connection may take a second."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        _open_slowly(path)
+        sent = asyncio.get_running_loop().create_task(path.send(request(method=method)))
+        await asyncio.sleep(OPENING_S / 2)
+        path.dispatcher.set_evacuated_zones(frozenset({"a"}))
+        await asyncio.wait([sent], timeout=2 * OPENING_S)
+        assert not upstreams[0].requests
+        assert not path.dispatcher.states_of("stock")[0].own_in_flight
+
+        if method == "GET":
+            assert status_of(sent.result()) == 503
+        sent.cancel()
+
+    run_path(scenario, [answer()])
+
+
 def test_connection_of_a_head_request_that_was_not_sent_serves_a_get() -> None:
     """It was kept, and the answer to the next call on it was passed on without its body."""
 
@@ -50,3 +76,22 @@
         assert received.endswith(b"whole")
 
     run_path(scenario, [answer().replace(b": r1", b": r2")])
+
+
+@pytest.mark.parametrize("becomes_cold", [True, False])
+def test_call_reaches_a_cold_upstream_long_after_its_permit(becomes_cold: bool) -> None:
+    """Connections that open together after a stall brought the calls of several seconds at once."""
+
+    async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        path.configure()
+        _open_slowly(path)
+        path.dispatcher.warmups.calls_per_s = lambda _: 3.7
+        sent = asyncio.get_running_loop().create_task(path.send(request()))
+        await asyncio.sleep(OPENING_S / 2)
+        if becomes_cold:
+            state = path.dispatcher.states_of("stock")[0]
+            state.rate_limit.set_warmup(3.7)
+        assert status_of(await sent) == (503 if becomes_cold else 200)
+        assert len(upstreams[0].requests) == (0 if becomes_cold else 1)
+
+    run_path(scenario, [answer()])
