Hand the key to the peer of a detour also if Connection names its header

Cause: Headers that Connection names were dropped on the way to the peer. It refused the call with 401, or served a call of a public route without its customer's name, priority and allowed regions. Change: the header with the key is copied for a peer where the configuration has customers.

--- a/heatherhead/platform/dialect.py
+++ b/heatherhead/platform/dialect.py
@@ -60,6 +60,11 @@
         scheme, _, key = values[0].strip().partition(" ")
         return key.strip() or None if scheme.lower() == KEY_SCHEME else None
 
+    def copy_key(self, headers: CIMultiDict[str], received: Headers) -> None:
+        """Copy the caller's key for a peer, also if `Connection` names its header."""
+        headers.popall(AUTHORIZATION, None)
+        headers.extend((AUTHORIZATION, value) for value in received.getall(AUTHORIZATION, ()))
+
     def set_customer(self, headers: CIMultiDict[str], customer: str | None) -> None:
         """Replace the caller's key by the name of the customer that holds it, if there is one."""
         headers.popall(AUTHORIZATION, None)
--- a/heatherhead/proxy/detour.py
+++ b/heatherhead/proxy/detour.py
@@ -67,6 +67,7 @@
     attempts_left: int
     configuration_version: int
     give_up_at: float
+    keys_required: bool = False  # the peer identifies the customer again
     regions: Regions = None  # that may get the call; the peer finds them by its route and customer
 
 
@@ -166,6 +167,8 @@
         except ConnectError as error:
             return DetourResult(None, False, str(error))
         headers = end_to_end_headers(call.request.headers)
+        if call.keys_required:
+            self._dialect.copy_key(headers, call.request.headers)
         self._dialect.set_client_timeout(headers, call.give_up_at - self._loop.time())
         headers[SERVICE] = call.service
         headers[ATTEMPTS_LEFT] = str(call.attempts_left)
--- a/heatherhead/proxy/dialect.py
+++ b/heatherhead/proxy/dialect.py
@@ -54,6 +54,10 @@
         """Return the customer's key that the caller sent; None if there is none, or several."""
         ...
 
+    def copy_key(self, headers: CIMultiDict[str], received: Headers) -> None:
+        """Copy the caller's key for a peer, also if `Connection` names its header."""
+        ...
+
     def set_customer(self, headers: CIMultiDict[str], customer: str | None) -> None:
         """Replace the caller's key by the name of the customer that holds it, if there is one."""
         ...
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -488,6 +488,7 @@
             call.max_attempts - call.sent,
             self._table.configuration.version,
             demand.give_up_at,
+            call.identity.keys_required,
             demand.regions,
         )
         try:
--- a/heatherhead/tests/customers/identification_tests.py
+++ b/heatherhead/tests/customers/identification_tests.py
@@ -19,6 +19,7 @@
     UsageCap,
 )
 from heatherhead.routes.table import create_route_table
+from heatherhead.tests.proxy.detour_tests import run_detour
 from heatherhead.tests.proxy.fakes import (
     EntryPath,
     ScriptedUpstream,
@@ -213,3 +214,25 @@
         assert caps.left == 1
 
     run_path(scenario)
+
+
+@pytest.mark.parametrize("public", [False, True])
+@pytest.mark.parametrize("connection", ["keep-alive", "Authorization", "authorization, close"])
+def test_key_that_connection_names_is_lost_on_a_detour(connection: str, public: bool) -> None:
+    """The peer refused the key's call with 401, or served a public call without its customer's terms.
+
+    Headers that `Connection` names end at this instance, which is the one that reads the key.
+    """
+
+    async def scenario(cut: EntryPath, peer: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
+        for path in (cut, peer):
+            _with_customers(path, Customer("shop", ("k1",)), public=public)
+        extra = {"X-Heatherhead-Tenant": "other", "Connection": connection}
+        received = await cut.send(request(Authorization="Token k1", **extra))
+        assert status_of(received) == 200
+        (sent,) = upstreams[0].requests
+        assert b"X-Heatherhead-Tenant: shop\r\n" in sent
+        assert b"k1" not in sent
+        assert b"other" not in sent
+
+    run_detour(scenario, [answer()])
