Count permits and waiting calls by allowed regions before cold upstreams are asked for

Cause: a call that may run in other regions only requested no permit while as many were in sight for cold upstreams that it may not use; it waited for calls of other regions. Change: calls with the same regions, and permits for upstreams that they may use, are compared. Nothing changes where all calls may run everywhere. Result: the new test fails before and passes; tests of dispatch and of warm-ups pass.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -147,6 +147,12 @@
         waiting = {each.demand.regions for each in self.queue.calls}
         return any(group.weight_of(self.group(each)) > 0 for each in waiting)
 
+    def waiting_with(self, regions: Regions) -> int:
+        """Count the waiting calls with the same allowed regions."""
+        if regions is None and not self.queue.restricted:
+            return len(self.queue)
+        return sum(each.demand.regions == regions for each in self.queue.calls)
+
     def arrivals_per_s(self, regions: Regions, now: float) -> float:
         """Return the rate of first requests with the same allowed regions."""
         group = self.group_of(regions)
@@ -632,11 +638,12 @@
     ) -> None:
         """Request permits for the waiting calls, or this one, if they would take cold upstreams."""
         now = self._loop.time()
-        waiting = max(1, len(service.queue))
+        waiting = max(1, service.waiting_with(demand.regions))
+        group = service.group_of(demand.regions)
         in_sight = sum(
             each.rate_limit.permits_in_sight(now)
             for each in service.limited_by_id.values()
-            if each.rate_limit.warmup_per_s is not None
+            if each.rate_limit.warmup_per_s is not None and (group is None or group.allows(each))
         )
         wanted = min(MAX_WARMUP_PERMITS, waiting - in_sight)
         if wanted <= 0:
--- a/heatherhead/tests/dispatch/allowed_regions_tests.py
+++ b/heatherhead/tests/dispatch/allowed_regions_tests.py
@@ -22,6 +22,7 @@
 
     from heatherhead.dispatch.demand import Demand
     from heatherhead.dispatch.dispatcher import Slot
+    from heatherhead.dispatch.upstream_state import UpstreamState
 
 REGION_BY_ZONE = {"a": "near", "b": "near", "c": "far", "d": "far", "e": "third"}
 NEAR, FAR, THIRD = (frozenset({each}) for each in ("near", "far", "third"))
@@ -435,3 +436,28 @@
     """Guards against changed log lines where no restriction is configured."""
     assert region_fields(None) == {}
     assert region_fields(frozenset({"b", "a"})) == {"regions": "a,b"}
+
+
+@run
+async def test_permits_for_other_regions_keep_a_call_from_requesting_its_own() -> None:
+    """Guards against calls that wait for cold upstreams elsewhere being counted as provided for."""
+    dispatcher = _dispatcher("ac")
+    dispatcher.warmups.calls_per_s = lambda _: 3.7
+    for name, zone in (("a0", "a"), ("c1", "c")):
+        cold = create_entry(name, zone, 2, warmup_left_s=3.0, revision=2, sequence=1)
+        dispatcher.on_entry(None, cold)
+    requested: list[tuple[str, int]] = []
+
+    def request(states: list[UpstreamState], wanted: int) -> None:
+        requested.append((states[0].entry.id, wanted))
+        until = asyncio.get_running_loop().time() + 0.2
+        for state in states[:wanted]:
+            state.rate_limit.await_permits(1, until)
+
+    dispatcher.may_request_warmup = lambda state: not state.rate_limit.awaited
+    dispatcher.request_warmup_permits = request
+    near, far = (_wait_for_slot(dispatcher, each) for each in (NEAR, FAR))
+    await asyncio.sleep(0.0)
+    assert requested == [("a0", 1), ("c1", 1)]
+    near.cancel()
+    far.cancel()
