--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
     explain_candidates,
 )
 from heatherhead.dispatch.pauses import create_pause_table
+from heatherhead.dispatch.rate_limits import WARMUP_PERMIT_TTL_S
 from heatherhead.dispatch.regions import (
     Offers,
     PrecedingCalls,
@@ -186,6 +187,12 @@
         waiting = {each.demand.regions for each in self.queue.calls}
         return any(group.weight_of(self.group(each)) > 0 for each in waiting)
 
+    def waiting_with(self, regions: Regions) -> int:
+        """Count the waiting calls with the same allowed regions."""
+        if regions is None and not self.queue.restricted:
+            return len(self.queue)
+        return sum(each.demand.regions == regions for each in self.queue.calls)
+
     def arrivals_per_s(self, regions: Regions, now: float) -> float:
         """Return the rate of first requests with the same allowed regions."""
         group = self.group_of(regions)
@@ -669,7 +676,7 @@
     ) -> None:
         """Request permits for the waiting calls, or this one, if they would take cold upstreams."""
         now = self._loop.time()
-        wanted = _missing_warmup_permits(service, now)
+        wanted = _missing_warmup_permits(service, demand, now)
         if wanted <= 0:
             return
         baseline, ahead = service.baseline.value, max(1, len(service.queue)) - 1
@@ -757,6 +764,17 @@
         state.dispatched_at_by_call[slot.number] = (now, slot.expected_s * SERVICE_TIME_P90_FACTOR)
         return slot
 
+    def may_send(self, slot: Slot) -> bool:
+        """Return whether a request may still be sent now that its connection is open.
+
+        Not if its zone was evacuated meanwhile, and not to a cold upstream if that took long: the
+        permit was one of the second in which it was issued.
+        """
+        if self._evacuated_zones and slot.state.entry.availability_zone in self._evacuated_zones:
+            return False
+        cold = slot.state.rate_limit.warmup_per_s is not None
+        return not cold or self._loop.time() - slot.acquired_at <= WARMUP_PERMIT_TTL_S
+
     def release(self, slot: Slot) -> None:
         """Release a slot; has no effect if it was released before."""
         state = slot.state
@@ -922,7 +940,7 @@
         cold = [each for each in requestable if each.rate_limit.warmup_per_s is not None]
         limited = [each for each in requestable if each.rate_limit.warmup_per_s is None]
         wanted = placement.worth_permits(states, limited, demand, (), now, baseline)
-        if cold and _missing_warmup_permits(service, now) > 0:
+        if cold and _missing_warmup_permits(service, demand, now) > 0:
             ahead = max(1, len(service.queue)) - 1
             best = placement.best_cold(states, cold, demand, (), now, baseline, ahead)
             wanted += [] if best is None else [best]
@@ -1100,14 +1118,15 @@
         return service
 
 
-def _missing_warmup_permits(service: _Service, now: float) -> int:
-    """Return how many permits for cold upstreams to request for the waiting calls, or a new one."""
+def _missing_warmup_permits(service: _Service, demand: Demand, now: float) -> int:
+    """Return how many permits to request for calls with the regions of one, waiting or new."""
+    group = service.group_of(demand.regions)
     in_sight = sum(
         each.rate_limit.permits_in_sight(now)
         for each in service.limited_by_id.values()
-        if each.rate_limit.warmup_per_s is not None
+        if each.rate_limit.warmup_per_s is not None and (group is None or group.allows(each))
     )
-    return min(MAX_WARMUP_PERMITS, max(1, len(service.queue)) - in_sight)
+    return min(MAX_WARMUP_PERMITS, max(1, service.waiting_with(demand.regions)) - in_sight)
 
 
 def create_dispatcher(
