Take an upstream whose entry names another zone for a new one

Cause: an entry that changed its zone without another start kept the region of the earlier one, so calls of that region went on to be sent there. Change: the upstream is removed and added, as after a restart. Result: the new test fails before and passes; tests of dispatch and registry pass.

--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -389,7 +389,10 @@
         assert entry is not None
         held = self._state_by_id.get(entry.id)
         if held is not None and (
-            current is None or current.draining or not current.same_start(held.entry)
+            current is None
+            or current.draining
+            or not current.same_start(held.entry)
+            or current.availability_zone != held.entry.availability_zone
         ):
             self._remove(held)
             held = None
@@ -399,7 +402,6 @@
         repeated = held is not None and 0 < current.sequence == held.entry.sequence
         if held is not None:
             held.entry = current
-            held.evacuated = current.availability_zone in self._evacuated_zones
             self._set_usable_slots(self._service(current.service), held)
         else:
             held = self._add(current)
--- a/heatherhead/tests/dispatch/allowed_regions_tests.py
+++ b/heatherhead/tests/dispatch/allowed_regions_tests.py
@@ -461,3 +461,18 @@
     assert requested == [("a0", 1), ("c1", 1)]
     near.cancel()
     far.cancel()
+
+
+@run
+async def test_zone_that_changes_without_a_restart_is_ignored() -> None:
+    """Guards against calls to a region that was allowed at the address of the upstream before."""
+    dispatcher = _dispatcher("c")
+    slot = dispatcher.try_acquire(_demand(FAR), ())
+    assert slot is not None
+    held = slot.state.entry
+    dispatcher.on_entry(held, create_entry("c0", "a", 2, revision=2))
+    _read(dispatcher)
+    await _rejection(dispatcher, FAR)
+    dispatcher.set_evacuated_zones(frozenset({"c"}))
+    assert dispatcher.try_acquire(_demand(NEAR), ()) is not None
+    dispatcher.release(slot)
