Drop permits of a named limit for an upstream that became cold meanwhile

Cause: a reply that was under way when an upstream became cold added its permits, up to a tenth of a second of the named limit for each instance that had asked; the warm-up had dropped those held. Change: such a reply brings no permits; the next request is one of the warm-up.

--- a/heatherhead/fleet/permits.py
+++ b/heatherhead/fleet/permits.py
@@ -309,7 +309,9 @@
         requests = self._requests_by_start.setdefault(_start_of(state), _Requests())
         requests.unanswered = 0
         requests.next_at = now + reply.wait_s
-        self._dispatcher.add_permits(state, reply.permits)
+        # Those of a named limit don't keep to a warm-up that began while the reply was under way.
+        cold = state.rate_limit.warmup_per_s is not None
+        self._dispatcher.add_permits(state, 0 if cold else reply.permits)
 
     def _is_awaited(self, reply: PermitReply) -> bool:
         """Return whether a reply is the first to its request; earlier versions don't tell."""
--- a/heatherhead/tests/fleet/warmup_tests.py
+++ b/heatherhead/tests/fleet/warmup_tests.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from heatherhead.dispatch.rate_limits import RateLimitEvidence
 from heatherhead.dispatch.warmup import WarmupEvidence
+from heatherhead.fleet.peer_messages import PermitReply, RateLimitRow
 from heatherhead.tests.base import run_with_paused_clock
 from heatherhead.tests.fleet.warmup_replay import (
     PER_S,
@@ -438,6 +440,26 @@
     run_with_paused_clock(main())
 
 
+def test_permits_of_a_named_limit_are_used_for_an_upstream_that_became_cold_meanwhile() -> None:
+    """The reply was under way; each instance may get one, with several permits."""
+
+    async def main() -> None:
+        replay = Replay(6)
+        _, other = issuer_and_other(replay)
+        replay.add_upstreams(1)
+        state = other.state("u0")
+        now = asyncio.get_running_loop().time()
+        other.dispatcher.record_rate_limit(state, RateLimitEvidence(50.0, now))
+        reply = PermitReply("i0", 5, 0.0, RateLimitRow("u0", 7, 50.0, 0.0, False))
+        other.permits.apply_reply(reply)
+        assert state.rate_limit.permits(now) == 5
+        replay.become_cold(["u0"], 3.0)
+        other.permits.apply_reply(reply)
+        assert state.rate_limit.permits(now) == 0
+
+    run_with_paused_clock(main())
+
+
 def test_named_limit_below_that_of_the_warmup_is_exceeded() -> None:
     async def main() -> None:
         replay = Replay(6)
