Name the upstream and the fingerprint in the log lines on crashes

The line now names the start of the upstream, the fingerprint and the time since the break; `attempt_broken` names the fingerprint.

--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -984,6 +984,7 @@
             reason=reason,
             reused=connection.calls > 1,
             elapsed_s=f"{now - slot.acquired_at:.3f}",
+            fingerprint=call.fingerprint,
         )
         self._loop.call_later(
             CRASH_CHECK_DELAY_S, lambda: self._loop.create_task(self._check_crash(call, state, now))
@@ -1004,7 +1005,14 @@
                 log_event("crash_unproven", id=call.demand.request_id, upstream=state.entry.id)
                 return
             crashes = self._crashes.record_crash(call.fingerprint, self._loop.time())
-            log_event("request_crashed_upstream", id=call.demand.request_id, crashes=crashes)
+            log_event(
+                "request_crashed_upstream",
+                id=call.demand.request_id,
+                fingerprint=call.fingerprint,
+                upstream=start_name(state.entry),
+                broke_s_ago=f"{self._loop.time() - broke_at:.3f}",
+                crashes=crashes,
+            )
             self._announce_crash(call.fingerprint, crashes)
         else:
             self._pool.release(address, connection)
