Count the crash of an upstream once, whatever broke there and whoever reports it

Cause: the table of crashes counted attempts that broke. An upstream runs several requests, and all that it ran of one page broke with it, so that one crash made up to as many counts as it has slots. Between instances the counts had no names either: an instance that had been told of a crash counted its own broken attempt at the same upstream on top, and passed on the sum.

Change: a crash is held against a request by the name of the upstream's start, and reports between instances and to followers carry these names. What was counted without names, by instances of earlier versions or before a quarantine ended, is added as a number. Earlier versions read the count at its old place. The sum of what several instances saw is now right in both directions: before, one crash seen by each of three instances was the highest count of one of them, and no quarantine.

Why it works: three different upstreams have to crash, as the design says; a request that crashes what runs it still reaches that at once.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -71,6 +71,7 @@
 from heatherhead.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from heatherhead.dispatch.crashes import CrashReport
     from heatherhead.dispatch.regions import Regions
     from heatherhead.dispatch.upstream_state import UpstreamState
     from heatherhead.entry.addresses import AddressAnswer
@@ -212,7 +213,7 @@
             self.pool,
             dialect,
             self.crashes,
-            self._announce_crash,
+            self._announce_crashes,
             self.metrics,
             self.reach,
             self.detours,
@@ -398,18 +399,21 @@
 
     def _on_relay_state(self, relay_state: RelayState) -> None:
         self.homes.apply_reported_homes(relay_state.region, relay_state.home_ids)
-        for fingerprint, crashes in relay_state.crashes_by_request:
-            self._apply_crash(fingerprint, crashes)
+        for report in relay_state.crashes:
+            self._apply_crashes(report)
         self.permits.apply_relayed(relay_state.rate_limits)
         self.warmups.apply_relayed(relay_state.warmups)
 
-    def _apply_crash(self, fingerprint: int, crashes: int) -> None:
-        now = self._loop.time()
-        if not self.crashes.exceeds_known(fingerprint, crashes, now):
+    def _apply_crashes(self, report: CrashReport) -> None:
+        if not self.crashes.apply_report(report, self._loop.time()):
             return
-        self.crashes.record_crash(fingerprint, now, crashes)
         self.relay.notify_followers()
-        log_event("crash_reported", fingerprint=fingerprint, crashes=crashes)
+        log_event(
+            "crash_reported",
+            fingerprint=report.fingerprint,
+            crashes=report.crashes,
+            upstreams=",".join(start.name for start in report.starts),
+        )
 
     def _on_tick(self) -> None:
         suspended_s = self.suspensions.check()
@@ -557,8 +561,8 @@
             log_event("cut_from_upstreams" if cut else "upstreams_reached", level="WARNING")
             self.exchange.publish_status()
 
-    def _announce_crash(self, fingerprint: int, crashes: int) -> None:
-        self.exchange.announce_crash(fingerprint, crashes)
+    def _announce_crashes(self, report: CrashReport) -> None:
+        self.exchange.announce_crashes(report)
         self.relay.notify_followers()
 
     @singledispatchmethod
@@ -588,7 +592,7 @@
 
     @_on_message.register(CrashNotice)
     def _(self, message: CrashNotice, _sender: HostPort) -> None:
-        self._apply_crash(message.fingerprint, message.crashes)
+        self._apply_crashes(message.report)
 
     @_on_message.register(LeaveNotice)
     def _(self, message: LeaveNotice, _sender: HostPort) -> None:
--- a/heatherhead/fleet/exchange.py
+++ b/heatherhead/fleet/exchange.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable, Iterable
 
     from heatherhead.dispatch.contention import ContentionEvidence
+    from heatherhead.dispatch.crashes import CrashReport
     from heatherhead.dispatch.upstream_state import LoadReading
     from heatherhead.entry.settings import HostPort
     from heatherhead.fleet.home_view import HomeView
@@ -107,9 +108,9 @@
         """Send a message to the instances at some addresses."""
         self._channel.send_to(addresses, message)
 
-    def announce_crash(self, fingerprint: int, crashes: int) -> None:
+    def announce_crashes(self, report: CrashReport) -> None:
         """Announce to all instances a request that crashes upstreams."""
-        notice = CrashNotice(self._members.own.id, fingerprint, crashes)
+        notice = CrashNotice(self._members.own.id, report)
         self._channel.send(self._other_members(None), notice)
 
     def announce_leave(self) -> None:
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from heatherhead.dispatch.contention import ContentionEvidence
+from heatherhead.dispatch.crashes import CrashedStart, CrashReport
 from heatherhead.fleet.warmup_messages import (
     WARMUP_KINDS,
     WarmupMessage,
@@ -37,8 +38,10 @@
     "UsageBalanceRow",
     "UsageReport",
     "UsageReportRow",
+    "decode_crashes",
     "decode_limit",
     "decode_message",
+    "encode_crashes",
     "encode_limit",
     "encode_message",
 ]
@@ -101,11 +104,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
-    """The number of crashes of upstreams by one request."""
+    """The crashes of upstreams by one request."""
 
     sender: str
-    fingerprint: int
-    crashes: int
+    report: CrashReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,7 +298,7 @@
 
 @_row_of.register
 def _(message: CrashNotice) -> list[Any]:
-    return [_CRASH, message.sender, message.fingerprint, message.crashes]
+    return [_CRASH, message.sender, *encode_crashes(message.report)]
 
 
 @_row_of.register
@@ -393,7 +395,7 @@
             evidence = {str(name): _evidence(row) for name, row in rest[0].items()}
             return ContentionReport(str(sender), evidence)
         if kind == _CRASH:
-            return CrashNotice(str(sender), int(rest[0]), int(rest[1]))
+            return CrashNotice(str(sender), decode_crashes(rest))
         if kind == _LEAVE:
             return LeaveNotice(str(sender), str(rest[0]))
         if kind == _RATE_LIMITS:
@@ -440,6 +442,25 @@
     return number
 
 
+def encode_crashes(report: CrashReport) -> list[Any]:
+    """Return the crashes by a request in messages and relay streams; earlier versions count them."""
+    starts = [[start.name, round(start.age_s * 1000)] for start in report.starts]
+    return [report.fingerprint, report.crashes, starts]
+
+
+def decode_crashes(row: list[Any]) -> CrashReport:
+    """Decode the crashes by a request; raises `ValueError` or `TypeError` if it is malformed."""
+    fingerprint, crashes, *starts = row[:3]
+    return CrashReport(
+        int(fingerprint),
+        int(crashes),
+        tuple(
+            CrashedStart(str(name), max(0.0, _finite(age_ms) / 1000))
+            for name, age_ms in (starts[0] if starts else ())
+        ),
+    )
+
+
 def encode_limit(row: RateLimitRow) -> list[Any]:
     """Return the row of a rate limit in messages and relay streams."""
     age_ms = round(row.age_s * 1000)
--- a/heatherhead/fleet/relay.py
+++ b/heatherhead/fleet/relay.py
@@ -15,13 +15,19 @@
 
 import msgpack
 
-from heatherhead.fleet.peer_messages import decode_limit, encode_limit
+from heatherhead.fleet.peer_messages import (
+    decode_crashes,
+    decode_limit,
+    encode_crashes,
+    encode_limit,
+)
 from heatherhead.fleet.warmup_messages import decode_warmup, encode_warmup
 from heatherhead.store.interface import WatchEvent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from heatherhead.dispatch.crashes import CrashReport
     from heatherhead.dispatch.warmup import WarmupRow
     from heatherhead.entry.settings import HostPort
     from heatherhead.fleet.peer_messages import RateLimitRow
@@ -49,7 +55,7 @@
     region: str
     home_ids: tuple[str, ...]
     watches_store: bool  # it watches the store, and the store answers
-    crashes_by_request: tuple[tuple[int, int], ...] = ()  # fingerprints with their counts
+    crashes: tuple[CrashReport, ...] = ()
     rate_limits: tuple[RateLimitRow, ...] = ()  # those in force
     gap_free: bool = False  # of its replica; earlier versions don't say so
     warmups: tuple[WarmupRow, ...] = ()  # that answers to health checks told of
@@ -224,9 +230,12 @@
 
 def _encode_state(state: RelayState) -> bytes:
     """Pack a state; earlier versions read the key `word` only."""
-    word = [state.region, state.home_ids, state.watches_store, state.crashes_by_request]
+    counts = [[report.fingerprint, report.crashes] for report in state.crashes]
+    word = [state.region, state.home_ids, state.watches_store, counts]
     limits = [encode_limit(row) for row in state.rate_limits]
     message = {"word": word, "limits": limits, "gap_free": state.gap_free}
+    if state.crashes:
+        message["crashes"] = [encode_crashes(report) for report in state.crashes]
     if state.warmups:
         message["warmups"] = [encode_warmup(row) for row in state.warmups]
     packed: bytes = msgpack.packb(message)
@@ -234,12 +243,12 @@
 
 
 def _decode_state(message: dict[str, Any]) -> RelayState:
-    region, home_ids, watches_store, crashes = message["word"]
+    region, home_ids, watches_store, counts = message["word"]
     return RelayState(
         str(region),
         tuple(str(each) for each in home_ids),
         bool(watches_store),
-        tuple((int(fingerprint), int(count)) for fingerprint, count in crashes),
+        tuple(decode_crashes(row) for row in message.get("crashes", counts)),
         tuple(decode_limit(row) for row in message.get("limits", ())),
         bool(message.get("gap_free", False)),
         tuple(decode_warmup(row) for row in message.get("warmups", ())),
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -42,7 +42,7 @@
 
     from heatherhead.customers.identification import Identity
     from heatherhead.customers.usage import UsageCaps
-    from heatherhead.dispatch.crashes import CrashTable
+    from heatherhead.dispatch.crashes import CrashReport, CrashTable
     from heatherhead.dispatch.dispatcher import Dispatcher, Slot
     from heatherhead.dispatch.reach import Reach
     from heatherhead.dispatch.tail_hedging import TailHedging
@@ -140,7 +140,7 @@
         pool: UpstreamPool,
         dialect: Dialect,
         crashes: CrashTable,
-        announce_crash: Callable[[int, int], None],
+        announce_crashes: Callable[[CrashReport], None],
         metrics: EntryMetrics,
         reach: Reach,
         detours: Detours,
@@ -158,7 +158,7 @@
         self._pool = pool
         self._dialect = dialect
         self._crashes = crashes
-        self._announce_crash = announce_crash
+        self._announce_crashes = announce_crashes
         self._estimate_by_route: dict[str, RouteEstimate] = {}
         self._active_calls: set[_Call] = set()
         self.calls_seen = 0
@@ -1004,16 +1004,18 @@
             if not await self._reaches_upstreams(state.entry.service, broke_at):
                 log_event("crash_unproven", id=call.demand.request_id, upstream=state.entry.id)
                 return
-            crashes = self._crashes.record_crash(call.fingerprint, self._loop.time())
+            now = self._loop.time()
+            upstream = start_name(state.entry)
+            crashes = self._crashes.record_crash(call.fingerprint, upstream, broke_at, now)
             log_event(
                 "request_crashed_upstream",
                 id=call.demand.request_id,
                 fingerprint=call.fingerprint,
-                upstream=start_name(state.entry),
-                broke_s_ago=f"{self._loop.time() - broke_at:.3f}",
+                upstream=upstream,
+                broke_s_ago=f"{now - broke_at:.3f}",
                 crashes=crashes,
             )
-            self._announce_crash(call.fingerprint, crashes)
+            self._announce_crashes(self._crashes.report(call.fingerprint, now))
         else:
             self._pool.release(address, connection)
 
@@ -1140,7 +1142,7 @@
     pool: UpstreamPool,
     dialect: Dialect,
     crashes: CrashTable,
-    announce_crash: Callable[[int, int], None],
+    announce_crashes: Callable[[CrashReport], None],
     metrics: EntryMetrics,
     reach: Reach,
     detours: Detours,
@@ -1154,7 +1156,7 @@
         pool,
         dialect,
         crashes,
-        announce_crash,
+        announce_crashes,
         metrics,
         reach,
         detours,
--- /dev/null
+++ b/heatherhead/tests/dispatch/crash_table_tests.py
@@ -0,0 +1,101 @@
+"""Tests of which crashes of upstreams are held against a request."""
+
+from __future__ import annotations
+
+import msgpack
+
+from heatherhead.dispatch.crashes import (
+    CRASH_RECORD_TTL_S,
+    CrashedStart,
+    CrashReport,
+    CrashTable,
+    create_crash_table,
+)
+from heatherhead.fleet.peer_messages import (
+    CrashNotice,
+    decode_crashes,
+    decode_message,
+    encode_crashes,
+    encode_message,
+)
+
+NOW = 1000.0
+REQUEST = 7  # its fingerprint
+
+
+def _record(table: CrashTable, *starts: str, at: float = NOW) -> int:
+    crashes = 0
+    for start in starts:
+        crashes = table.record_crash(REQUEST, start, at, at + 0.15)
+    return crashes
+
+
+def _pass_on(source: CrashTable, target: CrashTable, at: float = NOW + 0.2) -> bool:
+    """Apply what one instance knows at another one; return whether anything was new."""
+    report = decode_crashes(encode_crashes(source.report(REQUEST, at)))
+    return target.apply_report(report, at)
+
+
+def test_upstream_that_breaks_four_attempts_counts_as_four_crashes() -> None:
+    table = create_crash_table()
+    assert _record(table, "u1 1", "u1 1", "u1 1", "u1 1", "u2 1", "u2 1", "u2 1") == 2
+    assert not table.quarantined(REQUEST, NOW + 0.2)
+    assert _record(table, "u1 2") == 3  # another start of the same upstream
+    assert table.quarantined(REQUEST, NOW + 0.2)
+
+
+def test_upstream_whose_crash_two_instances_saw_counts_twice() -> None:
+    first, second, third = (create_crash_table() for _ in range(3))
+    for table in (first, second):
+        _record(table, "u1 1")
+    for source, target in ((first, second), (second, first), (first, second)):
+        assert not _pass_on(source, target)
+    assert _pass_on(first, third)
+    assert _record(third, "u1 1", at=NOW + 0.01) == 1
+    assert _record(third, "u2 1") == 2
+    assert _pass_on(third, first)
+    assert first.report(REQUEST, NOW).crashes == 2
+
+
+def test_crashes_that_three_instances_saw_are_added() -> None:
+    """The highest count of one instance was taken, so that nine crashes were needed."""
+    tables = [create_crash_table() for _ in range(3)]
+    for number, table in enumerate(tables):
+        _record(table, f"u{number} 1")
+    for source in tables:
+        for target in tables:
+            _pass_on(source, target)
+    assert all(table.quarantined(REQUEST, NOW + 0.3) for table in tables)
+
+
+def test_report_that_is_passed_on_for_long_prolongs_no_quarantine() -> None:
+    first, second = create_crash_table(), create_crash_table()
+    _record(first, "u1 1", "u2 1", "u3 1")
+    late = NOW + CRASH_RECORD_TTL_S - 0.1
+    assert _pass_on(first, second, at=late)
+    assert second.quarantined(REQUEST, late)
+    assert not second.quarantined(REQUEST, NOW + CRASH_RECORD_TTL_S + 0.01)
+    assert not _pass_on(first, second, at=late)
+
+
+def test_crash_after_a_quarantine_is_known_to_instances_that_forgot_or_missed_it() -> None:
+    knowing, other, new = (create_crash_table() for _ in range(3))
+    _record(knowing, "u1 1", "u2 1", "u3 1")
+    _pass_on(knowing, other)
+    ended_at = NOW + CRASH_RECORD_TTL_S
+    assert _record(knowing, "u4 1", at=ended_at) == 3
+    for table in (other, new):
+        assert _pass_on(knowing, table, at=ended_at + 0.2)
+        assert table.quarantined(REQUEST, ended_at + 0.2)
+        assert not _pass_on(knowing, table, at=ended_at + 0.3)
+
+
+def test_messages_on_crashes_are_read_by_earlier_versions_and_read_from_them() -> None:
+    report = CrashReport(REQUEST, 2, (CrashedStart("u1 1", 0.2), CrashedStart("u2 1", 0.1)))
+    version, kind, sender, *rest = msgpack.unpackb(encode_message(CrashNotice("i1", report)))
+    assert (sender, int(rest[0]), int(rest[1])) == ("i1", REQUEST, 2)
+    earlier = msgpack.packb([version, kind, "i2", REQUEST, 2])
+    assert decode_message(earlier) == CrashNotice("i2", CrashReport(REQUEST, 2))
+    table = create_crash_table()
+    assert table.apply_report(CrashReport(REQUEST, 2), NOW)
+    assert _record(table, "u3 1") == 3
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -10,7 +10,7 @@
 from heatherhead.dispatch.admission_queue import AdmissionQueue, CapacityEstimate, WaitingCall
 from heatherhead.dispatch.budget import create_retry_budget, slack_of
 from heatherhead.dispatch.contention import Contention
-from heatherhead.dispatch.crashes import create_crash_table
+from heatherhead.dispatch.crashes import CrashReport, create_crash_table
 from heatherhead.dispatch.estimates import ClientTimeoutEstimate, RouteEstimate
 from heatherhead.dispatch.hedging import worth_hedging
 from heatherhead.dispatch.placement import place
@@ -301,16 +301,16 @@
 
 def test_request_that_crashed_three_upstreams_is_quarantined_for_a_while() -> None:
     table = create_crash_table()
-    assert [table.record_crash(7, NOW) for _ in range(2)] == [1, 2]
+    assert [table.record_crash(7, start, NOW, NOW) for start in ("u1 1", "u2 1")] == [1, 2]
     assert not table.quarantined(7, NOW)
-    table.record_crash(7, NOW)
+    table.record_crash(7, "u3 1", NOW, NOW)
     assert table.quarantined(7, NOW + 1)
     assert not table.quarantined(7, NOW + 61)
 
 
 def test_crashes_reported_by_peers_count_and_an_answer_clears_them() -> None:
     table = create_crash_table()
-    table.record_crash(7, NOW, crashes=3)
+    assert table.apply_report(CrashReport(7, 3), NOW)
     assert table.quarantined(7, NOW)
     table.record_answer(7)
     assert not table.quarantined(7, NOW)
--- a/heatherhead/tests/fleet/fleet_tests.py
+++ b/heatherhead/tests/fleet/fleet_tests.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from heatherhead.dispatch.contention import ContentionEvidence
+from heatherhead.dispatch.crashes import CrashedStart, CrashReport
 from heatherhead.entry.settings import HostPort
 from heatherhead.fleet import store_follower
 from heatherhead.fleet.announcement import create_announcement
@@ -163,7 +164,10 @@
         HomeStatus("a", "boot", True, 7, 0.25, False, 90),
         LoadReport("a", (("u1", 2, 0, 4, 1.5, 0.02), ("u2", 0, 0, 4, None, 0.0))),
         CallCounts("a", False, {"u1": 2}),
-        CrashNotice("a", 2**63, 3),
+        CrashNotice("a", CrashReport(2**63, 3)),
+        CrashNotice(
+            "a", CrashReport(2**63, 3, (CrashedStart("u1 7", 0.2), CrashedStart("u2 7", 0)))
+        ),
         ContentionReport("a", {"stock": ContentionEvidence(9.5, 4.0, 3.25, 10.0, 5.125)}),
         LeaveNotice("a", "boot"),
     ],
--- a/heatherhead/tests/fleet/repeated_reply_tests.py
+++ b/heatherhead/tests/fleet/repeated_reply_tests.py
@@ -8,6 +8,7 @@
 import msgpack
 import pytest
 
+from heatherhead.dispatch.crashes import CrashedStart, CrashReport
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.rate_limits import RateLimitEvidence
 from heatherhead.entry.settings import HostPort
@@ -35,7 +36,7 @@
     HomeStatus("i0", "1", True, 7, 0.5, True, 3),
     LoadReport("i0", (("u", 1, 2, 8, 1.5, 0.01),)),
     CallCounts("i0", True, {"u": 3}),
-    CrashNotice("i0", 77, 2),
+    CrashNotice("i0", CrashReport(77, 2, (CrashedStart("u 1", 0.2),))),
     LeaveNotice("i0", "1"),
     PermitRequest("i0", 2, LIMIT),
     PermitReply("i0", 2, 0.0, LIMIT),
--- a/heatherhead/tests/fleet/standby_tests.py
+++ b/heatherhead/tests/fleet/standby_tests.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from heatherhead.dispatch.crashes import CRASH_RECORD_TTL_S, create_crash_table
+from heatherhead.dispatch.crashes import (
+    CRASH_RECORD_TTL_S,
+    CrashedStart,
+    CrashReport,
+    create_crash_table,
+)
 from heatherhead.entry.settings import HostPort
 from heatherhead.fleet import candidacy, store_follower
 from heatherhead.fleet.candidacy import create_candidacy
@@ -152,7 +157,7 @@
         relay = create_relay_server(replica)
         first, second = (
             RelayState("r", ("h1", "h2"), True),
-            RelayState("r", ("h1",), True, ((2**63, 3),)),
+            RelayState("r", ("h1",), True, (CrashReport(2**63, 3, (CrashedStart("u1 7", 0.2),)),)),
         )
         relay_state = [first]
         relay.relay_state = lambda: relay_state[0]
@@ -175,28 +180,32 @@
 
 
 def test_reported_crashes_are_new_only_if_their_count_is_higher() -> None:
+    """Reports of instances of earlier versions, which name no upstreams."""
     table = create_crash_table()
-    assert table.exceeds_known(7, 1, 100.0)
-    table.record_crash(7, 100.0, 3)
-    assert not table.exceeds_known(7, 3, 101.0)
-    assert table.exceeds_known(7, 3, 100.0 + CRASH_RECORD_TTL_S)  # the quarantine has ended
-    assert table.recent(101.0) == ((7, 3),)
+    assert table.apply_report(CrashReport(7, 1), 100.0)
+    assert not table.apply_report(CrashReport(7, 1), 100.0)
+    assert table.apply_report(CrashReport(7, 3), 100.0)
+    assert not table.apply_report(CrashReport(7, 3), 101.0)
+    assert table.recent(101.0) == (CrashReport(7, 3),)
     assert table.recent(1000.0) == ()
+    ended_at = 100.0 + CRASH_RECORD_TTL_S
+    assert table.apply_report(CrashReport(7, 3), ended_at)  # the quarantine has ended
 
 
 def test_request_crashes_three_more_upstreams_each_time_its_quarantine_ends() -> None:
     """The end of a quarantine forgot the crashes, though nothing had answered the request."""
     table = create_crash_table()
-    table.record_crash(7, 100.0, 3)
+    table.apply_report(CrashReport(7, 3), 100.0)
     ended_at = 100.0 + CRASH_RECORD_TTL_S
     assert table.quarantined(7, ended_at - 0.1)
     assert not table.quarantined(7, ended_at)
-    table.record_crash(7, ended_at)
+    table.record_crash(7, "u4 1", ended_at, ended_at)
     assert table.quarantined(7, ended_at)
     table.record_answer(7)
     assert not table.quarantined(7, ended_at)
-    table.record_crash(8, 100.0)
-    assert table.exceeds_known(8, 1, ended_at)  # too few crashes for a quarantine are forgotten
+    table.record_crash(8, "u1 1", 100.0, 100.0)
+    # Too few crashes for a quarantine are forgotten.
+    assert table.apply_report(CrashReport(8, 1), ended_at)
 
 
 class _CountingStore(MemoryStore):
--- a/heatherhead/tests/proxy/closing_tests.py
+++ b/heatherhead/tests/proxy/closing_tests.py
@@ -49,7 +49,7 @@
     """Give a path one upstream whose answers are held."""
     upstream = HeldUpstream()
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
-    path._ports["held"] = server.sockets[0].getsockname()[1]
+    path.port_by_upstream["held"] = server.sockets[0].getsockname()[1]
     path.configure()
     return upstream
 
--- a/heatherhead/tests/proxy/detour_tests.py
+++ b/heatherhead/tests/proxy/detour_tests.py
@@ -330,7 +330,7 @@
         await asyncio.sleep(1.0)
         message = HttpRequest("GET", "/read/x", None, b"", 0.0)  # type: ignore[arg-type]
         assert not path.crashes.quarantined(fingerprint_of(message), path.forwarder._loop.time())
-        assert path.crash_notices == []
+        assert path.crash_reports == []
 
     run_path(scenario, ["reset"] * 8, ["reset"] * 8, ["reset"] * 8)
 
--- a/heatherhead/tests/proxy/fakes.py
+++ b/heatherhead/tests/proxy/fakes.py
@@ -40,6 +40,7 @@
     from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 
     from heatherhead.customers.usage import UsageCaps
+    from heatherhead.dispatch.crashes import CrashReport
     from heatherhead.entry.settings import HostPort
     from heatherhead.routes.model import Customer
 
@@ -185,7 +186,7 @@
     ) -> None:
         self.table = create_route_table()
         self.dispatcher = create_dispatcher("a", {"a": "r"}, 0.2, 10.0, 100.0)
-        self.crash_notices: list[tuple[int, int]] = []
+        self.crash_reports: list[CrashReport] = []
         self.crashes = create_crash_table()
         self.pool = create_upstream_pool()
         loop = asyncio.get_running_loop()
@@ -203,7 +204,7 @@
             self.pool,
             PlatformDialect(),
             self.crashes,
-            lambda *notice: self.crash_notices.append(notice),
+            self.crash_reports.append,
             metrics,
             self.reach,
             self.detours,
@@ -215,7 +216,7 @@
             lambda: self.table.configuration.limits,
             single_names=PlatformDialect.single_request_headers,
         )
-        self._ports = port_by_upstream
+        self.port_by_upstream = port_by_upstream
         self._max_attempts = max_attempts
         self.port = 0
 
@@ -242,7 +243,7 @@
         limits = CallerLimits(max_body_bytes=max_body_bytes)
         self.table.apply(RouteConfiguration(1, routes, {}, limits))
         now = asyncio.get_running_loop().time()
-        for name, port in self._ports.items():
+        for name, port in self.port_by_upstream.items():
             self.dispatcher.on_entry(None, create_entry(name, host="127.0.0.1", port=port))
             state = self.dispatcher.state(name)
             assert state is not None
--- a/heatherhead/tests/proxy/path_tests.py
+++ b/heatherhead/tests/proxy/path_tests.py
@@ -217,7 +217,7 @@
 
 def test_unreachable_upstream_does_not_count_as_an_attempt() -> None:
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
-        path._ports["u9"] = 1  # nothing listens there
+        path.port_by_upstream["u9"] = 1  # nothing listens there
         path.configure()
         for name in ("u0",):
             state = path.dispatcher.state(name)
@@ -326,7 +326,8 @@
         for count in (1, 2, 3):
             call = HttpRequest("GET", "/read/x", None, b"", 0.0)  # type: ignore[arg-type]
             now = asyncio.get_running_loop().time()
-            assert path.crashes.record_crash(fingerprint_of(call), now) == count
+            start = f"u{count} 1"
+            assert path.crashes.record_crash(fingerprint_of(call), start, now, now) == count
         assert status_of(await path.send(request())) == 503
         assert not upstreams[0].requests
 
