Keep the trial after a quarantine when a peer's report brings nothing new

That the count comes from an ended quarantine is now kept. The test fails before: the second report is taken for news, as the count has fallen to 0.

--- a/heatherhead/dispatch/crashes.py
+++ b/heatherhead/dispatch/crashes.py
@@ -58,6 +58,7 @@
     # Reported by instances of earlier versions, or counted before the last quarantine ended.
     unnamed: int = 0
     unnamed_at: float = -math.inf
+    quarantined_before: bool = False
 
     @property
     def crashes(self) -> int:
@@ -87,6 +88,7 @@
         """Leave the count one short of a quarantine, so that the next crash begins another."""
         self.unnamed, self.unnamed_at = CRASHES_TO_QUARANTINE - 1, self.last_at
         self.broke_at_by_start = {}
+        self.quarantined_before = True
 
 
 class CrashTable:
@@ -145,7 +147,7 @@
         if now - suspect.last_at >= CRASH_RECORD_TTL_S:
             if suspect.crashes >= CRASHES_TO_QUARANTINE:
                 suspect.end_quarantine()
-            else:
+            elif not suspect.quarantined_before:
                 suspect = _Suspect()
         self._suspects_by_fingerprint[fingerprint] = suspect
         if len(self._suspects_by_fingerprint) > MAX_FINGERPRINTS:
--- a/heatherhead/tests/dispatch/crash_table_tests.py
+++ b/heatherhead/tests/dispatch/crash_table_tests.py
@@ -99,3 +99,13 @@
     table = create_crash_table()
     assert table.apply_report(CrashReport(REQUEST, 2), NOW)
     assert _record(table, "u3 1") == 3
+
+
+def test_report_without_news_after_a_quarantine_ends_the_trial() -> None:
+    """The request was then allowed three more crashes."""
+    table = create_crash_table()
+    _record(table, "u1 1", "u2 1", "u3 1")
+    ended_at = NOW + CRASH_RECORD_TTL_S
+    for seconds in (1.0, 2.0):
+        assert not table.apply_report(CrashReport(REQUEST, 1), ended_at + seconds)
+    assert _record(table, "u4 1", at=ended_at + 3.0) == 3
