Hold no crash against a request that was answered after it

Cause: a crash is verified 0.15 s after an attempt broke, and an answer cleared only what had been counted by then. Retries are answered sooner. Further, an answer cleared the crashes at the instance that got it and nowhere else, and the others send no such request to find out.

Change: answers of the last two seconds are remembered, with the time since; a crash that was broken off before the answer isn't held against the request. An answer that clears crashes is reported to all instances, with its age; an instance that is told of a crash and has a newer answer reports that answer, once. Followers get both from the instance that they follow. Answers of 500 or more clear nothing any more: an upstream that fails all requests may not have run this one, and its answers would now let a request go on to crash upstreams at all instances.

Why it works: a request that crashes what runs it is never answered, so nothing of this applies to it; any other has its retry, or the same request at another instance, answered.

Tests of the table pass the time of an answer now, and compare what a report changes where they asked for its truth before.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -9,7 +9,7 @@
 
 from heatherhead.customers.usage_caps import CapBounds
 from heatherhead.dispatch.budget import slack_of
-from heatherhead.dispatch.crashes import create_crash_table
+from heatherhead.dispatch.crashes import ReportEffect, create_crash_table
 from heatherhead.dispatch.dispatcher import create_dispatcher
 from heatherhead.dispatch.reach import create_reach
 from heatherhead.dispatch.tail_hedging import create_tail_hedging
@@ -405,15 +405,21 @@
         self.warmups.apply_relayed(relay_state.warmups)
 
     def _apply_crashes(self, report: CrashReport) -> None:
-        if not self.crashes.apply_report(report, self._loop.time()):
+        now = self._loop.time()
+        effect = self.crashes.apply_report(report, now)
+        if effect is ReportEffect.NONE:
             return
-        self.relay.notify_followers()
         log_event(
             "crash_reported",
             fingerprint=report.fingerprint,
             crashes=report.crashes,
             upstreams=",".join(start.name for start in report.starts),
+            effect=effect.name,
         )
+        if effect is ReportEffect.REFUTED:
+            self._announce_crashes(self.crashes.report(report.fingerprint, now))
+        else:
+            self.relay.notify_followers()
 
     def _on_tick(self) -> None:
         suspended_s = self.suspensions.check()
--- a/heatherhead/fleet/peer_messages.py
+++ b/heatherhead/fleet/peer_messages.py
@@ -445,22 +445,26 @@
 def encode_crashes(report: CrashReport) -> list[Any]:
     """Return the crashes by a request in messages and relay streams; earlier versions count them."""
     starts = [[start.name, round(start.age_s * 1000)] for start in report.starts]
-    return [report.fingerprint, report.crashes, starts]
+    answered_age_s = report.answered_age_s
+    answered_age_ms = None if answered_age_s is None else round(answered_age_s * 1000)
+    return [report.fingerprint, report.crashes, starts, answered_age_ms]
 
 
 def decode_crashes(row: list[Any]) -> CrashReport:
     """Decode the crashes by a request; raises `ValueError` or `TypeError` if it is malformed."""
-    fingerprint, crashes, *starts = row[:3]
+    fingerprint, crashes, starts, answered_age_ms = [*row, (), None][:4]
     return CrashReport(
         int(fingerprint),
         int(crashes),
-        tuple(
-            CrashedStart(str(name), max(0.0, _finite(age_ms) / 1000))
-            for name, age_ms in (starts[0] if starts else ())
-        ),
+        tuple(CrashedStart(str(name), _age_s(age_ms)) for name, age_ms in starts),
+        None if answered_age_ms is None else _age_s(answered_age_ms),
     )
 
 
+def _age_s(age_ms: Any) -> float:
+    return max(0.0, _finite(age_ms) / 1000)
+
+
 def encode_limit(row: RateLimitRow) -> list[Any]:
     """Return the row of a rate limit in messages and relay streams."""
     age_ms = round(row.age_s * 1000)
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -900,9 +900,10 @@
             state.record_outcome(True, now)
             log_event("answer_refused", id=call.demand.request_id, upstream=state.entry.id)
             return _AttemptOutcome(_AttemptEnd.UNKNOWN, "an upstream's answer was not authentic")
-        self._crashes.record_answer(call.fingerprint)
         failed = answer.status >= 500
         state.record_outcome(failed, now)
+        if not failed:
+            self._record_sound_request(call, now)
         if failed:
             reason = f"status {answer.status}"
             return _AttemptOutcome(_AttemptEnd.FAILED, reason, answer, leaving_start)
@@ -991,6 +992,13 @@
         )
         return _AttemptOutcome(_AttemptEnd.UNKNOWN, f"an upstream broke off: {reason}")
 
+    def _record_sound_request(self, call: _Call, now: float) -> None:
+        """Record that a request was answered, and tell peers if crashes were held against it."""
+        if self._crashes.record_answer(call.fingerprint, now):
+            report = self._crashes.report(call.fingerprint, now)
+            log_event("crashes_cleared", id=call.demand.request_id, fingerprint=call.fingerprint)
+            self._announce_crashes(report)
+
     async def _check_crash(self, call: _Call, state: UpstreamState, broke_at: float) -> None:
         """Record a crash if the upstream refuses connections after a broken attempt.
 
@@ -1008,14 +1016,15 @@
             upstream = start_name(state.entry)
             crashes = self._crashes.record_crash(call.fingerprint, upstream, broke_at, now)
             log_event(
-                "request_crashed_upstream",
+                "request_crashed_upstream" if crashes else "crash_not_held_against_request",
                 id=call.demand.request_id,
                 fingerprint=call.fingerprint,
                 upstream=upstream,
                 broke_s_ago=f"{now - broke_at:.3f}",
                 crashes=crashes,
             )
-            self._announce_crashes(self._crashes.report(call.fingerprint, now))
+            if crashes:
+                self._announce_crashes(self._crashes.report(call.fingerprint, now))
         else:
             self._pool.release(address, connection)
 
--- a/heatherhead/tests/dispatch/decisions_tests.py
+++ b/heatherhead/tests/dispatch/decisions_tests.py
@@ -10,7 +10,7 @@
 from heatherhead.dispatch.admission_queue import AdmissionQueue, CapacityEstimate, WaitingCall
 from heatherhead.dispatch.budget import create_retry_budget, slack_of
 from heatherhead.dispatch.contention import Contention
-from heatherhead.dispatch.crashes import CrashReport, create_crash_table
+from heatherhead.dispatch.crashes import CrashReport, ReportEffect, create_crash_table
 from heatherhead.dispatch.estimates import ClientTimeoutEstimate, RouteEstimate
 from heatherhead.dispatch.hedging import worth_hedging
 from heatherhead.dispatch.placement import place
@@ -310,9 +310,9 @@
 
 def test_crashes_reported_by_peers_count_and_an_answer_clears_them() -> None:
     table = create_crash_table()
-    assert table.apply_report(CrashReport(7, 3), NOW)
+    assert table.apply_report(CrashReport(7, 3), NOW) is ReportEffect.CHANGED
     assert table.quarantined(7, NOW)
-    table.record_answer(7)
+    assert table.record_answer(7, NOW)
     assert not table.quarantined(7, NOW)
 
 
--- a/heatherhead/tests/fleet/standby_tests.py
+++ b/heatherhead/tests/fleet/standby_tests.py
@@ -11,6 +11,7 @@
     CRASH_RECORD_TTL_S,
     CrashedStart,
     CrashReport,
+    ReportEffect,
     create_crash_table,
 )
 from heatherhead.entry.settings import HostPort
@@ -182,14 +183,16 @@
 def test_reported_crashes_are_new_only_if_their_count_is_higher() -> None:
     """Reports of instances of earlier versions, which name no upstreams."""
     table = create_crash_table()
-    assert table.apply_report(CrashReport(7, 1), 100.0)
-    assert not table.apply_report(CrashReport(7, 1), 100.0)
-    assert table.apply_report(CrashReport(7, 3), 100.0)
-    assert not table.apply_report(CrashReport(7, 3), 101.0)
+    assert table.apply_report(CrashReport(7, 1), 100.0) is ReportEffect.CHANGED
+    assert table.apply_report(CrashReport(7, 1), 100.0) is ReportEffect.NONE
+    assert table.apply_report(CrashReport(7, 3), 100.0) is ReportEffect.CHANGED
+    assert table.apply_report(CrashReport(7, 3), 101.0) is ReportEffect.NONE
     assert table.recent(101.0) == (CrashReport(7, 3),)
     assert table.recent(1000.0) == ()
     ended_at = 100.0 + CRASH_RECORD_TTL_S
-    assert table.apply_report(CrashReport(7, 3), ended_at)  # the quarantine has ended
+    assert (
+        table.apply_report(CrashReport(7, 3), ended_at) is ReportEffect.CHANGED
+    )  # the quarantine has ended
 
 
 def test_request_crashes_three_more_upstreams_each_time_its_quarantine_ends() -> None:
@@ -201,11 +204,11 @@
     assert not table.quarantined(7, ended_at)
     table.record_crash(7, "u4 1", ended_at, ended_at)
     assert table.quarantined(7, ended_at)
-    table.record_answer(7)
+    assert table.record_answer(7, ended_at)
     assert not table.quarantined(7, ended_at)
     table.record_crash(8, "u1 1", 100.0, 100.0)
     # Too few crashes for a quarantine are forgotten.
-    assert table.apply_report(CrashReport(8, 1), ended_at)
+    assert table.apply_report(CrashReport(8, 1), ended_at) is ReportEffect.CHANGED
 
 
 class _CountingStore(MemoryStore):
--- a/heatherhead/tests/proxy/crashed_upstreams_tests.py
+++ b/heatherhead/tests/proxy/crashed_upstreams_tests.py
@@ -106,6 +106,21 @@
     _run(scenario)
 
 
+def test_page_that_is_answered_while_its_crashes_are_verified_is_quarantined() -> None:
+    """Only answers after the check counted, 0.15 s later than those to the retries."""
+
+    async def scenario(path: EntryPath, upstreams: list[_CrashingUpstream]) -> None:
+        calls = await _crash_during_page(path, upstreams, crashed=3)
+        for upstream in upstreams:
+            upstream.released.set()
+        assert {status_of(each) for each in await calls} == {200}
+        await asyncio.sleep(2 * CRASH_CHECK_DELAY_S)
+        assert status_of(await path.send(request(PAGE, request_id="later"))) == 200
+        assert path.crash_reports == []
+
+    _run(scenario)
+
+
 def test_request_that_crashes_three_upstreams_is_rejected() -> None:
     async def scenario(path: EntryPath, upstreams: list[_CrashingUpstream]) -> None:
         for upstream in upstreams:
