Free the bodies of requests whose attempts fail

Cause: objects that only the garbage collector frees, which is set to run seldom, and between them the caller's body and the bytes to the upstream. Three circles, each over the frames that a traceback keeps: an upstream connection kept the error that it raised in its call; the payload of an answer, or of a caller's body, keeps the error that it raises to its reader; a call kept its cancelled attempts (timed out, hedged or left by the caller), and a cancelled task keeps the error that ended it.

Change: a connection keeps the reason of a failure as text and raises a new error; a payload's error loses its traceback once it was handled; the attempts of a call that has ended are no longer listed.

Why it works: no error that is kept has frames.

--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -19,7 +19,7 @@
 
 from heatherhead.proxy.answer_memory import create_answer_memory
 from heatherhead.proxy.messages import HttpRequest, own_answer
-from heatherhead.proxy.payloads import fail_payload
+from heatherhead.proxy.payloads import fail_payload, release_frames
 from heatherhead.proxy.request_heads import find_head_fault
 from heatherhead.telemetry.bounded_logs import log_routine
 from heatherhead.telemetry.logs import log_event
@@ -259,6 +259,9 @@
             answer = own_answer(502, "internal error; the call may have run")
         finally:
             self._owner.held_bytes -= exchange.held_bytes
+            payload_error = exchange.payload.exception()
+            if payload_error is not None:
+                release_frames(payload_error)
         if exchange.abandoned:
             return
         exchange.answer = answer
--- a/heatherhead/proxy/forwarder.py
+++ b/heatherhead/proxy/forwarder.py
@@ -414,8 +414,9 @@
             self._active_calls.discard(call)
             total_s = self._loop.time() - call.demand.received_at
             self.metrics.record_call(call.demand.service, outcome, total_s)
-            for task in list(call.slot_by_task):
+            for task in call.slot_by_task:
                 task.cancel()
+            call.slot_by_task.clear()  # a cancelled task keeps its frames, and these the call
 
     async def _attempt_until_answered(self, call: _Call) -> Answer:
         demand = call.demand
--- a/heatherhead/proxy/payloads.py
+++ b/heatherhead/proxy/payloads.py
@@ -9,7 +9,7 @@
 
     from aiohttp import StreamReader
 
-__all__ = ["fail_payload"]
+__all__ = ["fail_payload", "release_frames"]
 
 
 def fail_payload(loop: asyncio.AbstractEventLoop, payload: StreamReader, error: Exception) -> None:
@@ -19,3 +19,11 @@
     payload.set_exception(error)
     # A reader that the end of a chunk has just woken waits again without a look at the error.
     loop.call_soon(payload.set_exception, error)
+
+
+def release_frames(error: Exception) -> Exception:
+    """Remove the traceback of a payload's error.
+
+    Its frames refer to the payload, which keeps the error; with them the body would stay in memory.
+    """
+    return error.with_traceback(None)
--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -20,7 +20,7 @@
 from heatherhead.proxy.answer_framing import FramingError, create_answer_framing
 from heatherhead.proxy.answer_heads import begins_message, holds_copy
 from heatherhead.proxy.answer_memory import AnswerMemoryError, HeldAnswer
-from heatherhead.proxy.payloads import fail_payload
+from heatherhead.proxy.payloads import fail_payload, release_frames
 from heatherhead.proxy.stray_bytes import log_stray_bytes
 
 if TYPE_CHECKING:
@@ -87,7 +87,7 @@
         self._interim_answers = 0
         self._answers = 0
         self._waiter: asyncio.Future[None] | None = None
-        self._error: Exception | None = None
+        self._failure: str | None = None  # why the answer in progress can't be complete
         self._lost = False
         self._eof = False
         self._unusable = False  # nothing more is read from it
@@ -135,7 +135,7 @@
             return
         if not self.busy and data:
             self._report_stray_bytes("bytes without a request", data)
-            self._break(BrokenAnswerError("bytes without a request"))
+            self._break("bytes without a request")
             return
         if not data:  # resumes the parser on buffered bytes
             self._parse(data)
@@ -155,12 +155,12 @@
                 self._parse(data)
         except FramingError as error:
             self._report_stray_bytes(f"{error} {error.place}".rstrip(), self._framing.pending)
-            self._break(BrokenAnswerError(f"not HTTP: {error}"))
+            self._break(f"not HTTP: {error}")
             return
-        if self._error is not None and not self._unusable:  # it is lost, and this is the rest
+        if self._failure is not None and not self._unusable:  # it is lost, and this is the rest
             if self._eof:
                 self._parse_end()
-            self._fail(self._error)
+            self._fail(self._failure)
 
     def _parse(self, data: bytes) -> None:
         is_head = bool(data) and self._framing.in_head
@@ -171,21 +171,21 @@
                 messages, upgraded, _ = self._response_parser.feed_data(b"")
         except HttpProcessingError as error:
             self._report_stray_bytes(f"refused by the parser: {type(error).__name__}", data)
-            self._break(BrokenAnswerError(f"not HTTP: {type(error).__name__}"))
+            self._break(f"not HTTP: {type(error).__name__}")
             return
         if upgraded:
-            self._break(BrokenAnswerError("an unasked upgrade"))
+            self._break("an unasked upgrade")
         elif is_head:
             self._begin_message(data, messages)
         elif messages or not self._ends_as_parsed():
             self._report_stray_bytes("an answer without a certain end", data)
-            self._break(BrokenAnswerError("not HTTP: an answer without a certain end"))
+            self._break("not HTTP: an answer without a certain end")
 
     def _begin_message(
         self, head: bytes, messages: Sequence[tuple[RawResponseMessage, StreamReader]]
     ) -> None:
         if len(messages) != 1:
-            self._break(BrokenAnswerError("not HTTP: a head of no message"))
+            self._break("not HTTP: a head of no message")
             return
         message, payload = messages[0]
         self._framing.begin_body(message)
@@ -214,16 +214,16 @@
         """Abort if the upstream sends excessive overhead, interim answers or extra answers."""
         behind = len(self._framing.pending) if self._framing.ended else 0
         if behind > MAX_BEHIND_BYTES:
-            self._break(BrokenAnswerError("bytes without an end behind the answer"))
+            self._break("bytes without an end behind the answer")
         if self._received_bytes > MAX_OVERHEAD_BYTES:
             body = self._skipped_bytes
             if self._answer is not None:
                 body += self._answer[1].total_bytes
             overhead = self._received_bytes - body - behind
             if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * body:
-                self._break(BrokenAnswerError(f"{overhead} bytes that are no body"))
+                self._break(f"{overhead} bytes that are no body")
         if self._interim_answers > MAX_INTERIM_ANSWERS:
-            self._break(BrokenAnswerError("interim answers without an end"))
+            self._break("interim answers without an end")
 
     def eof_received(self) -> bool:
         """Complete an answer that is delimited by the end of the connection.
@@ -233,7 +233,7 @@
         self._lost = self._eof = True
         if not self._unusable:
             self._parse_end()
-        self._fail(BrokenAnswerError("closed before an answer"))
+        self._fail("closed before an answer")
         return False
 
     def _parse_end(self) -> None:
@@ -243,19 +243,19 @@
         try:
             self._response_parser.feed_eof()
         except HttpProcessingError as error:
-            self._break(BrokenAnswerError(f"cut short: {error}"))
+            self._break(f"cut short: {error}")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the call in progress."""
         super().connection_lost(exc)
         self._lost = True
-        self._fail(BrokenAnswerError(f"connection lost: {exc}"))
+        self._fail(f"connection lost: {exc}")
         if self.on_lost is not None:
             self.on_lost(self)
 
-    def _break(self, error: Exception) -> None:
+    def _break(self, reason: str) -> None:
         self._unusable = True
-        self._fail(error)
+        self._fail(reason)
         self.abort()
 
     def _report_stray_bytes(self, what: str, data: bytes = b"") -> None:
@@ -265,10 +265,11 @@
             self.on_stray_bytes(what)
         self._strayed = True
 
-    def _fail(self, error: Exception) -> None:
-        self._error = self._error or error
+    def _fail(self, reason: str) -> None:
+        # Not an error: its traceback would refer to the frames of the call, and they to this.
+        self._failure = self._failure or reason
         if self._answer is not None and not self._answer[1].is_eof():
-            fail_payload(self._loop, self._answer[1], error)
+            fail_payload(self._loop, self._answer[1], BrokenAnswerError(reason))
         self._wake_waiter()
 
     def _wake_waiter(self) -> None:
@@ -336,8 +337,8 @@
 
     async def _next_answer(self) -> tuple[RawResponseMessage, StreamReader]:
         while self._answer is None:
-            if self._error is not None:
-                raise self._error
+            if self._failure is not None:
+                raise BrokenAnswerError(self._failure)
             self._waiter = self._loop.create_future()
             await self._waiter
         return self._answer
@@ -358,8 +359,8 @@
         Bytes behind it that begin no message may be the rest of its body. A copy of this or of the
         last answer may also be inside the body, or at the end of one without a length.
         """
-        if self._unusable and self._error is not None:
-            raise self._error
+        if self._unusable and self._failure is not None:
+            raise BrokenAnswerError(self._failure)
         pending = self._framing.pending.lstrip(b"\r\n")
         if pending:
             self._report_stray_bytes("bytes behind an answer", pending)
@@ -385,8 +386,10 @@
         except AnswerMemoryError as error:
             parts.clear()  # which the traceback would keep
             raise BrokenAnswerError(f"too large: {error}") from error
+        except BrokenAnswerError as error:
+            raise BrokenAnswerError(str(error)) from release_frames(error)
         except (HttpProcessingError, OSError, ValueError) as error:
-            raise BrokenAnswerError(f"cut short: {error}") from error
+            raise BrokenAnswerError(f"cut short: {error}") from release_frames(error)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     def _update_reuse(self, message: RawResponseMessage) -> None:
