Abort the connection of an upload that is answered before it is sent

Cause: a connection whose answer has come while its request isn't sent to the end is not reused, and was closed: a close first sends what is left, and the transport keeps that until the upstream reads it. The caller has its answer by then, so that the body counts no more against the bound on bodies and the next uploads are let in.

Change: such a connection is aborted; what is left of the request has no use. The upstream gets no bytes of another request in its place.

--- a/heatherhead/proxy/upstream_connection.py
+++ b/heatherhead/proxy/upstream_connection.py
@@ -398,8 +398,11 @@
         behind = bool(self._framing.pending)
         full = len(self._carried_ids) >= MAX_CARRIED_IDS
         if message.should_close or self._strayed or behind or request_unsent or self._lost or full:
-            self._unusable = True
-            self.close()
+            if request_unsent:
+                self.abort()  # else the rest stays in memory until the upstream reads it
+            else:
+                self._unusable = True
+                self.close()
             return
         match = _KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", ""))
         self.idle_timeout_s = float(match.group(1)) if match else None
