Close the connections of the crashing stand-in of a test

What was seen: a run of all tests of `proxy` ended with an internal error of pytest ("AST constructor recursion depth mismatch") in departed_caller_tests.py, whose expected failure it was about to print; repeated three times, also with just the two files.

Cause: the stand-in of crashed_upstreams_tests.py left its stream writers open. Their finalizers, which fail without a loop, ran inside the compiler that pytest calls to show the source of the failure.

--- a/heatherhead/tests/proxy/crashed_upstreams_tests.py
+++ b/heatherhead/tests/proxy/crashed_upstreams_tests.py
@@ -47,11 +47,14 @@
                 writer.write(answer(request_id[1]))
         except (asyncio.IncompleteReadError, ConnectionError):
             return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
 
     def crash(self) -> None:
         """Break all connections; new ones are refused from now on."""
         self.crashed = True
-        for writer in self._writers:
+        for writer in list(self._writers):
             writer.transport.abort()
 
 
