Wait for answers on their way before a planned stop ends

Cause: a leaving instance ends once no call is in progress for a while, and a call was done when its answer was written to the transport, which holds what the caller has not taken yet. `left in_progress=0` said so.

Change: connections with unsent bytes count as well while the instance leaves, for callers and peers, until the grace ends. `left` tells how many there are.

--- a/heatherhead/entry/service.py
+++ b/heatherhead/entry/service.py
@@ -679,6 +679,9 @@
     def _calls_in_progress(self) -> int:
         return self.callers.in_progress() + self.peer_calls.in_progress()
 
+    def _unsent_answers(self) -> int:
+        return self.callers.unsent() + self.peer_calls.unsent()
+
     async def leave(self) -> None:
         """Announce the departure and finish the calls in progress within the grace period."""
         if self.leaving:
@@ -697,7 +700,7 @@
             if now - began >= min(REJECT_AFTER_S, self.settings.grace_s / 2):
                 self.forwarder.rejects_calls = True
             self.forwarder.instance_end.refuse_late_bodies()
-            if self._calls_in_progress():
+            if self._calls_in_progress() or self._unsent_answers():
                 idle_since = now
             if now - began >= MIN_LEAVE_S and now - idle_since >= IDLE_BEFORE_END_S:
                 break
@@ -707,7 +710,7 @@
         self.callers.close_idle()
         self.peer_calls.close_idle()
         leave.cancel()
-        log_event("left", in_progress=self._calls_in_progress())
+        log_event("left", in_progress=self._calls_in_progress(), unsent=self._unsent_answers())
 
     async def stop(self) -> None:
         """Stop all parts and close the store."""
--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -391,6 +391,11 @@
         transport.write(head.encode() + answer.body)
         self._close_after_reading()
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether the caller has not taken all that was written."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def close_if_timed_out(self, now: float, limits: CallerLimits) -> None:
         """Close the connection if its idle timeout or header timeout has expired."""
         if self.head_started_at is not None and not self.exchanges:
@@ -485,6 +490,10 @@
         """Count the unanswered requests."""
         return sum(len(connection.exchanges) for connection in self.connections)
 
+    def unsent(self) -> int:
+        """Count the connections whose callers have not taken all of their answers."""
+        return sum(connection.has_unsent_bytes for connection in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self.connections):
