Notice a caller that leaves behind many unanswered requests

Cause: with 32 unanswered requests a connection was not read any more, and only reading shows its end.

Change: the connection is read on and what comes is kept, 32 KiB at most, until fewer requests are unanswered; then it is parsed. Reading pauses at that bound, so the end of a connection with more than that behind its unanswered requests is still seen late.

--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -46,7 +46,8 @@
 
 PARSER_BUFFER_BYTES = 64 * 1024
 MAX_HEADERS = 128
-MAX_PIPELINED_REQUESTS = 32  # reading pauses at this many unanswered requests
+MAX_PIPELINED_REQUESTS = 32  # with so many unanswered, no further request is taken
+MAX_AHEAD_BYTES = 32 * 1024  # of requests not taken yet; reading pauses at this many
 DEFAULT_MAX_HELD_BYTES = 64 * 1024 * 1024
 SWEEP_INTERVAL_S = 0.5  # between checks for idle connections and incomplete heads
 IDLE_TIMEOUT_MARGIN_S = 2.0  # callers, whose idle time begins later, then close first
@@ -140,6 +141,8 @@
         self._failed = False
         self._chunked_payload: StreamReader | None = None  # of a request that the parser has read
         self._last_bytes = b""
+        self._takes_requests = True  # not too many are unanswered
+        self._ahead = b""  # received while no request is taken
         self._ending = False  # no further request is taken; it closes after the last answer
         self._linger_timer: asyncio.TimerHandle | None = None
         self._unsent: list[HeldAnswer] = []  # of answers that the caller has not taken yet
@@ -185,6 +188,9 @@
         """Parse requests and start handling them."""
         if self._failed or self._closing or (self._ending and not self._receives_body()):
             return
+        if data and not self._takes_requests:
+            self._hold_ahead(data)
+            return
         try:
             messages, upgraded, _ = self._request_parser.feed_data(data)
         except HttpProcessingError as error:
@@ -213,9 +219,23 @@
             self.head_started_at = now
         if upgraded:
             self._end_after_last()
-        if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
+        self._takes_requests = len(self.exchanges) < MAX_PIPELINED_REQUESTS
+
+    def _hold_ahead(self, data: bytes) -> None:
+        """Keep data for later; reading goes on meanwhile, as only that shows a close behind it."""
+        self._ahead += data
+        if len(self._ahead) >= MAX_AHEAD_BYTES:
             self._pause_reading_for_buffer()
 
+    def _take_ahead(self) -> None:
+        """Go on with the data that was held back."""
+        self._takes_requests = True
+        data, self._ahead = self._ahead, b""
+        if data:
+            self.data_received(data)
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+
     def _renew_parser(self, data: bytes) -> None:
         """Replace the parser behind a body in chunks.
 
@@ -283,8 +303,8 @@
             event = self.exchanges[0].earlier_answered
             if event is not None:
                 event.set()
-        if self._buffer_paused and len(self.exchanges) < MAX_PIPELINED_REQUESTS:
-            self._resume_reading_for_buffer()
+        if not self._takes_requests and len(self.exchanges) < MAX_PIPELINED_REQUESTS:
+            self._take_ahead()
         self.active_at = self._loop.time()
 
     def _write(self, exchange: Exchange) -> None:
--- a/heatherhead/tests/proxy/departed_caller_tests.py
+++ b/heatherhead/tests/proxy/departed_caller_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 import pytest
@@ -10,12 +11,13 @@
 from heatherhead.dispatch.upstream_state import LoadReading
 from heatherhead.tests.proxy.closing_tests import add_held_upstream, wait_for_arrivals
 from heatherhead.tests.proxy.detour_tests import REFUSED, run_detour
-from heatherhead.tests.proxy.fakes import request, run_path, status_of
+from heatherhead.tests.proxy.fakes import read_answer, request, run_path, status_of
 
 if TYPE_CHECKING:
     from heatherhead.tests.proxy.fakes import EntryPath, ScriptedUpstream
 
 UPLOAD = request("/upload/x", method="POST", body=b"photo")
+REQUESTS_AHEAD = 80  # on one connection
 GONE_S = 0.5  # the platform's bound for calls whose caller has left
 SETTLE_S = 0.15  # for the close to pass through both instances
 
@@ -107,15 +109,9 @@
     run_detour(scenario, ["hang"])
 
 
-@pytest.mark.parametrize(
-    "requests",
-    [
-        31,
-        pytest.param(40, marks=pytest.mark.xfail(reason="KNOWN-RED.txt, issue 2", strict=True)),
-    ],
-)
+@pytest.mark.parametrize("requests", [31, 40])
 def test_caller_that_leaves_behind_many_unanswered_requests_is_not_noticed(requests: int) -> None:
-    """Reading pauses at 32 of them, so that the close is seen only once one is answered."""
+    """Reading paused at 32 of them, so that the close was seen only once one was answered."""
 
     async def scenario(path: EntryPath, _upstreams: list[ScriptedUpstream]) -> None:
         upstream = await add_held_upstream(path)
@@ -128,3 +124,24 @@
         assert not path.forwarder._active_calls
 
     run_path(scenario)
+
+
+def test_requests_behind_many_unanswered_ones_are_lost_or_out_of_order() -> None:
+    """They come in three parts, cut inside a head; the second and the third are held back."""
+
+    async def scenario(path: EntryPath, _upstreams: list[ScriptedUpstream]) -> None:
+        upstream = await add_held_upstream(path)
+        ids = [f"r{number}" for number in range(REQUESTS_AHEAD)]
+        requests = [request(request_id=each) for each in ids]
+        data = b"".join(requests)
+        cuts = [0, len(b"".join(requests[:33])) + 7, len(b"".join(requests[:50])) + 9, len(data)]
+        reader, writer = await path.connect()
+        for start, end in pairwise(cuts):
+            writer.write(data[start:end])
+            await asyncio.sleep(SETTLE_S / 3)
+        upstream.released.set()
+        received = [(await read_answer(reader)).decode() for _ in ids]
+        assert [each.partition("Request-Id: ")[2].partition("\r\n")[0] for each in received] == ids
+        writer.close()
+
+    run_path(scenario)
