--- a/heatherhead/dispatch/crashes.py
+++ b/heatherhead/dispatch/crashes.py
@@ -129,9 +129,9 @@
         self._answered_at_by_fingerprint: OrderedDict[int, float] = OrderedDict()
 
     def record_crash(self, fingerprint: int, start: str, broke_at: float, now: float) -> int:
-        """Record a crash and return how many are held against the request; 0 if it is innocent.
+        """Record a crash and return how many are held against the request.
 
-        It is if it was answered after an attempt broke at that upstream.
+        None is if the request was answered after its attempt broke off at `broke_at`.
         """
         if self._answered_at_by_fingerprint.get(fingerprint, -math.inf) >= broke_at:
             return 0
