Free the bodies of calls that are rejected after a wait

Cause: the waiting call got its RejectedError through a future. The traceback of the error refers to the frame that awaits the future, the frame to the future, the future to the error. Only the garbage collector frees such a circle, with the call and its body.

Ruled out: the other ways in which a call ends.

Change: futures get a Rejection, which is plain data, and acquire raises the error. Nothing but the handler refers to it then.

--- a/heatherhead/dispatch/admission_queue.py
+++ b/heatherhead/dispatch/admission_queue.py
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, eq=False)
 class WaitingCall:
-    """One waiting call; `future` receives its slot or a `RejectedError`."""
+    """One waiting call; `future` receives its slot or a `Rejection`."""
 
     demand: Demand
     avoid: Collection[str]
--- a/heatherhead/dispatch/dispatcher.py
+++ b/heatherhead/dispatch/dispatcher.py
@@ -38,7 +38,7 @@
     hopeless_reason,
     infeasible,
 )
-from heatherhead.dispatch.rejection import RejectedError, create_rejection_evidence
+from heatherhead.dispatch.rejection import RejectedError, Rejection, create_rejection_evidence
 from heatherhead.dispatch.retry_after import RetryAfterSchedule
 from heatherhead.dispatch.upstream_state import SLOWDOWN_FRESH_S, UpstreamState
 from heatherhead.dispatch.warmup import create_warmups
@@ -375,7 +375,7 @@
             state.queue.discard(call)
             if not call.future.done():
                 evidence = state.rejection_evidence(call.demand, 0, now)
-                call.future.set_exception(RejectedError(reason, 0.0, evidence))
+                call.future.set_result(Rejection(reason, 0.0, evidence))
 
     def forgive_failures(self, service: str, since: float) -> None:
         """Forget the failures of a service's upstreams while it was out of reach."""
@@ -700,14 +700,17 @@
         if self._tick is None:
             self._tick = self._loop.call_later(PLACEMENT_INTERVAL_S, self._on_tick)
         try:
-            slot = await call.future
+            outcome = await call.future
         except asyncio.CancelledError:
             service.queue.discard(call)
-            if call.future.done() and not call.future.cancelled() and not call.future.exception():
-                self.release(call.future.result())
+            if call.future.done() and not call.future.cancelled():
+                unused = call.future.result()
+                if isinstance(unused, Slot):
+                    self.release(unused)
             raise
-        assert isinstance(slot, Slot)
-        return slot
+        if isinstance(outcome, Rejection):
+            raise RejectedError(outcome)
+        return outcome
 
     def try_acquire(self, demand: Demand, avoid: Collection[str]) -> Slot | None:
         """Return a slot if one is free now and no waiting call precedes this one."""
@@ -971,9 +974,11 @@
         if reason is not None:
             waiting_s = wait_s(ahead, demand, capacity, arrivals_per_s, now)
             raise RejectedError(
-                reason,
-                self._retry_after_s(service, demand, waiting_s, now),
-                service.rejection_evidence(demand, ahead, now),
+                Rejection(
+                    reason,
+                    self._retry_after_s(service, demand, waiting_s, now),
+                    service.rejection_evidence(demand, ahead, now),
+                )
             )
 
     def _capacity(self, service: _Service, regions: Regions, now: float) -> CapacityEstimate:
@@ -1109,7 +1114,7 @@
                 retry_s = self._retry_after_s(service, call.demand, 0.0, now)
                 evidence = service.rejection_evidence(call.demand, ahead, now)
                 reason = self._hopeless_reason(service, call.demand, now) or "no slot in time"
-                call.future.set_exception(RejectedError(reason, retry_s, evidence))
+                call.future.set_result(Rejection(reason, retry_s, evidence))
 
     def _service(self, name: str) -> _Service:
         service = self._service_by_name.get(name)
--- a/heatherhead/dispatch/rejection.py
+++ b/heatherhead/dispatch/rejection.py
@@ -12,7 +12,7 @@
     from heatherhead.dispatch.demand import Demand
     from heatherhead.dispatch.placement import Prospect
 
-__all__ = ["RejectedError", "RejectionEvidence", "create_rejection_evidence"]
+__all__ = ["RejectedError", "Rejection", "RejectionEvidence", "create_rejection_evidence"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,14 +33,27 @@
     fastest_s: float  # least time to an answer from these, by recent evidence
 
 
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """Why a call is rejected, and when its caller may return.
+
+    A future gets this and not an error: the traceback of an error refers to the frame that awaits
+    the future, and so to the future itself, which keeps the request until a garbage collection.
+    """
+
+    reason: str
+    retry_after_s: float
+    evidence: RejectionEvidence
+
+
 class RejectedError(Exception):
     """A call that can't be answered before its caller gives up; it was not sent to an upstream."""
 
-    def __init__(self, reason: str, retry_after_s: float, evidence: RejectionEvidence) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-        self.evidence = evidence
+    def __init__(self, rejection: Rejection) -> None:
+        super().__init__(rejection.reason)
+        self.reason = rejection.reason
+        self.retry_after_s = rejection.retry_after_s
+        self.evidence = rejection.evidence
 
 
 def create_rejection_evidence(
--- a/heatherhead/tests/proxy/departed_caller_tests.py
+++ b/heatherhead/tests/proxy/departed_caller_tests.py
@@ -22,7 +22,7 @@
 SETTLE_S = 0.15  # for the close to pass through both instances
 
 
-def _set_load(path: EntryPath, running: int) -> None:
+def set_load(path: EntryPath, running: int) -> None:
     """Have calls use slots; a reading alone would count for 0.3 s only."""
     now = asyncio.get_running_loop().time()
     for state in path.dispatcher.states:
@@ -32,7 +32,7 @@
 
 async def _leave_while_waiting(at: EntryPath, waits_at: EntryPath) -> None:
     """Send an upload that has to wait for a slot, and leave."""
-    _set_load(waits_at, 4)
+    set_load(waits_at, 4)
     _, writer = await at.connect()
     writer.write(UPLOAD)
     while not waits_at.forwarder._active_calls:
@@ -40,7 +40,7 @@
     await asyncio.sleep(SETTLE_S)
     writer.close()
     await asyncio.sleep(SETTLE_S)
-    _set_load(waits_at, 0)
+    set_load(waits_at, 0)
     await asyncio.sleep(SETTLE_S)
 
 
--- a/heatherhead/tests/proxy/hedging_within_limit_tests.py
+++ b/heatherhead/tests/proxy/hedging_within_limit_tests.py
@@ -13,7 +13,7 @@
 USUAL_CALLS = 40
 
 
-async def _send_usual_calls(path: EntryPath) -> None:
+async def send_usual_calls(path: EntryPath) -> None:
     for _ in range(USUAL_CALLS):
         assert status_of(await path.send(request())) == 200
 
@@ -23,7 +23,7 @@
 
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure()
-        await _send_usual_calls(path)
+        await send_usual_calls(path)
         for upstream in upstreams:
             upstream.script[:] = ["hang"]
             upstream.requests.clear()
