--- a/heatherhead/proxy/caller_connection.py
+++ b/heatherhead/proxy/caller_connection.py
@@ -308,13 +308,11 @@
             return
         exchange.answer = answer
         self._flush()
-        if self._waits_behind_others(exchange) and not exchange.payload.is_eof():
-            self._end_after_last()  # the rest of the body is dropped, but a close behind it is seen
+        if self._receives_body() and self.exchanges[-1] is exchange:
+            # It waits behind others. The rest of its body is dropped, so that a close is seen.
+            self._end_after_last()
             self._resume_transport_reading()
 
-    def _waits_behind_others(self, exchange: Exchange) -> bool:
-        return bool(self.exchanges) and self.exchanges[-1] is exchange
-
     def reserve_body_bytes(self, exchange: Exchange, size: int) -> None:
         """Count body bytes as held in memory; raises `BodyMemoryError` at the bound."""
         if not self._owner.reserve(size):
