Share the check that objects are freed, and give each test run addresses of its own

Two runs of signals_tests.py beside each other would have used the same loopback addresses. The check without the garbage collector stood in two test files.

--- a/heatherhead/signals.py
+++ b/heatherhead/signals.py
@@ -18,6 +18,7 @@
     "handle_signals",
     "ignore_signals",
     "is_stop_pending",
+    "restore_stop_signals",
     "unblock_signals",
 ]
 
--- a/heatherhead/tests/proxy/released_calls_tests.py
+++ b/heatherhead/tests/proxy/released_calls_tests.py
@@ -24,17 +24,21 @@
     status_of,
 )
 from heatherhead.tests.proxy.hedging_within_limit_tests import send_usual_calls
+from heatherhead.tests.proxy.held_objects import expect_freed, without_collector
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterator
+    from collections.abc import Awaitable, Callable
 
     from heatherhead.tests.proxy.fakes import EntryPath
 
     Way = Callable[[EntryPath, list[ScriptedUpstream], bytes], Awaitable[None]]
 
+__all__ = ["without_collector"]
+
+pytestmark = pytest.mark.usefixtures("without_collector")
+
 BODY = b"x" * 5000
 TIMEOUT_S = 0.5
-FREED_WITHIN_S = 2.0
 SLOTS = 4
 CALLS = {
     "read": request("/read/x"),
@@ -47,23 +51,6 @@
     return [each for each in gc.get_objects() if isinstance(each, kinds)]
 
 
-async def _expect_freed() -> None:
-    try:
-        async with asyncio.timeout(FREED_WITHIN_S):
-            while _held():
-                await asyncio.sleep(0.02)
-    except TimeoutError:
-        pytest.fail(f"{sorted(type(each).__name__ for each in _held())} are held")
-
-
-@pytest.fixture(autouse=True)
-def _without_collector() -> Iterator[None]:
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 async def _start_waiting(path: EntryPath, waits_at: EntryPath, call: bytes) -> asyncio.StreamWriter:
     """Send a call to an instance, itself or a peer of it, without a free slot."""
     set_load(waits_at, SLOTS)
@@ -193,7 +180,7 @@
     async def scenario(path: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         path.configure(TIMEOUT_S)
         await way(path, upstreams, CALLS[kind])
-        await _expect_freed()
+        await expect_freed(_held)
 
     run_path(scenario, [], [])
 
@@ -204,7 +191,7 @@
     async def scenario(cut: EntryPath, peer: EntryPath, upstreams: list[ScriptedUpstream]) -> None:
         peer.configure(TIMEOUT_S)
         await way(_Detour(cut, peer), upstreams, CALLS[kind])
-        await _expect_freed()
+        await expect_freed(_held)
 
     run_detour(scenario, [], [])
 
@@ -217,7 +204,7 @@
         cut.peers[:] = [HostPort(*server.sockets[0].getsockname())]
         cut.configure(TIMEOUT_S)
         assert status_of(await cut.send(CALLS[kind])) in (502, 503, 504)
-        await _expect_freed()
+        await expect_freed(_held)
         server.close()
 
     run_detour(scenario)
@@ -237,7 +224,7 @@
         if not leaves:
             await asyncio.sleep(0.5)
         writer.close()
-        await _expect_freed()
+        await expect_freed(_held)
 
     run_path(scenario, [], [], hedge_ratio=0.5)
 
--- a/heatherhead/tests/proxy/released_requests_tests.py
+++ b/heatherhead/tests/proxy/released_requests_tests.py
@@ -13,15 +13,17 @@
 from heatherhead.proxy.messages import HttpRequest
 from heatherhead.proxy.upstream_connection import UpstreamConnection
 from heatherhead.tests.proxy.fakes import EntryPath, answer, request, run_path
+from heatherhead.tests.proxy.held_objects import expect_freed, without_collector
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from heatherhead.tests.proxy.fakes import ScriptedUpstream
 
+__all__ = ["without_collector"]
+
+pytestmark = pytest.mark.usefixtures("without_collector")
+
 REQUESTS = 3
 BODY = b"x" * 5000
-FREED_WITHIN_S = 2.0
 CUT = answer(body=b"whole")[:-2]
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho"
 # How the upstream ends each attempt.
@@ -60,23 +62,6 @@
     ]
 
 
-async def _expect_freed() -> None:
-    try:
-        async with asyncio.timeout(FREED_WITHIN_S):
-            while _held():
-                await asyncio.sleep(0.02)
-    except TimeoutError:
-        pytest.fail(f"{len(_held())} objects are held")
-
-
-@pytest.fixture(autouse=True)
-def _without_collector() -> Iterator[None]:
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 @pytest.mark.parametrize("target", ["/upload/x", "/read/x"])
 @pytest.mark.parametrize("end", ENDS)
 def test_request_whose_attempt_fails_stays_in_memory(end: str, target: str) -> None:
@@ -86,7 +71,7 @@
         path.configure(timeout_s=0.3)
         for _ in range(REQUESTS):
             await path.send(request(target, "r1", "POST", BODY))
-        await _expect_freed()
+        await expect_freed(_held)
 
     run_path(scenario, [ENDS[end]] * 2 * REQUESTS, [ENDS[end]] * 2 * REQUESTS)
 
@@ -99,7 +84,7 @@
         writer.write(request(target, "r1", "POST", BODY))
         await upstreams[0].arrived.wait()
         writer.close()
-        await _expect_freed()
+        await expect_freed(_held)
 
     run_path(scenario, ["hang"])
 
@@ -116,6 +101,6 @@
         writer.write(BROKEN_BODIES[end])
         await asyncio.sleep(0.05)
         writer.close()
-        await _expect_freed()
+        await expect_freed(_held)
 
     run_path(scenario, [])
--- a/heatherhead/tests/signals_tests.py
+++ b/heatherhead/tests/signals_tests.py
@@ -23,7 +23,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-OWN_HOST, OLD_SEED, NEW_SEED = "127.21.0.1", "127.21.0.2", "127.21.0.3"
+# Loopback addresses that no other run of the tests uses.
+_PREFIX = f"127.{16 + os.getpid() // 250 % 200}.{1 + os.getpid() % 250}"
+OWN_HOST, OLD_SEED, NEW_SEED = (f"{_PREFIX}.{number}" for number in (1, 2, 3))
 CONTROL_PORT, PEER_PORT, CLOSED_PORT = 18721, 18724, 18729
 PLATFORM_SETTINGS = f"""
 NodeName=edge-1
@@ -41,7 +43,7 @@
 CONNECT_TIMEOUT_S = 20.0
 END_TIMEOUT_S = 30.0
 
-# The moments up to the first listener come first.
+# Moments are functions that are called for the first time then, see `moments.py`.
 PLATFORM_START = [
     "platform/daemon.py:<module>",
     "entry/service.py:<module>",
